Set up the workspace: modules, core types, HTTP, capacity accounts

Cause: the project starts empty; everything later depends on its shape. Ruled out: one module with packages, because narrow interfaces would not be enforced by the build; one lock for all workers, because starts and requests on different workers would wait for one another. Change: a Maven workspace of 16 small modules, records in model, HTTP server and client on Netty, the interfaces to the platform, the messages between daemons, and worker accounts in 16 shards, each under its own lock.

--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Events.java
@@ -0,0 +1,74 @@
+package org.chestnutbarrow.daemon;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import org.chestnutbarrow.model.Checks;
+
+/**
+ * Writes one line of key=value pairs for each event. Stateless; safe for use by several threads.
+ *
+ * <p>Values that are not plain words are quoted and escaped, so that a caller's input cannot forge a line.
+ *
+ * <pre>{@code
+ * Events.info("lease-taken", "worker", worker.id(), "epoch", epoch);
+ * }</pre>
+ */
+final class Events {
+    private static final Logger log = System.getLogger("chestnutbarrow");
+
+    private Events() {}
+
+    /** Logs an event of normal operation. */
+    static void info(String event, Object... pairs) {
+        write(Level.INFO, event, pairs);
+    }
+
+    /** Logs an event that an operator should know of. */
+    static void warn(String event, Object... pairs) {
+        write(Level.WARNING, event, pairs);
+    }
+
+    private static void write(Level level, String event, Object... pairs) {
+        if (log.isLoggable(level)) {
+            log.log(level, line(event, pairs));
+        }
+    }
+
+    /** The line for an event; {@code pairs} alternates keys and values. */
+    static String line(String event, Object... pairs) {
+        Checks.require(pairs.length % 2 == 0, "keys and values must alternate");
+        StringBuilder line = new StringBuilder(128).append("event=").append(event);
+        for (int i = 0; i < pairs.length; i += 2) {
+            line.append(' ').append(pairs[i]).append('=');
+            append(line, String.valueOf(pairs[i + 1]));
+        }
+        return line.toString();
+    }
+
+    private static void append(StringBuilder line, String value) {
+        if (plain(value)) {
+            line.append(value);
+            return;
+        }
+        line.append('"');
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c < ' ' || c == '"' || c == '\\' || c > '~') {
+                line.append(String.format("\\u%04x", (int) c));
+            } else {
+                line.append(c);
+            }
+        }
+        line.append('"');
+    }
+
+    private static boolean plain(String value) {
+        for (int i = 0; i < value.length(); i++) {
+            char c = value.charAt(i);
+            if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c > '~') {
+                return false;
+            }
+        }
+        return !value.isEmpty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon: threads, HTTP front end, metrics and logs around the decision libraries. */
+package org.chestnutbarrow.daemon;
--- /dev/null
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
@@ -0,0 +1,148 @@
+package org.chestnutbarrow.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.chestnutbarrow.model.Address;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+
+/**
+ * An HTTP/1.1 client that keeps connections open between requests. Safe for use by several threads; calls block and
+ * suit virtual threads.
+ *
+ * <p>Invariants: a connection carries one exchange at a time; a connection whose exchange did not end with a whole
+ * answer is closed and never used again; bytes that arrive outside an exchange close the connection; an answer whose end
+ * is marked only by the end of the connection is not taken for whole.
+ *
+ * <pre>{@code
+ * try (HttpClient client = new HttpClient(maxBodyBytes)) {
+ *     HttpResponse response = client.send(address, HttpRequest.get("/v1/hosts"), Duration.ofSeconds(1));
+ * }
+ * }</pre>
+ */
+public final class HttpClient implements AutoCloseable {
+    private static final int EVENT_LOOPS = 2;
+    private static final int MAX_HEADER_BYTES = 64 * 1024;
+    private static final int MAX_LINE_BYTES = 8 * 1024;
+
+    private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
+    private final IdleConnections idle = new IdleConnections();
+    private final Bootstrap bootstrap;
+
+    /**
+     * Creates a client.
+     *
+     * @param maxBodyBytes most bytes of an answer's body; a longer answer is not whole
+     */
+    public HttpClient(int maxBodyBytes) {
+        bootstrap = new Bootstrap()
+                .group(loops)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(new ChannelInitializer<SocketChannel>() {
+                    @Override
+                    protected void initChannel(SocketChannel channel) {
+                        HttpDecoderConfig config = new HttpDecoderConfig()
+                                .setMaxInitialLineLength(MAX_LINE_BYTES)
+                                .setMaxHeaderSize(MAX_HEADER_BYTES);
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec(config, false, true))
+                                .addLast(new ClientExchange(maxBodyBytes));
+                    }
+                });
+    }
+
+    /** As {@link #send(Address, HttpRequest, Duration, SendGate)} without a gate. */
+    public HttpResponse send(Address to, HttpRequest request, Duration timeout)
+            throws NotRunException, OutcomeUnknownException {
+        return send(to, request, timeout, SendGate.OPEN);
+    }
+
+    /**
+     * Sends a request and waits for the whole answer. Nothing is ever sent twice.
+     *
+     * @param timeout longest time for connecting, sending and receiving together
+     * @param gate checked on the event loop right before the first byte is written
+     * @throws NotRunException if no byte was written
+     * @throws OutcomeUnknownException if bytes were written and no whole answer came
+     */
+    public HttpResponse send(Address to, HttpRequest request, Duration timeout, SendGate gate)
+            throws NotRunException, OutcomeUnknownException {
+        long end = System.nanoTime() + timeout.toNanos();
+        Channel channel = idle.take(to);
+        if (channel == null) {
+            channel = connect(to, end);
+        }
+        ClientExchange exchange = channel.pipeline().get(ClientExchange.class);
+        if (exchange == null) {
+            channel.close();
+            throw notRun(to, "connection was closed before the request", null);
+        }
+        PendingExchange pending = new PendingExchange(to, request, gate);
+        exchange.begin(channel, pending);
+        try {
+            HttpResponse response = pending.result().get(end - System.nanoTime(), TimeUnit.NANOSECONDS);
+            if (pending.reusable()) {
+                idle.put(to, channel);
+            }
+            return response;
+        } catch (TimeoutException e) {
+            pending.abandon(channel);
+            throw pending.failure("no whole answer within " + timeout.toMillis() + " ms", e);
+        } catch (InterruptedException e) {
+            pending.abandon(channel);
+            Thread.currentThread().interrupt();
+            throw pending.failure("the wait was interrupted", e);
+        } catch (ExecutionException e) {
+            channel.close();
+            throw pending.failure(String.valueOf(e.getCause().getMessage()), e.getCause());
+        }
+    }
+
+    /** Closes the connections to an address that carry no exchange. */
+    public void closeIdle(Address to) {
+        idle.close(to);
+    }
+
+    /** Closes everything; exchanges under way fail. */
+    @Override
+    public void close() {
+        idle.closeAll();
+        loops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private Channel connect(Address to, long end) throws NotRunException {
+        long left = Math.max(1, TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime()));
+        Bootstrap connecting =
+                bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(left, Integer.MAX_VALUE));
+        try {
+            return connecting
+                    .connect(new InetSocketAddress(to.ip(), to.port()))
+                    .sync()
+                    .channel();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw notRun(to, "the wait was interrupted", e);
+        } catch (Exception e) {
+            throw notRun(to, String.valueOf(e.getMessage()), e);
+        }
+    }
+
+    private static NotRunException notRun(Address to, String why, Throwable cause) {
+        return new NotRunException("cannot reach " + to + ": " + why, "check that the process runs", cause);
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpResponse.java
@@ -0,0 +1,45 @@
+package org.chestnutbarrow.http;
+
+import java.nio.charset.StandardCharsets;
+import org.chestnutbarrow.model.Checks;
+
+/**
+ * A whole response. The body is not copied; do not change it.
+ *
+ * @param status status code, from 200 to 599
+ * @param headers header fields without those that frame the message
+ * @param body body bytes, empty if there is none
+ */
+public record HttpResponse(int status, Headers headers, byte[] body) {
+    private static final int MIN_STATUS = 200;
+    private static final int MAX_STATUS = 599;
+
+    public HttpResponse {
+        Checks.require(status >= MIN_STATUS && status <= MAX_STATUS, "status must be from 200 to 599");
+        Checks.require(headers != null && body != null, "response needs headers and body");
+    }
+
+    /** A JSON response. */
+    public static HttpResponse json(int status, String json) {
+        return of(status, "application/json", json);
+    }
+
+    /** A plain text response. */
+    public static HttpResponse text(int status, String text) {
+        return of(status, "text/plain; charset=utf-8", text);
+    }
+
+    /** This response with one more header field. */
+    public HttpResponse with(String name, String value) {
+        return new HttpResponse(status, headers.with(name, value), body);
+    }
+
+    /** The body as UTF-8 text. */
+    public String text() {
+        return new String(body, StandardCharsets.UTF_8);
+    }
+
+    private static HttpResponse of(int status, String type, String text) {
+        return new HttpResponse(status, Headers.of("Content-Type", type), text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/chestnutbarrow/http/IdleConnections.java
@@ -0,0 +1,69 @@
+package org.chestnutbarrow.http;
+
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.chestnutbarrow.model.Address;
+
+/**
+ * Open connections that carry no exchange, most recently used first. Safe for use by several threads; the connections of
+ * an address are guarded by their own deque's monitor.
+ */
+final class IdleConnections {
+    private final Map<Address, Deque<Channel>> byAddress = new ConcurrentHashMap<>();
+    private volatile boolean closed;
+
+    /** An open connection to the address, or null if there is none. */
+    Channel take(Address address) {
+        Deque<Channel> idle = byAddress.get(address);
+        if (idle == null) {
+            return null;
+        }
+        synchronized (idle) {
+            Channel channel = idle.pollFirst();
+            while (channel != null && !channel.isActive()) {
+                channel = idle.pollFirst();
+            }
+            return channel;
+        }
+    }
+
+    void put(Address address, Channel channel) {
+        Deque<Channel> idle = byAddress.computeIfAbsent(address, _ -> new ArrayDeque<>());
+        synchronized (idle) {
+            idle.addFirst(channel);
+        }
+        channel.closeFuture().addListener(done -> remove(address, channel));
+        if (closed) {
+            channel.close();
+        }
+    }
+
+    void close(Address address) {
+        Deque<Channel> idle = byAddress.get(address);
+        if (idle == null) {
+            return;
+        }
+        Channel channel = take(address);
+        while (channel != null) {
+            channel.close();
+            channel = take(address);
+        }
+    }
+
+    void closeAll() {
+        closed = true;
+        for (Address address : byAddress.keySet()) {
+            close(address);
+        }
+    }
+
+    private void remove(Address address, Channel channel) {
+        Deque<Channel> idle = byAddress.get(address);
+        synchronized (idle) {
+            idle.remove(channel);
+        }
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -0,0 +1,73 @@
+package org.chestnutbarrow.http;
+
+import io.netty.channel.Channel;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * The open connections of a server. Safe for use by several threads.
+ *
+ * <p>Invariant: never holds more than the limit.
+ */
+final class ServerConnections {
+    private final int limit;
+    private final Set<Channel> open = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger count = new AtomicInteger();
+    private final AtomicInteger inFlight = new AtomicInteger();
+    private volatile boolean draining;
+
+    ServerConnections(int limit) {
+        this.limit = limit;
+    }
+
+    boolean add(Channel channel) {
+        if (draining || count.incrementAndGet() > limit) {
+            if (!draining) {
+                count.decrementAndGet();
+            }
+            return false;
+        }
+        open.add(channel);
+        channel.closeFuture().addListener(done -> {
+            open.remove(channel);
+            count.decrementAndGet();
+        });
+        return true;
+    }
+
+    void began() {
+        inFlight.incrementAndGet();
+    }
+
+    void ended() {
+        inFlight.decrementAndGet();
+    }
+
+    int inFlight() {
+        return inFlight.get();
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void drain() {
+        draining = true;
+        for (Channel channel : open) {
+            channel.pipeline().fireUserEventTriggered(DrainEvent.DRAIN);
+        }
+    }
+
+    void closeAll() {
+        draining = true;
+        for (Channel channel : open) {
+            channel.close();
+        }
+    }
+
+    /** Tells an idle connection to close. */
+    enum DrainEvent {
+        DRAIN
+    }
+}
--- /dev/null
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
@@ -0,0 +1,121 @@
+package org.chestnutbarrow.http;
+
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+
+/**
+ * Carries the requests of one connection to the handler, one after the other. Fields are used on the event loop only.
+ */
+final class ServerExchange extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final Logger log = System.getLogger(ServerExchange.class.getName());
+
+    private final HttpHandler handler;
+    private final Executor executor;
+    private final ServerConnections connections;
+    private boolean busy;
+
+    ServerExchange(HttpHandler handler, Executor executor, ServerConnections connections) {
+        this.handler = handler;
+        this.executor = executor;
+        this.connections = connections;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+        if (!message.decoderResult().isSuccess() || !message.uri().startsWith("/") || busy) {
+            refuse(ctx);
+            return;
+        }
+        busy = true;
+        ctx.channel().config().setAutoRead(false);
+        ctx.pipeline().get(ReceiveTimeout.class).received();
+        boolean keepAlive = HttpUtil.isKeepAlive(message);
+        HttpRequest request = new HttpRequest(
+                message.method().name(),
+                message.uri(),
+                Wire.headers(message.headers()),
+                ByteBufUtil.getBytes(message.content()));
+        connections.began();
+        try {
+            executor.execute(() -> answer(ctx, request, keepAlive));
+        } catch (RejectedExecutionException e) {
+            connections.ended();
+            ctx.close();
+        }
+    }
+
+    private void answer(ChannelHandlerContext ctx, HttpRequest request, boolean keepAlive) {
+        HttpResponse response;
+        try {
+            response = handler.handle(request);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            response = HttpResponse.text(500, "the server stops\n");
+        } catch (Exception | StackOverflowError e) {
+            log.log(Level.ERROR, () -> "event=request-failed target=" + Wire.quote(request.target()), e);
+            response = HttpResponse.text(500, "internal error; see the log of this process\n");
+        }
+        HttpResponse result = response;
+        boolean head = request.method().equals("HEAD");
+        ctx.executor().execute(() -> write(ctx, result, keepAlive, head));
+    }
+
+    private void write(ChannelHandlerContext ctx, HttpResponse response, boolean keepAlive, boolean head) {
+        FullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(response.status()),
+                Unpooled.wrappedBuffer(head ? new byte[0] : response.body()));
+        Wire.copy(response.headers(), message.headers());
+        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+        boolean close = !keepAlive || connections.draining();
+        if (close) {
+            message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        }
+        busy = false;
+        ChannelFuture written = ctx.writeAndFlush(message);
+        written.addListener(done -> connections.ended());
+        if (close) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        } else {
+            ctx.channel().config().setAutoRead(true);
+        }
+    }
+
+    private static void refuse(ChannelHandlerContext ctx) {
+        FullHttpResponse message = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER);
+        message.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        ctx.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ServerConnections.DrainEvent.DRAIN && !busy) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        log.log(Level.DEBUG, () -> "event=connection-failed cause=" + Wire.quote(String.valueOf(cause.getMessage())));
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/chestnutbarrow/model/Address.java
@@ -0,0 +1,45 @@
+package org.chestnutbarrow.model;
+
+/**
+ * An IP number with a port, written {@code IP:PORT}.
+ *
+ * @param ip IPv4 number, or IPv6 number without brackets
+ * @param port from 0 to 65535; 0 lets the system choose when binding
+ */
+public record Address(String ip, int port) {
+    private static final int MAX_PORT = 65_535;
+
+    public Address {
+        Checks.require(ip != null && !ip.isEmpty(), "address needs an IP number");
+        Checks.require(port >= 0 && port <= MAX_PORT, "port must be from 0 to " + MAX_PORT);
+        for (int i = 0; i < ip.length(); i++) {
+            char c = ip.charAt(i);
+            boolean numeric = Character.digit(c, 16) >= 0 || c == '.' || c == ':';
+            Checks.require(numeric, "address must be an IP number, not a name: " + ip);
+        }
+    }
+
+    /**
+     * Parses {@code IP:PORT}; an IPv6 number may stand in brackets.
+     *
+     * @throws IllegalArgumentException if the text has another form
+     */
+    public static Address parse(String text) {
+        int colon = text.lastIndexOf(':');
+        Checks.require(colon > 0, "address must have the form IP:PORT, not " + text);
+        String ip = text.substring(0, colon);
+        if (ip.startsWith("[") && ip.endsWith("]")) {
+            ip = ip.substring(1, ip.length() - 1);
+        }
+        try {
+            return new Address(ip, Integer.parseInt(text.substring(colon + 1)));
+        } catch (NumberFormatException e) {
+            throw new IllegalArgumentException("port must be a number in " + text, e);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return ip.indexOf(':') >= 0 ? "[" + ip + "]:" + port : ip + ":" + port;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/chestnutbarrow/model/AvailabilityZone.java
@@ -0,0 +1,22 @@
+package org.chestnutbarrow.model;
+
+/**
+ * Names an availability zone: racks that fail or are taken out together.
+ *
+ * @param value 1 to 128 letters, digits, dots, dashes, underscores or colons
+ */
+public record AvailabilityZone(String value) implements Comparable<AvailabilityZone> {
+    public AvailabilityZone {
+        Checks.identifier("availability zone", value);
+    }
+
+    @Override
+    public int compareTo(AvailabilityZone other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/chestnutbarrow/model/Declarations.java
@@ -0,0 +1,31 @@
+package org.chestnutbarrow.model;
+
+import java.util.Collections;
+import java.util.SortedMap;
+import java.util.SortedSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+
+/**
+ * The content of one declaration file: everything that operators declare, applied or refused as a whole. Immutable.
+ *
+ * @param classes classes of work by name
+ * @param teams teams by name
+ * @param zones all availability zones that may be used
+ */
+public record Declarations(
+        SortedMap<String, WorkClass> classes, SortedMap<String, Team> teams, SortedSet<AvailabilityZone> zones) {
+    /** Nothing declared. */
+    public static final Declarations EMPTY = new Declarations(new TreeMap<>(), new TreeMap<>(), new TreeSet<>());
+
+    public Declarations {
+        classes = Collections.unmodifiableSortedMap(new TreeMap<>(classes));
+        teams = Collections.unmodifiableSortedMap(new TreeMap<>(teams));
+        zones = Collections.unmodifiableSortedSet(new TreeSet<>(zones));
+        for (WorkClass work : classes.values()) {
+            Checks.require(
+                    teams.containsKey(work.team()),
+                    "class " + work.name() + " names the unknown team " + work.team() + "; declare the team");
+        }
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/chestnutbarrow/model/NotRunException.java
@@ -0,0 +1,14 @@
+package org.chestnutbarrow.model;
+
+/** Nothing was sent or done; the same call may be made again. */
+public final class NotRunException extends SchedulerException {
+    private static final long serialVersionUID = 1L;
+
+    public NotRunException(String message, String remedy) {
+        super(message, remedy, null);
+    }
+
+    public NotRunException(String message, String remedy, Throwable cause) {
+        super(message, remedy, cause);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/chestnutbarrow/model/RefusedException.java
@@ -0,0 +1,14 @@
+package org.chestnutbarrow.model;
+
+/** The other side answered that it does not do this; it did nothing. */
+public final class RefusedException extends SchedulerException {
+    private static final long serialVersionUID = 1L;
+
+    public RefusedException(String message, String remedy) {
+        super(message, remedy, null);
+    }
+
+    public RefusedException(String message, String remedy, Throwable cause) {
+        super(message, remedy, cause);
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/chestnutbarrow/model/package-info.java
@@ -0,0 +1,2 @@
+/** Records shared by all modules: identifiers, resources, targets, configuration, jobs, log records and errors. */
+package org.chestnutbarrow.model;
--- /dev/null
+++ b/peer/src/main/java/org/chestnutbarrow/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Messages between daemons: MessagePack frames over TCP. */
+package org.chestnutbarrow.peer;
--- /dev/null
+++ b/testkit/src/main/java/org/chestnutbarrow/testkit/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers for the tests of the other modules. */
+package org.chestnutbarrow.testkit;
