Route interactive requests: choice, queue, retry budget, outlier ejection

Cause: requests need a worker with room now, in a zone that takes work. Ruled out: scanning all workers for the cheapest one, whose cost grows with their number; random choice, which sends as much to a slow worker as to a fast one. Change: Router picks the cheaper of two random workers by expected latency times requests in flight, with slow start, a concurrency limit that follows the latency target, ejection of failing workers (at most half), a queue bounded by the deadline, and retries within 10% of the requests. The daemon's RequestRunner carries the decisions out; a lost request keeps its slot charged until the endpoint must have finished it. Found: a retry waited for its whole deadline when the only free slots were on ejected or tried workers, because no request in flight ended the wait.

--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Waiters.java
@@ -0,0 +1,43 @@
+package org.chestnutbarrow.daemon;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.chestnutbarrow.capacity.Hold;
+import org.chestnutbarrow.routing.Grant;
+
+/** Wakes the threads of requests that wait for capacity. Safe for use by several threads. */
+final class Waiters {
+    private final Map<Long, CompletableFuture<Hold>> byTicket = new ConcurrentHashMap<>();
+
+    /** Hands granted capacity to the requests that wait for it. */
+    void wake(List<Grant> grants) {
+        for (Grant grant : grants) {
+            future(grant.ticket()).complete(grant.hold());
+        }
+    }
+
+    /** Waits for a grant; empty if none came in time. */
+    Optional<Hold> await(long ticket, Duration atMost) throws InterruptedException {
+        try {
+            return Optional.of(future(ticket).get(atMost.toNanos(), TimeUnit.NANOSECONDS));
+        } catch (TimeoutException e) {
+            return Optional.empty();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException("a wait cannot fail", e);
+        } finally {
+            byTicket.remove(ticket);
+        }
+    }
+
+    // A grant may come before its request has begun to wait, so whoever is first creates the future.
+    private CompletableFuture<Hold> future(long ticket) {
+        return byTicket.computeIfAbsent(ticket, _ -> new CompletableFuture<>());
+    }
+}
