Decide on throttling and eviction from late usage reports

Cause: batch tasks slow down interactive requests on the same worker, and the slowdown is seen only in reports of the past. Ruled out: acting on each report, which repeats an action before its effect can be seen; evicting first, which costs more than throttling. Change: Interference learns the undisturbed latency and a slope for each batch class (normalized least mean squares), throttles the task with the largest estimated contribution, evicts the one that is cheapest to move only when the bound is in danger and all are throttled, and acts again on a worker only after a report that was measured 500 ms after the last action.

--- /dev/null
+++ b/interference/src/test/java/org/chestnutbarrow/interference/InterferenceTest.java
@@ -0,0 +1,100 @@
+package org.chestnutbarrow.interference;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.chestnutbarrow.model.Attempt;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.TaskId;
+import org.chestnutbarrow.model.WorkerId;
+import org.chestnutbarrow.testkit.ManualTime;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Guards against acting twice on one late measurement, and against evicting where throttling is enough. */
+public class InterferenceTest {
+    private static final WorkerId WORKER = new WorkerId("w1");
+    private static final Attempt ATTEMPT = new Attempt(1, 1);
+    private static final Duration BOUND = Duration.ofMillis(100);
+    private static final int QUIET_MS = 20;
+
+    private ManualTime time;
+    private Interference interference;
+
+    @BeforeMethod
+    public void learnTheUndisturbedLatency() {
+        time = new ManualTime();
+        interference = new Interference(time);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(report(QUIET_MS).isEmpty());
+        }
+    }
+
+    @Test
+    public void throttlesTheTaskThatDisturbsMost() {
+        Action.Throttle action = (Action.Throttle) report(60, load(0, "small", 2000, 0.1), load(1, "big", 20_000, 0.1))
+                .orElseThrow();
+        assertEquals(action.task(), task(1));
+        assertTrue(interference.closed(WORKER));
+    }
+
+    @Test
+    public void doesNothingMoreBeforeTheActionCanBeSeen() {
+        TaskLoad load = load(0, "big", 20_000, 0.1);
+        assertTrue(report(60, load).isPresent());
+        assertTrue(reportOfThePast(Duration.ofSeconds(1), 60, load).isEmpty());
+        time.advance(Duration.ofMillis(300));
+        assertTrue(reportOfThePast(Duration.ZERO, 95, load).isEmpty(), "within the margin for clocks");
+    }
+
+    @Test
+    public void evictsTheCheapestOnlyWhenThrottlingWasNotEnough() {
+        TaskLoad nearlyDone = load(0, "big", 20_000, 0.95);
+        TaskLoad halfDone = load(1, "big", 20_000, 0.5);
+        assertTrue(report(95, nearlyDone, halfDone).orElseThrow() instanceof Action.Throttle);
+        assertTrue(report(95, nearlyDone, halfDone).orElseThrow() instanceof Action.Throttle);
+        Action.Evict evict = (Action.Evict) report(95, nearlyDone, halfDone).orElseThrow();
+        assertEquals(evict.task(), task(1));
+    }
+
+    @Test
+    public void leavesAlwaysOnTasksAlone() {
+        TaskLoad watcher = new TaskLoad(task(0), ATTEMPT, "watch", false, 20_000, 100, 0);
+        assertTrue(report(95, watcher).isEmpty());
+    }
+
+    @Test
+    public void liftsTheLimitWhenCalm() {
+        TaskLoad load = load(0, "big", 20_000, 0.1);
+        assertTrue(report(60, load).isPresent());
+        Optional<Action> last = Optional.empty();
+        for (int i = 0; i < 10 && last.isEmpty(); i++) {
+            last = report(QUIET_MS, load);
+        }
+        assertEquals(((Action.Throttle) last.orElseThrow()).percent(), 100);
+        time.advance(Duration.ofMinutes(1));
+        assertFalse(interference.closed(WORKER));
+    }
+
+    private Optional<Action> report(int latencyMs, TaskLoad... loads) {
+        time.advance(Duration.ofSeconds(1));
+        return reportOfThePast(Duration.ZERO, latencyMs, loads);
+    }
+
+    private Optional<Action> reportOfThePast(Duration age, int latencyMs, TaskLoad... loads) {
+        return interference.report(new WorkerReport(
+                WORKER, time.now().minus(age), 64_000, List.of(loads), 4, Duration.ofMillis(latencyMs), BOUND));
+    }
+
+    private static TaskLoad load(int index, String workClass, int milliCores, double progress) {
+        return new TaskLoad(task(index), ATTEMPT, workClass, true, milliCores, 1000, progress);
+    }
+
+    private static TaskId task(int index) {
+        return new TaskId(new JobId("job"), index);
+    }
+}
