Let a handler cut its answer, and report open connections

HttpServer could answer whole messages only. Change: TruncatedAnswerException ends the connection after nothing, the header fields or half of the body; HttpServer.openConnections().

--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -105,6 +105,11 @@
         return connections.inFlight();
     }
 
+    /** Connections that are open now, at most the limit. */
+    public int openConnections() {
+        return connections.open();
+    }
+
     /** Stops accepting connections; requests in flight are answered and their connections closed afterwards. */
     public void drain() {
         listener.close().syncUninterruptibly();
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -48,6 +48,10 @@
         return inFlight.get();
     }
 
+    int open() {
+        return open.size();
+    }
+
     boolean draining() {
         return draining;
     }
--- a/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
@@ -7,6 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -64,6 +66,9 @@
         HttpResponse response;
         try {
             response = handler.handle(request);
+        } catch (TruncatedAnswerException e) {
+            ctx.executor().execute(() -> writePart(ctx, e));
+            return;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             response = HttpResponse.text(500, "the server stops\n");
@@ -97,6 +102,23 @@
         }
     }
 
+    private void writePart(ChannelHandlerContext ctx, TruncatedAnswerException cut) {
+        connections.ended();
+        if (cut.part() == TruncatedAnswerException.Part.NOTHING) {
+            ctx.close();
+            return;
+        }
+        byte[] body = cut.whole().body();
+        int sent = cut.part() == TruncatedAnswerException.Part.HEADERS ? 0 : body.length / 2;
+        HttpResponseStatus status = HttpResponseStatus.valueOf(cut.whole().status());
+        DefaultHttpResponse head = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
+        Wire.copy(cut.whole().headers(), head.headers());
+        head.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        ctx.write(head);
+        ctx.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(body, 0, sent)))
+                .addListener(ChannelFutureListener.CLOSE);
+    }
+
     private static void refuse(ChannelHandlerContext ctx) {
         FullHttpResponse message = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER);
