--- /dev/null
+++ b/standin/src/main/java/org/chestnutbarrow/standin/AnswerFaults.java
@@ -0,0 +1,44 @@
+package org.chestnutbarrow.standin;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.chestnutbarrow.http.HttpResponse;
+import org.chestnutbarrow.http.TruncatedAnswerException;
+
+/** Faults in the answers of one server of a worker. Safe for use by several threads. */
+final class AnswerFaults {
+    private final AtomicInteger answersToLose = new AtomicInteger();
+    private volatile Duration delay = Duration.ZERO;
+    private volatile Optional<TruncatedAnswerException.Part> cut = Optional.empty();
+
+    void setDelay(Duration value) {
+        delay = value;
+    }
+
+    void setCut(Optional<TruncatedAnswerException.Part> value) {
+        cut = value;
+    }
+
+    void loseNext(int count) {
+        answersToLose.set(count);
+    }
+
+    /** The answer to an operation that took effect. */
+    HttpResponse afterEffect(HttpResponse answer) throws InterruptedException, TruncatedAnswerException {
+        if (Counters.take(answersToLose)) {
+            throw new TruncatedAnswerException(answer, TruncatedAnswerException.Part.NOTHING);
+        }
+        return delayed(answer);
+    }
+
+    /** The answer to a read. */
+    HttpResponse delayed(HttpResponse answer) throws InterruptedException, TruncatedAnswerException {
+        Json.sleep(delay);
+        Optional<TruncatedAnswerException.Part> part = cut;
+        if (part.isPresent()) {
+            throw new TruncatedAnswerException(answer, part.get());
+        }
+        return answer;
+    }
+}
