Add the catalog: state that follows from the log's records

Dropping receipts by the time they were taken, because an id sent again after 15 minutes would count as new; the time in the id decides. Gaps are refused.

--- /dev/null
+++ b/catalog/src/main/java/org/chestnutbarrow/catalog/Catalog.java
@@ -0,0 +1,225 @@
+package org.chestnutbarrow.catalog;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import org.chestnutbarrow.catalog.CatalogState.ShardState;
+import org.chestnutbarrow.model.Checks;
+import org.chestnutbarrow.model.Configuration;
+import org.chestnutbarrow.model.Job;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.LogRecord;
+import org.chestnutbarrow.model.LogRecord.Receipt;
+
+/**
+ * The state that follows from the log's records in order. Safe for use by several threads: jobs and receipts lie in
+ * shards, each under its own lock; the configuration is immutable; appliers and snapshots take turns.
+ *
+ * <p>Invariants: records are applied once, in order and without gaps; the state never goes back; the same records give
+ * the same state on every daemon, whether or not a snapshot stood in for the first of them.
+ *
+ * <pre>{@code
+ * ApplyResult result = catalog.apply(entry.offset(), record);
+ * }</pre>
+ */
+public final class Catalog {
+    private final ReentrantLock order = new ReentrantLock();
+    private final JobShard[] shards = new JobShard[Job.SHARDS];
+    private final Receipts receipts = new Receipts();
+
+    private volatile ConfigHistory configs = ConfigHistory.INITIAL;
+    private volatile long position = -1;
+    private Instant jobTime = Instant.EPOCH;
+    private Instant receiptTime = Instant.EPOCH;
+
+    /** Creates the state before the first record. */
+    public Catalog() {
+        for (int i = 0; i < shards.length; i++) {
+            shards[i] = new JobShard(i);
+        }
+    }
+
+    /**
+     * Applies the record that follows {@link #position()}; an older one has no effect.
+     *
+     * @throws IllegalArgumentException if records between the position and the offset are missing
+     */
+    public ApplyResult apply(long offset, LogRecord record) {
+        order.lock();
+        try {
+            if (offset <= position) {
+                return new ApplyResult.NoEffect("offset " + offset + " is applied already");
+            }
+            requireNext(offset);
+            ApplyResult result = change(offset, record);
+            position = offset;
+            return result;
+        } finally {
+            order.unlock();
+        }
+    }
+
+    /** Passes over the record that follows {@link #position()} because it cannot be read. */
+    public void skip(long offset) {
+        order.lock();
+        try {
+            if (offset > position) {
+                requireNext(offset);
+                position = offset;
+            }
+        } finally {
+            order.unlock();
+        }
+    }
+
+    private void requireNext(long offset) {
+        Checks.require(
+                offset == position + 1,
+                "record " + offset + " does not follow " + position + "; restore a snapshot that covers the gap");
+    }
+
+    private ApplyResult change(long offset, LogRecord record) {
+        return switch (record) {
+            case LogRecord.ConfigChanged changed -> change(offset, changed);
+            case LogRecord.ZoneChanged changed -> change(offset, changed);
+            case LogRecord.JobAccepted accepted -> add(offset, accepted.job());
+            case LogRecord.JobsCancelled cancelled -> cancel(cancelled);
+            case LogRecord.ShardClaimed claimed -> claim(offset, claimed);
+            case LogRecord.TasksEnded ended -> end(ended);
+            case LogRecord.ReceiptsMade made -> add(offset, made);
+            case LogRecord.Snapshot snapshot -> new ApplyResult.SnapshotSeen(snapshot.position());
+        };
+    }
+
+    private ApplyResult change(long offset, LogRecord.ConfigChanged changed) {
+        if (!configs.accepts(changed.baseVersion())) {
+            return configs.lost(changed.id(), changed.baseVersion());
+        }
+        configs = configs.with(offset, changed);
+        return new ApplyResult.ConfigurationReplaced(configs.current());
+    }
+
+    private ApplyResult change(long offset, LogRecord.ZoneChanged changed) {
+        if (!configs.accepts(changed.baseVersion())) {
+            return configs.lost(changed.id(), changed.baseVersion());
+        }
+        if (!configs.current().declarations().zones().contains(changed.zone())) {
+            return new ApplyResult.NoEffect("zone " + changed.zone() + " is not declared");
+        }
+        configs = configs.with(offset, changed);
+        return new ApplyResult.ConfigurationReplaced(configs.current());
+    }
+
+    private ApplyResult add(long offset, Job job) {
+        jobTime = later(jobTime, job.submitted());
+        return shards[Job.shardOf(job.id())].add(offset, job, jobTime);
+    }
+
+    private ApplyResult cancel(LogRecord.JobsCancelled cancelled) {
+        List<JobId> changed = new ArrayList<>();
+        for (JobId id : cancelled.jobs()) {
+            if (shards[Job.shardOf(id)].cancel(id, jobTime)) {
+                changed.add(id);
+            }
+        }
+        return new ApplyResult.JobsCancelled(changed);
+    }
+
+    private ApplyResult claim(long offset, LogRecord.ShardClaimed claimed) {
+        if (claimed.shard() < 0 || claimed.shard() >= Job.SHARDS) {
+            return new ApplyResult.NoEffect("shard " + claimed.shard() + " does not exist");
+        }
+        return shards[claimed.shard()].claim(offset, claimed);
+    }
+
+    private ApplyResult end(LogRecord.TasksEnded ended) {
+        if (ended.shard() < 0 || ended.shard() >= Job.SHARDS) {
+            return new ApplyResult.NoEffect("shard " + ended.shard() + " does not exist");
+        }
+        return shards[ended.shard()].end(ended, jobTime);
+    }
+
+    private ApplyResult add(long offset, LogRecord.ReceiptsMade made) {
+        for (Receipt receipt : made.receipts()) {
+            receiptTime = later(receiptTime, receipt.taken());
+        }
+        return new ApplyResult.ReceiptsJudged(receipts.add(offset, made, receiptTime));
+    }
+
+    private static Instant later(Instant a, Instant b) {
+        return a.isAfter(b) ? a : b;
+    }
+
+    /** Offset of the last record applied; -1 before any. */
+    public long position() {
+        return position;
+    }
+
+    /** The configuration in force. */
+    public Configuration configuration() {
+        return configs.current();
+    }
+
+    /** A job, if it is known. */
+    public Optional<JobState> job(JobId id) {
+        return shards[Job.shardOf(id)].job(id);
+    }
+
+    /** The jobs of a shard in order of acceptance. */
+    public List<JobState> jobs(int shard) {
+        return shards[shard].state().jobs();
+    }
+
+    /** The claim of a shard that stands. */
+    public Optional<ShardClaim> claim(int shard) {
+        return shards[shard].claim();
+    }
+
+    /** The first receipt of a request id, if it is kept. */
+    public Optional<ReceiptState> receipt(String requestId) {
+        return receipts.get(requestId);
+    }
+
+    /** The whole state at the current position. Appliers wait only while references are copied. */
+    public CatalogState snapshot() {
+        order.lock();
+        try {
+            List<ShardState> all = new ArrayList<>(shards.length);
+            for (JobShard shard : shards) {
+                all.add(shard.state());
+            }
+            List<ReceiptState> taken = receipts.state();
+            taken.sort(ReceiptShard.BY_TIME);
+            return new CatalogState(position, configs.current(), configs.changes(), jobTime, receiptTime, all, taken);
+        } finally {
+            order.unlock();
+        }
+    }
+
+    /**
+     * Replaces the state by a newer one; an older one is ignored.
+     *
+     * @return whether the state was replaced
+     */
+    public boolean restore(CatalogState state) {
+        order.lock();
+        try {
+            if (state.position() <= position) {
+                return false;
+            }
+            for (int i = 0; i < shards.length; i++) {
+                shards[i].restore(state.shards().get(i));
+            }
+            receipts.restore(state.receipts());
+            jobTime = state.jobTime();
+            receiptTime = state.receiptTime();
+            configs = new ConfigHistory(state.configuration(), state.changes());
+            position = state.position();
+            return true;
+        } finally {
+            order.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/catalog/src/main/java/org/chestnutbarrow/catalog/ReceiptShard.java
@@ -0,0 +1,73 @@
+package org.chestnutbarrow.catalog;
+
+import java.time.Instant;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import java.util.concurrent.locks.ReentrantLock;
+
+/** Some of the receipts. Safe for use by several threads; every access is under the shard's own lock. */
+final class ReceiptShard {
+    static final Comparator<ReceiptState> BY_TIME =
+            Comparator.comparing(ReceiptState::time).thenComparing(ReceiptState::requestId);
+
+    private final ReentrantLock lock = new ReentrantLock();
+    private final Map<String, ReceiptState> receipts = new HashMap<>();
+    private final TreeSet<ReceiptState> byTime = new TreeSet<>(BY_TIME);
+
+    /** Adds a receipt; returns the earlier one of the same id if there is one. */
+    Optional<ReceiptState> add(ReceiptState receipt) {
+        lock.lock();
+        try {
+            ReceiptState first = receipts.putIfAbsent(receipt.requestId(), receipt);
+            if (first == null) {
+                byTime.add(receipt);
+            }
+            return Optional.ofNullable(first);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void dropBefore(Instant horizon) {
+        lock.lock();
+        try {
+            while (!byTime.isEmpty() && byTime.first().time().isBefore(horizon)) {
+                receipts.remove(byTime.pollFirst().requestId());
+            }
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    Optional<ReceiptState> get(String requestId) {
+        lock.lock();
+        try {
+            return Optional.ofNullable(receipts.get(requestId));
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void copyInto(Collection<ReceiptState> all) {
+        lock.lock();
+        try {
+            all.addAll(byTime);
+        } finally {
+            lock.unlock();
+        }
+    }
+
+    void clear() {
+        lock.lock();
+        try {
+            receipts.clear();
+            byTime.clear();
+        } finally {
+            lock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/catalog/src/main/java/org/chestnutbarrow/catalog/Receipts.java
@@ -0,0 +1,93 @@
+package org.chestnutbarrow.catalog;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chestnutbarrow.catalog.ApplyResult.ReceiptVerdict;
+import org.chestnutbarrow.model.Hashing;
+import org.chestnutbarrow.model.LogRecord.Receipt;
+import org.chestnutbarrow.model.LogRecord.ReceiptsMade;
+
+/**
+ * The receipts of the last 15 minutes, in shards by hash of the request id.
+ *
+ * <p>Invariant: an id never gets a second first receipt. A receipt is dropped by the time in its id, and an id that is
+ * old enough to have been dropped is refused. Ids without a time count from when the receipt was taken.
+ */
+final class Receipts {
+    static final Duration KEEP = Duration.ofMinutes(15);
+
+    private static final int SHARDS = 16;
+
+    private final ReceiptShard[] shards = new ReceiptShard[SHARDS];
+
+    Receipts() {
+        for (int i = 0; i < SHARDS; i++) {
+            shards[i] = new ReceiptShard();
+        }
+    }
+
+    List<ReceiptVerdict> add(long offset, ReceiptsMade record, Instant now) {
+        Instant horizon = now.minus(KEEP);
+        for (ReceiptShard shard : shards) {
+            shard.dropBefore(horizon);
+        }
+        List<ReceiptVerdict> verdicts = new ArrayList<>(record.receipts().size());
+        for (Receipt receipt : record.receipts()) {
+            verdicts.add(add(offset, record, receipt, horizon));
+        }
+        return verdicts;
+    }
+
+    private ReceiptVerdict add(long offset, ReceiptsMade record, Receipt receipt, Instant horizon) {
+        String id = receipt.requestId();
+        Instant time = timeOf(receipt);
+        if (time.isBefore(horizon) || time.isAfter(receipt.taken().plus(KEEP))) {
+            return new ReceiptVerdict.OutOfTime(id);
+        }
+        ReceiptState state = new ReceiptState(id, time, record.daemon(), record.incarnation(), offset);
+        Optional<ReceiptState> first = shard(id).add(state);
+        if (first.isPresent()) {
+            return new ReceiptVerdict.Taken(id, first.get());
+        }
+        return new ReceiptVerdict.First(id);
+    }
+
+    /** The time in an id of the form {@code <epochMillis>-<random>}, else when the receipt was taken. */
+    private static Instant timeOf(Receipt receipt) {
+        int dash = receipt.requestId().indexOf('-');
+        if (dash <= 0) {
+            return receipt.taken();
+        }
+        try {
+            return Instant.ofEpochMilli(Long.parseLong(receipt.requestId().substring(0, dash)));
+        } catch (NumberFormatException e) {
+            return receipt.taken();
+        }
+    }
+
+    Optional<ReceiptState> get(String requestId) {
+        return shard(requestId).get(requestId);
+    }
+
+    List<ReceiptState> state() {
+        List<ReceiptState> all = new ArrayList<>();
+        for (ReceiptShard shard : shards) {
+            shard.copyInto(all);
+        }
+        return all;
+    }
+
+    void restore(List<ReceiptState> receipts) {
+        for (ReceiptShard shard : shards) {
+            shard.clear();
+        }
+        receipts.forEach(receipt -> shard(receipt.requestId()).add(receipt));
+    }
+
+    private ReceiptShard shard(String requestId) {
+        return shards[Math.floorMod(Hashing.hash(requestId), SHARDS)];
+    }
+}
--- /dev/null
+++ b/catalog/src/main/java/org/chestnutbarrow/catalog/package-info.java
@@ -0,0 +1,2 @@
+/** The state that follows from the log's records in order. */
+package org.chestnutbarrow.catalog;
--- /dev/null
+++ b/catalog/src/test/java/org/chestnutbarrow/catalog/CatalogPropertyTest.java
@@ -0,0 +1,108 @@
+package org.chestnutbarrow.catalog;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import org.chestnutbarrow.catalog.ApplyResult.ReceiptVerdict;
+import org.chestnutbarrow.model.CheckpointId;
+import org.chestnutbarrow.model.LogRecord;
+import org.chestnutbarrow.model.TaskId;
+import org.testng.annotations.Test;
+
+/** Guards, over random record orders, against daemons that disagree and against effects that are undone or doubled. */
+public class CatalogPropertyTest {
+    private static final int SEEDS = 300;
+    private static final int RECORDS = 400;
+
+    @Test
+    public void prefixSnapshotAndRestGiveTheStateOfAllRecords() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            int cut = random.nextInt(RECORDS);
+            Catalog whole = new Catalog();
+            Catalog restored = new Catalog();
+            RandomRecords records = new RandomRecords(seed);
+            for (int i = 0; i < RECORDS; i++) {
+                if (i == cut) {
+                    assertEquals(restored.restore(whole.snapshot()), cut > 0, "seed " + seed);
+                }
+                LogRecord record = records.next(whole);
+                ApplyResult result = whole.apply(i, record);
+                if (i >= cut) {
+                    assertEquals(restored.apply(i, record), result, "seed " + seed + " record " + i);
+                }
+            }
+            assertEquals(restored.snapshot(), whole.snapshot(), "seed " + seed + " cut " + cut);
+        }
+    }
+
+    @Test
+    public void nothingWinsTwiceAndNothingGoesBack() {
+        for (long seed = 0; seed < SEEDS; seed++) {
+            Catalog catalog = new Catalog();
+            RandomRecords records = new RandomRecords(seed);
+            Outcomes outcomes = new Outcomes();
+            CatalogState old = catalog.snapshot();
+            for (int i = 0; i < RECORDS; i++) {
+                ApplyResult result = catalog.apply(i, records.next(catalog));
+                outcomes.check(result, "seed " + seed + " record " + i);
+                CatalogState state = catalog.snapshot();
+                assertFalse(catalog.restore(old), "an older snapshot was taken");
+                old = state;
+            }
+            assertEquals(catalog.snapshot(), old, "an older snapshot changed the state");
+        }
+    }
+
+    /** What has taken effect so far. */
+    private static final class Outcomes {
+        private long version = -1;
+        private final Set<String> claims = new HashSet<>();
+        private final Set<String> receipts = new HashSet<>();
+        private final Map<TaskId, List<CheckpointId>> checkpoints = new HashMap<>();
+
+        void check(ApplyResult result, String context) {
+            switch (result) {
+                case ApplyResult.ConfigurationReplaced replaced -> {
+                    assertTrue(replaced.configuration().version() > version, context);
+                    version = replaced.configuration().version();
+                }
+                case ApplyResult.ShardTaken taken ->
+                    assertTrue(
+                            claims.add(taken.shard() + "/" + taken.claim().epoch()), context + ": epoch claimed twice");
+                case ApplyResult.ReceiptsJudged judged ->
+                    judged.verdicts().forEach(verdict -> {
+                        if (verdict instanceof ReceiptVerdict.First first) {
+                            assertTrue(receipts.add(first.requestId()), context + ": request taken twice");
+                        }
+                    });
+                case ApplyResult.JobAdded added ->
+                    checkpoints
+                            .keySet()
+                            .removeIf(task -> task.job().equals(added.job().id()));
+                case ApplyResult.TasksRecorded recorded ->
+                    recorded.ends()
+                            .forEach(end -> end.checkpoint().ifPresent(id -> {
+                                var used = checkpoints.computeIfAbsent(end.task(), task -> new ArrayList<>());
+                                assertFalse(used.contains(id), context + ": checkpoint used twice");
+                                used.add(id);
+                            }));
+                case ApplyResult.ConfigurationLost lost ->
+                    assertTrue(lost.winner().version() <= version, context);
+                case ApplyResult.JobKnown known -> {}
+                case ApplyResult.JobsCancelled cancelled -> {}
+                case ApplyResult.ShardLost lost -> {}
+                case ApplyResult.SnapshotSeen seen -> {}
+                case ApplyResult.NoEffect none -> {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/catalog/src/test/java/org/chestnutbarrow/catalog/CatalogTest.java
@@ -0,0 +1,114 @@
+package org.chestnutbarrow.catalog;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.chestnutbarrow.catalog.ApplyResult.ReceiptVerdict;
+import org.chestnutbarrow.model.Attempt;
+import org.chestnutbarrow.model.AvailabilityZone;
+import org.chestnutbarrow.model.DaemonId;
+import org.chestnutbarrow.model.Declarations;
+import org.chestnutbarrow.model.Job;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.LogRecord;
+import org.chestnutbarrow.model.TaskId;
+import org.chestnutbarrow.model.TaskState;
+import org.chestnutbarrow.model.ZoneState;
+import org.testng.annotations.Test;
+
+/** Guards the rules by which a record takes effect or loses. */
+public class CatalogTest {
+    private static final Instant START = Instant.parse("2026-01-01T00:00:00Z");
+    private static final DaemonId DAEMON = new DaemonId("d1");
+    private static final JobId JOB = new JobId("job");
+
+    private final Catalog catalog = new Catalog();
+
+    @Test
+    public void namesTheWinnerOfARaceOnTheSameBase() {
+        TreeSet<AvailabilityZone> zones = new TreeSet<>(List.of(RandomRecords.ZONE));
+        Declarations declarations = new Declarations(new TreeMap<>(), new TreeMap<>(), zones);
+        Catalog raced = new Catalog();
+        raced.apply(0, new LogRecord.ConfigChanged("first", -1, "ildiko", declarations));
+        raced.apply(1, new LogRecord.ZoneChanged("second", 0, "peter", RandomRecords.ZONE, ZoneState.OUT));
+        var lost = new LogRecord.ConfigChanged("third", -1, "zoltan", declarations);
+        assertEquals(
+                raced.apply(2, lost), new ApplyResult.ConfigurationLost(new ConfigChange("first", "ildiko", -1, 0)));
+        assertFalse(raced.configuration().startsAllowed(RandomRecords.ZONE));
+        assertEquals(raced.configuration().version(), 1);
+    }
+
+    @Test
+    public void refusesAGapAndIgnoresARepeat() {
+        Catalog fresh = new Catalog();
+        LogRecord record = new LogRecord.JobAccepted(RandomRecords.job(JOB, START));
+        assertThrows(IllegalArgumentException.class, () -> fresh.apply(1, record));
+        fresh.skip(0);
+        fresh.apply(1, record);
+        assertTrue(fresh.apply(1, record) instanceof ApplyResult.NoEffect);
+        assertEquals(fresh.position(), 1);
+    }
+
+    @Test
+    public void forgetsEndedJobsAfterTheirTimeButNeverOpenOnes() {
+        Catalog held = new Catalog();
+        held.apply(0, new LogRecord.JobAccepted(RandomRecords.job(JOB, START)));
+        held.apply(1, new LogRecord.JobAccepted(RandomRecords.job(sameShard(1), START)));
+        held.apply(2, new LogRecord.JobsCancelled(List.of(JOB)));
+        Instant within = START.plus(JobShard.KEEP_ENDED);
+        held.apply(3, new LogRecord.JobAccepted(RandomRecords.job(JOB, within)));
+        assertTrue(held.job(JOB).orElseThrow().cancelled(), "submission was not idempotent");
+        held.apply(4, new LogRecord.JobAccepted(RandomRecords.job(sameShard(2), within.plusSeconds(1))));
+        assertTrue(held.job(JOB).isEmpty());
+        assertTrue(held.job(sameShard(1)).isPresent());
+    }
+
+    @Test
+    public void ignoresEndsUnderAnOlderEpoch() {
+        int shard = Job.shardOf(JOB);
+        catalog.apply(0, new LogRecord.JobAccepted(RandomRecords.job(JOB, START)));
+        catalog.apply(1, new LogRecord.ShardClaimed(shard, 1, DAEMON, 1));
+        catalog.apply(2, new LogRecord.ShardClaimed(shard, 2, DAEMON, 2));
+        var end = new LogRecord.TaskEnd(new TaskId(JOB, 0), new Attempt(1, 1), TaskState.FINISHED, Optional.empty());
+        ApplyResult old = catalog.apply(3, new LogRecord.TasksEnded(shard, 1, List.of(end)));
+        assertTrue(old instanceof ApplyResult.NoEffect);
+        catalog.apply(4, new LogRecord.TasksEnded(shard, 2, List.of(end)));
+        assertFalse(catalog.job(JOB).orElseThrow().open(0));
+    }
+
+    @Test
+    public void neverTakesARequestTwiceEvenAfterItsReceiptWasDropped() {
+        Catalog held = new Catalog();
+        String id = START.toEpochMilli() + "-a";
+        assertEquals(verdict(held, 0, id, START), new ReceiptVerdict.First(id));
+        assertTrue(verdict(held, 1, id, START.plus(Duration.ofMinutes(14))) instanceof ReceiptVerdict.Taken);
+        assertTrue(verdict(held, 2, id, START.plus(Duration.ofMinutes(16))) instanceof ReceiptVerdict.OutOfTime);
+        assertTrue(held.receipt(id).isEmpty());
+    }
+
+    private static ReceiptVerdict verdict(Catalog catalog, long offset, String id, Instant taken) {
+        var made = new LogRecord.ReceiptsMade(DAEMON, 1, List.of(new LogRecord.Receipt(id, taken)));
+        return ((ApplyResult.ReceiptsJudged) catalog.apply(offset, made))
+                .verdicts()
+                .getFirst();
+    }
+
+    /** The n-th further job id in the shard of {@link #JOB}. */
+    private static JobId sameShard(int n) {
+        int found = 0;
+        for (int i = 0; ; i++) {
+            JobId id = new JobId("other-" + i);
+            if (Job.shardOf(id) == Job.shardOf(JOB) && ++found == n) {
+                return id;
+            }
+        }
+    }
+}
