--- a/catalog/src/main/java/org/chestnutbarrow/catalog/Catalog.java
+++ b/catalog/src/main/java/org/chestnutbarrow/catalog/Catalog.java
@@ -25,6 +25,9 @@
  * }</pre>
  */
 public final class Catalog {
+    /** Times after this are refused, because adding a retention time to them could overflow. */
+    private static final Instant LATEST = Instant.parse("9999-12-31T00:00:00Z");
+
     private final ReentrantLock order = new ReentrantLock();
     private final JobShard[] shards = new JobShard[Job.SHARDS];
     private final Receipts receipts = new Receipts();
@@ -113,6 +116,9 @@
     }
 
     private ApplyResult add(long offset, Job job) {
+        if (job.submitted().isAfter(LATEST)) {
+            return new ApplyResult.NoEffect("submission time " + job.submitted() + " is out of range");
+        }
         jobTime = later(jobTime, job.submitted());
         return shards[Job.shardOf(job.id())].add(offset, job, jobTime);
     }
@@ -142,6 +148,9 @@
     }
 
     private ApplyResult add(long offset, LogRecord.ReceiptsMade made) {
+        if (made.receipts().stream().anyMatch(receipt -> receipt.taken().isAfter(LATEST))) {
+            return new ApplyResult.NoEffect("the time of a receipt is out of range");
+        }
         for (Receipt receipt : made.receipts()) {
             receiptTime = later(receiptTime, receipt.taken());
         }
--- /dev/null
+++ b/format/src/main/java/org/chestnutbarrow/format/package-info.java
@@ -0,0 +1,2 @@
+/** Reading and writing of JSON: log records, declarations, settings and jobs. */
+package org.chestnutbarrow.format;
