Test the log classes under random faults, read at once after an outage

Cause: the first read of an idle log waited for the whole long poll, so a daemon was refused its appends for the first 500 ms. Ruled out: a shorter long poll, because idle daemons would read more often.

--- a/catalog/src/test/java/org/chestnutbarrow/catalog/CatalogPropertyTest.java
+++ b/catalog/src/test/java/org/chestnutbarrow/catalog/CatalogPropertyTest.java
@@ -62,6 +62,33 @@
         }
     }
 
+    @Test
+    public void snapshotsTakenWhileRecordsAreAppliedAreStatesOfOnePosition() throws Exception {
+        List<LogRecord> records = new ArrayList<>();
+        List<CatalogState> states = new ArrayList<>();
+        Catalog model = new Catalog();
+        RandomRecords source = new RandomRecords(1);
+        for (int i = 0; i < RECORDS; i++) {
+            states.add(model.snapshot());
+            records.add(source.next(model));
+            model.apply(i, records.get(i));
+        }
+        states.add(model.snapshot());
+        for (int round = 0; round < 50; round++) {
+            Catalog catalog = new Catalog();
+            Thread applier = Thread.ofPlatform().start(() -> {
+                for (int i = 0; i < RECORDS; i++) {
+                    catalog.apply(i, records.get(i));
+                }
+            });
+            while (applier.isAlive()) {
+                CatalogState state = catalog.snapshot();
+                assertEquals(state, states.get((int) state.position() + 1));
+            }
+            applier.join();
+        }
+    }
+
     /** What has taken effect so far. */
     private static final class Outcomes {
         private long version = -1;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogFollower.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogFollower.java
@@ -124,7 +124,9 @@
     private Duration readOnce() throws UnavailableException {
         long sent = time.nanos();
         long from = catalog.position() + 1;
-        Log.Batch batch = log.read(from, MAX_RECORDS, LONG_POLL);
+        // The first read, and the first after an outage, answer at once so that freshness is known early.
+        Duration wait = reachable && caughtUp ? LONG_POLL : Duration.ZERO;
+        Log.Batch batch = log.read(from, MAX_RECORDS, wait);
         if (batch.next() < from) {
             throw new UnavailableException(
                     "the log ends at " + batch.next() + ", before the position " + from, "check the log's address");
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/LogWriterTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/LogWriterTest.java
@@ -8,15 +8,24 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
 import org.chestnutbarrow.catalog.ApplyResult;
 import org.chestnutbarrow.model.DaemonId;
+import org.chestnutbarrow.model.Job;
+import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.LogRecord;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.Resources;
 import org.testng.annotations.Test;
 
 /** Guards against appending twice, against wrong results, and against more appends than the log can take. */
@@ -133,6 +142,48 @@
         }
     }
 
+    @Test
+    public void agreesWithTheLogOnEveryWriteWhileItFailsAtRandom() throws Exception {
+        FakeLog log = new FakeLog();
+        List<FakeLog.Fault> faults =
+                List.of(FakeLog.Fault.NONE, FakeLog.Fault.LOSE_ANSWER, FakeLog.Fault.LOSE_RECORD, FakeLog.Fault.REFUSE);
+        Map<String, String> told = new ConcurrentHashMap<>();
+        try (LogNode node = new LogNode(log, "d1", Duration.ofSeconds(2)).started()) {
+            try (var threads = Executors.newVirtualThreadPerTaskExecutor()) {
+                for (int i = 0; i < 200; i++) {
+                    JobId id = new JobId("job-" + i / 2);
+                    String write = id + "/" + i % 2;
+                    Random random = new Random(i);
+                    threads.execute(() -> {
+                        log.fault(faults.get(random.nextInt(faults.size())));
+                        told.put(write, tell(node, id));
+                    });
+                }
+            }
+            for (int i = 0; i < 100; i++) {
+                List<String> pair = List.of(told.get("job-" + i + "/0"), told.get("job-" + i + "/1"));
+                boolean stands = node.catalog.job(new JobId("job-" + i)).isPresent();
+                assertEquals(stands, pair.contains("JobAdded"), "job-" + i + " " + pair);
+                assertTrue(Collections.frequency(pair, "JobAdded") <= 1, "job-" + i + " " + pair);
+            }
+            long ids = node.seen.stream().map(AppliedRecord::id).distinct().count();
+            assertEquals(ids, node.seen.size(), "a record was appended twice");
+        }
+    }
+
+    private static String tell(LogNode node, JobId id) {
+        Job job = new Job(id, "work", "team", 1, Resources.NONE, Duration.ZERO, Optional.empty(), TIME);
+        try {
+            return node.writer
+                    .write(new LogRecord.JobAccepted(job))
+                    .result()
+                    .getClass()
+                    .getSimpleName();
+        } catch (NotRunException | OutcomeUnknownException e) {
+            return e.getClass().getSimpleName();
+        }
+    }
+
     private static GroupWriter<LogRecord.Receipt> receipts(LogNode node, GroupWriter.Bounds bounds) {
         return new GroupWriter<>(
                 node.writer, group -> new LogRecord.ReceiptsMade(DAEMON, 1, group), receipt -> 100, bounds);
