--- a/membership/src/main/java/org/chestnutbarrow/membership/LeaseShard.java
+++ b/membership/src/main/java/org/chestnutbarrow/membership/LeaseShard.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Semaphore;
@@ -24,6 +25,8 @@
     private static final long RETRY_MIN = Duration.ofMillis(100).toNanos();
     private static final long RETRY_SPREAD = Duration.ofMillis(200).toNanos();
 
+    private static final long RENEW_AGAIN_SPREAD = Duration.ofMillis(50).toNanos();
+
     /** A worker that nobody holds for this long is claimed by the next daemon in its ranking. */
     private static final long NEXT_RANK_DELAY = Duration.ofMillis(1500).toNanos();
 
@@ -63,7 +66,7 @@
         }
     }
 
-    void tick(LeaseView view, boolean draining, long now, List<LeaseEffect> into) {
+    void tick(LeaseView view, Optional<Long> drainBy, long now, List<LeaseEffect> into) {
         lock.lock();
         try {
             if (!view.eligible().equals(ranked)) {
@@ -71,8 +74,8 @@
             }
             for (Lease lease : leases.values()) {
                 switch (lease.state) {
-                    case Free free -> claim(lease, free, view, draining, now, into);
-                    case Held held -> hold(lease, held, view, draining, now, into);
+                    case Free free -> claim(lease, free, view, drainBy, now, into);
+                    case Held held -> hold(lease, held, view, drainBy, now, into);
                     case Claiming claiming -> {}
                     case Releasing releasing -> {}
                 }
@@ -112,9 +115,12 @@
         }
     }
 
-    private void claim(Lease lease, Free free, LeaseView view, boolean draining, long now, List<LeaseEffect> into) {
-        boolean wanted =
-                lease.listed && !lease.emptied && !draining && view.freshness().allowsStarts();
+    private void claim(
+            Lease lease, Free free, LeaseView view, Optional<Long> drainBy, long now, List<LeaseEffect> into) {
+        boolean wanted = lease.listed
+                && !lease.emptied
+                && drainBy.isEmpty()
+                && view.freshness().allowsStarts();
         if (!wanted || now - free.notBefore() < 0) {
             return;
         }
@@ -126,7 +132,8 @@
         into.add(new LeaseEffect.Claim(lease.worker));
     }
 
-    private void hold(Lease lease, Held held, LeaseView view, boolean draining, long now, List<LeaseEffect> into) {
+    private void hold(
+            Lease lease, Held held, LeaseView view, Optional<Long> drainBy, long now, List<LeaseEffect> into) {
         if (held.renewing()) {
             return;
         }
@@ -141,12 +148,13 @@
             release(lease, held, into);
             return;
         }
+        boolean draining = drainBy.isPresent();
         boolean unwanted = draining || lease.rank > 0;
         switch (held.handOver()) {
             case HandOver.Idle idle -> {
                 boolean begin = draining || (unwanted && now - idle.notBefore() >= 0 && handOvers.tryAcquire());
                 if (begin) {
-                    held = held.with(new HandOver.Paused(now + HAND_OVER_LIMIT, !draining));
+                    held = held.with(new HandOver.Paused(drainBy.orElse(now + HAND_OVER_LIMIT), !draining));
                     into.add(new LeaseEffect.Pause(lease.worker, held.epoch()));
                 }
             }
@@ -155,7 +163,7 @@
                     giveBack(held);
                     held = held.with(idle(now));
                     into.add(new LeaseEffect.Resume(lease.worker, held.epoch()));
-                } else if (requests == 0 || now - paused.deadline() >= 0) {
+                } else if (requests == 0 || now - drainBy.orElse(paused.deadline()) >= 0) {
                     // Releasing does not interrupt requests: the next holder charges those that still run.
                     release(lease, held, into);
                     return;
@@ -188,7 +196,7 @@
 
     private void unanswered(Lease lease, long now, List<LeaseEffect> into) {
         if (lease.state instanceof Held held && now - held.validUntil() < 0) {
-            lease.state = held.renewAgainAt(now);
+            lease.state = held.renewAgainAt(now + random.nextLong(RENEW_AGAIN_SPREAD));
         } else {
             lost(lease, now, into);
         }
--- a/membership/src/main/java/org/chestnutbarrow/membership/WorkerLeases.java
+++ b/membership/src/main/java/org/chestnutbarrow/membership/WorkerLeases.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.Hashing;
@@ -43,7 +44,7 @@
 
     private final TimeSource time;
     private final LeaseShard[] shards = new LeaseShard[SHARDS];
-    private volatile boolean draining;
+    private volatile Optional<Long> drainBy = Optional.empty();
 
     /**
      * Creates a view without workers.
@@ -79,7 +80,7 @@
     public List<LeaseEffect> tick(LeaseView view) {
         List<LeaseEffect> effects = new ArrayList<>();
         for (LeaseShard shard : shards) {
-            shard.tick(view, draining, time.nanos(), effects);
+            shard.tick(view, drainBy, time.nanos(), effects);
         }
         return effects;
     }
@@ -91,9 +92,12 @@
         return effects;
     }
 
-    /** From now on nothing is claimed, and all workers are handed over without a bound on their number. */
-    public void drain() {
-        draining = true;
+    /**
+     * From now on nothing is claimed, and all workers are handed over without a bound on their number: each as soon as no
+     * request runs on it, and all after {@code limit}.
+     */
+    public void drain(Duration limit) {
+        drainBy = Optional.of(time.nanos() + limit.toNanos());
     }
 
     /** Workers that are held, being claimed or being released. */
--- a/membership/src/test/java/org/chestnutbarrow/membership/FreshnessPropertyTest.java
+++ b/membership/src/test/java/org/chestnutbarrow/membership/FreshnessPropertyTest.java
@@ -117,10 +117,8 @@
         }
 
         private void deliver() {
-            List<Delivery> due = deliveries.stream()
-                    .filter(d -> d.step() <= step && d.to().paused == 0)
-                    .toList();
-            deliveries.removeAll(due);
+            List<Delivery> due = new ArrayList<>();
+            deliveries.removeIf(d -> d.step() <= step && d.to().paused == 0 && due.add(d));
             for (Delivery delivery : due) {
                 if (delivery.incarnation() == delivery.to().incarnation) {
                     delivery.action().run();
