--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseKeeper.java
@@ -0,0 +1,182 @@
+package org.chestnutbarrow.daemon;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.chestnutbarrow.capacity.Accounts;
+import org.chestnutbarrow.capacity.Room;
+import org.chestnutbarrow.membership.LeaseEffect;
+import org.chestnutbarrow.membership.LeaseEvent;
+import org.chestnutbarrow.membership.LeaseView;
+import org.chestnutbarrow.membership.Peers;
+import org.chestnutbarrow.membership.WorkerLeases;
+import org.chestnutbarrow.model.Freshness;
+import org.chestnutbarrow.model.UnavailableException;
+import org.chestnutbarrow.model.Worker;
+import org.chestnutbarrow.model.WorkerId;
+import org.chestnutbarrow.platform.HostList;
+
+/**
+ * Carries out the effects of {@link WorkerLeases}. Safe for use by several threads.
+ *
+ * <p>Commands to workers run on virtual threads. {@link WorkerLeases} gives one command to a worker at a time, so no more
+ * threads wait than there are workers. The client behind {@code WorkerControl} needs a time limit well below {@link
+ * WorkerLeases#TERM}, or a renewal that hangs cannot be repeated within the term.
+ */
+final class LeaseKeeper implements AutoCloseable {
+    private static final Duration TICK = Duration.ofMillis(50);
+    private static final Duration HOSTS_INTERVAL = Duration.ofSeconds(1);
+
+    /** Time after the deadline of a shutdown in which releases may end. */
+    private static final Duration RELEASE_TIME = Duration.ofSeconds(2);
+
+    private static final int MAX_RENEWALS = 256;
+
+    /** Claims have a bound of their own, so that claims of unreachable workers do not hold up renewals. */
+    private static final int MAX_CLAIMS = 64;
+
+    private final WorkerLeases leases;
+    private final LeaseCommands commands;
+    private final Peers peers;
+    private final Supplier<Freshness> freshness;
+    private final Accounts accounts;
+    private final HostList hosts;
+    private final Semaphore renewals = new Semaphore(MAX_RENEWALS);
+    private final Semaphore claims = new Semaphore(MAX_CLAIMS);
+    private final ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile boolean draining;
+    private volatile List<Repeating> timers = List.of();
+
+    /** Read and written by the thread that fetches the host list only. */
+    private Map<WorkerId, Worker> listed = Map.of();
+
+    private Instant listedAt = Instant.MIN;
+
+    LeaseKeeper(
+            WorkerLeases leases,
+            LeaseCommands commands,
+            Peers peers,
+            Supplier<Freshness> freshness,
+            Accounts accounts,
+            HostList hosts) {
+        this.leases = leases;
+        this.commands = commands;
+        this.peers = peers;
+        this.freshness = freshness;
+        this.accounts = accounts;
+        this.hosts = hosts;
+    }
+
+    /** Begins to fetch the host list and to claim workers. */
+    void start() {
+        timers = List.of(
+                new Repeating("host-list", HOSTS_INTERVAL, this::fetchHosts),
+                new Repeating("leases", TICK, this::tick));
+    }
+
+    /** Does what is due now; called by one thread at a time. */
+    void tick() {
+        LeaseView view = new LeaseView(
+                peers.eligible(),
+                freshness.get(),
+                worker -> peers.holder(worker).isPresent(),
+                worker -> accounts.room(worker).map(Room::requests).orElse(0));
+        leases.tick(view).forEach(this::execute);
+        if (draining && leases.busy().isEmpty()) {
+            drained.countDown();
+        }
+    }
+
+    /** Fetches the host list; keeps the one before if there is no answer or an older list. */
+    void fetchHosts() {
+        try {
+            HostList.Listing listing = hosts.fetch();
+            if (listing.asOf().isBefore(listedAt)) {
+                Events.info("hosts-ignored", "asOf", listing.asOf(), "reason", "older-list");
+                return;
+            }
+            listedAt = listing.asOf();
+            Map<WorkerId, Worker> next = new HashMap<>();
+            listing.workers().forEach(worker -> next.put(worker.id(), worker));
+            next.values().stream()
+                    .filter(worker -> !worker.equals(listed.get(worker.id())))
+                    .forEach(accounts::update);
+            listed = next;
+            leases.hosts(next.values());
+        } catch (UnavailableException e) {
+            Events.warn("hosts-unavailable", "reason", e.getMessage());
+        }
+    }
+
+    /**
+     * Hands over all workers: stops new work on them, waits until no request runs on a worker or {@code limit} has
+     * passed, and releases it.
+     *
+     * @return whether all commands had ended in time; if not, the remaining leases run out by themselves
+     */
+    boolean shutdown(Duration limit) throws InterruptedException {
+        leases.drain(limit);
+        draining = true;
+        boolean done = drained.await(limit.plus(RELEASE_TIME).toNanos(), TimeUnit.NANOSECONDS);
+        Events.info(
+                "leases-drained", "complete", done, "remaining", leases.busy().size());
+        return done;
+    }
+
+    @Override
+    public void close() {
+        timers.forEach(Repeating::close);
+        calls.shutdownNow();
+    }
+
+    private void execute(LeaseEffect effect) {
+        WorkerId id = effect.worker().id();
+        switch (effect) {
+            case LeaseEffect.Claim claim -> submit(claims, () -> commands.claim(claim.worker()));
+            case LeaseEffect.Renew renew -> submit(renewals, () -> commands.renew(renew.worker(), renew.epoch()));
+            case LeaseEffect.Release release -> {
+                commands.stopUse(release.worker(), release.epoch());
+                submit(claims, () -> commands.release(release.worker(), release.epoch()));
+            }
+            case LeaseEffect.Drop drop -> {
+                commands.stopUse(drop.worker(), drop.epoch());
+                Events.warn("lease-lost", "worker", id, "epoch", drop.epoch());
+            }
+            case LeaseEffect.Pause pause -> {
+                accounts.pause(id, true);
+                Events.info("hand-over-begun", "worker", id, "epoch", pause.epoch());
+            }
+            case LeaseEffect.Resume resume -> {
+                accounts.pause(id, false);
+                Events.info("hand-over-cancelled", "worker", id, "epoch", resume.epoch());
+            }
+        }
+    }
+
+    private void submit(Semaphore bound, Supplier<LeaseEvent> command) {
+        calls.execute(() -> {
+            try {
+                bound.acquire();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            LeaseEvent event;
+            try {
+                event = command.get();
+            } finally {
+                bound.release();
+            }
+            leases.on(event).forEach(this::execute);
+        });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/TaskReports.java
@@ -0,0 +1,16 @@
+package org.chestnutbarrow.daemon;
+
+import org.chestnutbarrow.model.Worker;
+import org.chestnutbarrow.platform.WorkerControl;
+
+/** Takes what workers report of their tasks. Implementations are safe for use by several threads and do not block. */
+interface TaskReports {
+    /** The lease was taken; called after the account of the worker was opened. */
+    void taken(Worker worker, WorkerControl.Grant grant);
+
+    /** The lease was renewed. A new incarnation of the worker has lost the tasks of the one before. */
+    void renewed(Worker worker, WorkerControl.Grant grant);
+
+    /** The lease was lost or is being released; called after the account of the worker was closed. */
+    void gone(Worker worker, long epoch);
+}
