--- /dev/null
+++ b/bench/src/main/java/org/chestnutbarrow/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The demo, load experiments and the harness that starts a whole deployment as processes. */
+package org.chestnutbarrow.bench;
--- /dev/null
+++ b/cli/src/main/java/org/chestnutbarrow/cli/Command.java
@@ -0,0 +1,66 @@
+package org.chestnutbarrow.cli;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.kohsuke.args4j.Argument;
+
+/** A command with its arguments as args4j fills them in. Used by one thread. */
+sealed interface Command {
+    /** Checks a declaration file without sending it. */
+    final class Check implements Command {
+        @Argument(metaVar = "FILE", required = true, usage = "declaration file")
+        Path file;
+    }
+
+    /** Shows what applying a declaration file would change. */
+    final class Diff implements Command {
+        @Argument(metaVar = "FILE", required = true, usage = "declaration file")
+        Path file;
+    }
+
+    /** Applies a declaration file as a whole. */
+    final class Apply implements Command {
+        @Argument(metaVar = "FILE", required = true, usage = "declaration file")
+        Path file;
+    }
+
+    /** Takes a zone out or in. */
+    final class Zone implements Command {
+        @Argument(index = 0, metaVar = "out|in", required = true, usage = "take the zone out of service or back in")
+        Direction direction;
+
+        @Argument(index = 1, metaVar = "NAME", required = true, usage = "availability zone")
+        String name;
+    }
+
+    /** Which way a zone is taken. */
+    enum Direction {
+        out,
+        in
+    }
+
+    /** Shows zones, classes, backlog and daemons. */
+    final class Status implements Command {}
+
+    /** Shows the decisions on a request or job. */
+    final class Explain implements Command {
+        @Argument(metaVar = "ID", required = true, usage = "request id or job id")
+        String id;
+    }
+
+    /** Submits a job. */
+    final class Submit implements Command {
+        @Argument(metaVar = "FILE", required = true, usage = "job file")
+        Path file;
+    }
+
+    /** Lists jobs that have not ended. */
+    final class Jobs implements Command {}
+
+    /** Cancels jobs. */
+    final class Cancel implements Command {
+        @Argument(metaVar = "JOB...", required = true, usage = "job ids")
+        List<String> jobs = new ArrayList<>();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/chestnutbarrow/cli/package-info.java
@@ -0,0 +1,2 @@
+/** The command line for operators and submitters. */
+package org.chestnutbarrow.cli;
--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/CatalogJobLog.java
@@ -0,0 +1,93 @@
+package org.chestnutbarrow.daemon;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import org.chestnutbarrow.catalog.ApplyResult;
+import org.chestnutbarrow.catalog.Catalog;
+import org.chestnutbarrow.catalog.JobState;
+import org.chestnutbarrow.catalog.ShardClaim;
+import org.chestnutbarrow.model.DaemonId;
+import org.chestnutbarrow.model.LogRecord;
+import org.chestnutbarrow.model.LogRecord.TaskEnd;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.TaskId;
+import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.placement.LoggedJob;
+
+/** The jobs, ends and claims of the catalog, and the writer of new ones. Safe for use by several threads. */
+final class CatalogJobLog implements JobLog {
+    private final DaemonId self;
+    private final long incarnation;
+    private final Catalog catalog;
+    private final LogWriter writer;
+    private final TimeSource time;
+    private final Map<ShardEpoch, Long> readAt = new ConcurrentHashMap<>();
+
+    CatalogJobLog(DaemonId self, long incarnation, Catalog catalog, LogWriter writer, TimeSource time) {
+        this.self = self;
+        this.incarnation = incarnation;
+        this.catalog = catalog;
+        this.writer = writer;
+        this.time = time;
+    }
+
+    private record ShardEpoch(int shard, long epoch) {}
+
+    @Override
+    public Claim claim(int shard) {
+        Optional<ShardClaim> claim = catalog.claim(shard);
+        if (claim.isEmpty()) {
+            return new Claim(0, false, "", time.nanos());
+        }
+        long epoch = claim.get().epoch();
+        long read = readAt.computeIfAbsent(new ShardEpoch(shard, epoch), _ -> time.nanos());
+        return new Claim(epoch, own(claim.get()), claim.get().daemon().value(), read);
+    }
+
+    /** Notes when a claim was read, since old leases are waited for from then on. */
+    void claimRead(int shard, long epoch) {
+        readAt.computeIfAbsent(new ShardEpoch(shard, epoch), _ -> time.nanos());
+        readAt.remove(new ShardEpoch(shard, epoch - 1));
+    }
+
+    @Override
+    public boolean claim(int shard, long epoch) throws NotRunException, OutcomeUnknownException {
+        AppliedRecord applied = writer.write(new LogRecord.ShardClaimed(shard, epoch, self, incarnation));
+        return applied.result() instanceof ApplyResult.ShardTaken taken && own(taken.claim());
+    }
+
+    @Override
+    public List<LoggedJob> jobs(int shard) {
+        List<LoggedJob> jobs = new ArrayList<>();
+        for (JobState state : catalog.jobs(shard)) {
+            if (!state.complete()) {
+                jobs.add(logged(state));
+            }
+        }
+        return jobs;
+    }
+
+    @Override
+    public void append(int shard, long epoch, List<TaskEnd> ends) throws NotRunException, OutcomeUnknownException {
+        writer.write(new LogRecord.TasksEnded(shard, epoch, ends));
+    }
+
+    private boolean own(ShardClaim claim) {
+        return claim.daemon().equals(self) && claim.incarnation() == incarnation;
+    }
+
+    private static LoggedJob logged(JobState state) {
+        List<TaskEnd> ends = new ArrayList<>();
+        state.unfinished()
+                .forEach((index, progress) -> ends.add(new TaskEnd(
+                        new TaskId(state.job().id(), index),
+                        progress.attempt(),
+                        progress.state(),
+                        progress.resumeFrom())));
+        return new LoggedJob(state.job(), state.cancelled(), state.finished().bits(), ends);
+    }
+}
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Events.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Events.java
@@ -28,6 +28,11 @@
         write(Level.WARNING, event, pairs);
     }
 
+    /** Logs a line made by {@link #line} at the level of normal operation. */
+    static void write(String line) {
+        log.log(Level.INFO, line);
+    }
+
     private static void write(Level level, String event, Object... pairs) {
         if (log.isLoggable(level)) {
             log.log(level, line(event, pairs));
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseCommands.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseCommands.java
@@ -88,11 +88,11 @@
         long validUntil = WorkerLeases.validUntil(sentAt);
         if (grant.epoch() == epoch) {
             accounts.renew(worker.id(), epoch, validUntil);
-            reports.renewed(worker, grant);
+            reports.renewed(worker, grant, sentAt);
             return;
         }
         accounts.open(worker, grant.epoch(), validUntil, grant.tasks(), grant.requestsInFlight(), requestTime);
-        reports.taken(worker, grant);
+        reports.taken(worker, grant, sentAt);
         Events.info(
                 "lease-taken",
                 "worker",
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseKeeper.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseKeeper.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -56,8 +58,7 @@
     private volatile boolean draining;
     private volatile List<Repeating> timers = List.of();
 
-    /** Read and written by the thread that fetches the host list only. */
-    private Map<WorkerId, Worker> listed = Map.of();
+    private volatile Map<WorkerId, Worker> listed = Map.of();
 
     private Instant listedAt = Instant.MIN;
 
@@ -83,6 +84,16 @@
                 new Repeating("leases", TICK, this::tick));
     }
 
+    /** All workers of the newest host list. */
+    Collection<Worker> listed() {
+        return listed.values();
+    }
+
+    /** All workers of the newest host list by id. */
+    Map<WorkerId, Worker> listedById() {
+        return listed;
+    }
+
     /** Does what is due now; called by one thread at a time. */
     void tick() {
         LeaseView view = new LeaseView(
@@ -110,7 +121,7 @@
             next.values().stream()
                     .filter(worker -> !worker.equals(listed.get(worker.id())))
                     .forEach(accounts::update);
-            listed = next;
+            listed = Collections.unmodifiableMap(next);
             leases.hosts(next.values());
         } catch (UnavailableException e) {
             Events.warn("hosts-unavailable", "reason", e.getMessage());
--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseReports.java
@@ -0,0 +1,36 @@
+package org.chestnutbarrow.daemon;
+
+import org.chestnutbarrow.http.HttpClient;
+import org.chestnutbarrow.model.Worker;
+import org.chestnutbarrow.platform.WorkerControl;
+
+/** Passes what workers report with their leases to the parts concerned. Safe for use by several threads. */
+final class LeaseReports implements TaskReports {
+    private final WorkerTasks tasks;
+    private final HttpClient endpoints;
+    private final Runnable roomChanged;
+
+    LeaseReports(WorkerTasks tasks, HttpClient endpoints, Runnable roomChanged) {
+        this.tasks = tasks;
+        this.endpoints = endpoints;
+        this.roomChanged = roomChanged;
+    }
+
+    @Override
+    public void taken(Worker worker, WorkerControl.Grant grant, long askedAt) {
+        tasks.reported(worker.id(), grant.tasks(), askedAt);
+        roomChanged.run();
+    }
+
+    @Override
+    public void renewed(Worker worker, WorkerControl.Grant grant, long askedAt) {
+        tasks.reported(worker.id(), grant.tasks(), askedAt);
+    }
+
+    @Override
+    public void gone(Worker worker, long epoch) {
+        tasks.closed(worker.id());
+        // Idle connections count against the worker's limit, which the next holder needs.
+        endpoints.closeIdle(worker.endpoint());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/PeerCatalog.java
@@ -0,0 +1,66 @@
+package org.chestnutbarrow.daemon;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.chestnutbarrow.catalog.Catalog;
+import org.chestnutbarrow.format.LogRecords;
+import org.chestnutbarrow.model.DaemonId;
+import org.chestnutbarrow.model.LogRecord;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.peer.PeerLink;
+import org.chestnutbarrow.peer.PeerMessage;
+
+/** Exchanges the state of the log with peers. Safe for use by several threads. */
+final class PeerCatalog {
+    private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+    private final Catalog catalog;
+    private final LogRecords records;
+    private final PeerLink link;
+    private final Supplier<? extends Iterable<DaemonId>> peers;
+
+    PeerCatalog(Catalog catalog, LogRecords records, PeerLink link, Supplier<? extends Iterable<DaemonId>> peers) {
+        this.catalog = catalog;
+        this.records = records;
+        this.link = link;
+        this.peers = peers;
+    }
+
+    /** This daemon's state, for a peer. */
+    PeerMessage snapshot() {
+        LogRecord.Snapshot snapshot = records.snapshot(catalog.snapshot());
+        return new PeerMessage.CatalogSnapshot(snapshot.position(), snapshot.state());
+    }
+
+    /** How far this daemon has applied the log. */
+    PeerMessage position() {
+        return new PeerMessage.Position(catalog.position());
+    }
+
+    /** The newest state that a peer has, if it is newer than this daemon's. Blocks. */
+    Optional<LogRecord.Snapshot> fetch() {
+        Optional<LogRecord.Snapshot> newest = Optional.empty();
+        long position = catalog.position();
+        for (DaemonId peer : peers.get()) {
+            Optional<LogRecord.Snapshot> snapshot = fetch(peer);
+            if (snapshot.isPresent() && snapshot.get().position() > position) {
+                newest = snapshot;
+                position = snapshot.get().position();
+            }
+        }
+        return newest;
+    }
+
+    private Optional<LogRecord.Snapshot> fetch(DaemonId peer) {
+        try {
+            PeerMessage answer = link.call(peer, new PeerMessage.FetchCatalog(), TIMEOUT);
+            return answer instanceof PeerMessage.CatalogSnapshot(long position, byte[] state)
+                    ? Optional.of(new LogRecord.Snapshot(position, state))
+                    : Optional.empty();
+        } catch (NotRunException | OutcomeUnknownException e) {
+            return Optional.empty();
+        }
+    }
+}
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -36,19 +36,19 @@
     private final Receipts receipts;
     private final Supplier<Configuration> configuration;
     private final TimeSource time;
-    private final Metrics metrics;
+    private final RequestLog log;
 
     RequestFront(
             RequestRunner runner,
             Receipts receipts,
             Supplier<Configuration> configuration,
             TimeSource time,
-            Metrics metrics) {
+            RequestLog log) {
         this.runner = runner;
         this.receipts = receipts;
         this.configuration = configuration;
         this.time = time;
-        this.metrics = metrics;
+        this.log = log;
     }
 
     /** Answers a caller's request. */
@@ -66,10 +66,7 @@
             if (givenId.isPresent() && !request.idempotent()) {
                 Optional<HttpResponse> refusal = makeReceipt(id);
                 if (refusal.isPresent()) {
-                    metrics.request(
-                            work.get().name(),
-                            refusal.get().headers().first(OUTCOME).orElse(""),
-                            0);
+                    log.refused(work.get().name(), refusal.get().headers().first(OUTCOME).orElse(""));
                     return refusal.get();
                 }
             }
@@ -77,7 +74,7 @@
             return refuse(400, id, e.getMessage());
         }
         Exchange exchange = runner.run(request, message);
-        record(request, exchange, start);
+        log.decided(request, exchange, time.nanos() - start);
         HttpResponse response = mark(exchange.response(), exchange.outcome(), id);
         return exchange.worker().isEmpty() ? response : response.with(WORKER, exchange.worker());
     }
@@ -160,29 +157,6 @@
         }
     }
 
-    private void record(RouteRequest request, Exchange exchange, long start) {
-        long nanos = time.nanos() - start;
-        metrics.request(request.work().name(), exchange.outcome().label(), nanos);
-        Events.info(
-                "request-routed",
-                "request",
-                request.id(),
-                "class",
-                request.work().name(),
-                "outcome",
-                exchange.outcome().label(),
-                "worker",
-                exchange.worker(),
-                "zone",
-                exchange.zone(),
-                "reason",
-                exchange.reason(),
-                "status",
-                exchange.response().status(),
-                "micros",
-                nanos / 1000);
-    }
-
     private static HttpResponse refuse(int status, String id, String why) {
         return mark(HttpResponse.text(status, why + "\n"), new Outcome.NotRun("refused"), id);
     }
--- a/format/src/main/java/org/chestnutbarrow/format/DaemonSettings.java
+++ b/format/src/main/java/org/chestnutbarrow/format/DaemonSettings.java
@@ -21,6 +21,7 @@
  * @param peers peer addresses of all other configured daemons
  * @param log address of the platform's log
  * @param hostList address of the platform's host list
+ * @param logRetention how long the platform's log keeps a record
  * @param logLevel least severe level that is written
  * @param logFile file that log lines are appended to; empty for standard error
  * @param limits bounds that protect the daemon
@@ -34,6 +35,7 @@
         SortedMap<DaemonId, Address> peers,
         Address log,
         Address hostList,
+        Duration logRetention,
         System.Logger.Level logLevel,
         Optional<Path> logFile,
         Limits limits) {
@@ -45,7 +47,7 @@
     @Override
     public String toString() {
         return "DaemonSettings[id=" + id + ", zone=" + zone + ", http=" + http + ", peer=" + peer + ", peers=" + peers
-                + ", log=" + log + ", hostList=" + hostList + ", logLevel=" + logLevel + ", logFile=" + logFile
+                + ", log=" + log + ", hostList=" + hostList + ", logRetention=" + logRetention + ", logLevel=" + logLevel + ", logFile=" + logFile
                 + ", limits=" + limits + "]";
     }
 
--- a/format/src/main/java/org/chestnutbarrow/format/SettingsFile.java
+++ b/format/src/main/java/org/chestnutbarrow/format/SettingsFile.java
@@ -23,6 +23,8 @@
     private static final String NAME_FORM = "1 to 128 letters, digits and . - _ :";
     private static final String ADDRESS_FORM = "IP:PORT with a numeric IP and a port from 0 to 65535";
     private static final String PEER_FORM = "IP:PORT with a numeric IP and a port from 1 to 65535";
+    private static final String RETENTION_FORM = "a duration from 10s to 8784h, such as \"24h\"";
+    private static final Duration DEFAULT_RETENTION = Duration.ofHours(1);
     private static final int MIN_KEY_LENGTH = 16;
     private static final int MAX_KEY_LENGTH = 1024;
     private static final Map<String, System.Logger.Level> LEVELS = Map.of(
@@ -61,6 +63,9 @@
         SortedMap<DaemonId, Address> peers = peers(reader, id, problems);
         Optional<Address> log = address(reader, "log", PEER_FORM);
         Optional<Address> hostList = address(reader, "hostList", PEER_FORM);
+        Duration retention = reader.parse(
+                        reader.optional("logRetention"), RETENTION_FORM, SettingsFile::retention)
+                .orElse(DEFAULT_RETENTION);
         System.Logger.Level level = reader.parse(
                         reader.optional("logLevel"), "one of debug, info, warning, error", SettingsFile::level)
                 .orElse(System.Logger.Level.INFO);
@@ -84,6 +89,7 @@
                 peers,
                 log.orElseThrow(),
                 hostList.orElseThrow(),
+                retention,
                 level,
                 logFile,
                 limits));
@@ -118,6 +124,13 @@
         return peers;
     }
 
+    private static Duration retention(String text) {
+        Duration time = Units.duration(text);
+        boolean inRange = time.compareTo(Duration.ofSeconds(10)) >= 0 && time.compareTo(Duration.ofDays(366)) <= 0;
+        Checks.require(inRange, "duration is out of range");
+        return time;
+    }
+
     private static String key(String text) {
         Checks.require(text.length() >= MIN_KEY_LENGTH && text.length() <= MAX_KEY_LENGTH, "key has the wrong length");
         return text;
