--- a/catalog/src/main/java/org/chestnutbarrow/catalog/Catalog.java
+++ b/catalog/src/main/java/org/chestnutbarrow/catalog/Catalog.java
@@ -193,18 +193,27 @@
 
     /** The whole state at the current position. Appliers wait only while references are copied. */
     public CatalogState snapshot() {
+        List<ShardState> all = new ArrayList<>(shards.length);
+        List<ReceiptState> taken;
+        ConfigHistory history;
+        Instant jobs;
+        Instant requests;
+        long covered;
         order.lock();
         try {
-            List<ShardState> all = new ArrayList<>(shards.length);
             for (JobShard shard : shards) {
                 all.add(shard.state());
             }
-            List<ReceiptState> taken = receipts.state();
-            taken.sort(ReceiptShard.BY_TIME);
-            return new CatalogState(position, configs.current(), configs.changes(), jobTime, receiptTime, all, taken);
+            taken = receipts.state();
+            history = configs;
+            jobs = jobTime;
+            requests = receiptTime;
+            covered = position;
         } finally {
             order.unlock();
         }
+        taken.sort(ReceiptShard.BY_TIME);
+        return new CatalogState(covered, history.current(), history.changes(), jobs, requests, all, taken);
     }
 
     /**
