http: mend connection faults and test the discipline

Cause: the connection discipline had no tests. Writing them showed faults: a kept connection that was closed between two requests failed the next request; each reuse added a listener to the connection (a leak); a malformed header left a request without an outcome until its time-out; a pipelined request was answered with 400 before the running one, so that its caller took the 400 for its own answer; a handler that returned null or threw an Error, and an answer with a malformed header, was never answered and kept a drain from ending; a drain could cut off an answer being written and a request being received; a second close failed; an interrupted connect leaked its connection. Ruled out: answering the pipelined request later, because no caller of ours pipelines; the connection is closed after the running answer instead. Conclusion: a second answer that arrives after the next request was written on the same connection cannot be told from that request's own answer in HTTP/1.1.

--- a/http/src/main/java/org/chestnutbarrow/http/ClientExchange.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ClientExchange.java
@@ -40,7 +40,15 @@
 
     private void write(Channel channel, PendingExchange exchange) {
         if (!channel.isActive() || pending != null) {
-            exchange.result().completeExceptionally(new IOException("connection was closed before the request"));
+            exchange.result().completeExceptionally(new ClosedEarlyException());
+            channel.close();
+            return;
+        }
+        FullHttpRequest message;
+        try {
+            message = encode(exchange);
+        } catch (IllegalArgumentException e) {
+            exchange.result().completeExceptionally(e);
             channel.close();
             return;
         }
@@ -49,6 +57,15 @@
             return;
         }
         pending = exchange;
+        channel.writeAndFlush(message).addListener(done -> {
+            if (!done.isSuccess()) {
+                fail(channel, done.cause());
+            }
+        });
+    }
+
+    /** The request as Netty writes it; names or values with illegal characters are refused before any byte is written. */
+    private static FullHttpRequest encode(PendingExchange exchange) {
         HttpRequest request = exchange.request();
         FullHttpRequest message = new DefaultFullHttpRequest(
                 HttpVersion.HTTP_1_1,
@@ -58,11 +75,7 @@
         Wire.copy(request.headers(), message.headers());
         message.headers().set(HttpHeaderNames.HOST, exchange.to().toString());
         message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
-        channel.writeAndFlush(message).addListener(done -> {
-            if (!done.isSuccess()) {
-                fail(channel, done.cause());
-            }
-        });
+        return message;
     }
 
     @Override
--- a/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -13,7 +14,9 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.chestnutbarrow.model.Address;
@@ -24,6 +27,8 @@
  * An HTTP/1.1 client that keeps connections open between requests. Safe for use by several threads; calls block and
  * suit virtual threads.
  *
+ * <p>A kept connection that was closed by the other side before the first byte of a request is replaced by another one.
+ *
  * <p>Invariants: a connection carries one exchange at a time; a connection whose exchange did not end with a whole
  * answer is closed and never used again; bytes that arrive outside an exchange close the connection; an answer whose end
  * is marked only by the end of the connection is not taken for whole.
@@ -83,32 +88,49 @@
     public HttpResponse send(Address to, HttpRequest request, Duration timeout, SendGate gate)
             throws NotRunException, OutcomeUnknownException {
         long end = System.nanoTime() + timeout.toNanos();
-        Channel channel = idle.take(to);
-        if (channel == null) {
-            channel = connect(to, end);
+        Channel kept = idle.take(to);
+        while (kept != null) {
+            Optional<HttpResponse> response = exchange(kept, new PendingExchange(to, request, gate), end);
+            if (response.isPresent()) {
+                return response.get();
+            }
+            kept = idle.take(to);
         }
+        return exchange(connect(to, end), new PendingExchange(to, request, gate), end)
+                .orElseThrow(() -> notRun(to, "connection was closed before the request", null));
+    }
+
+    /** The answer, or nothing if the connection had been closed before any byte was written. */
+    private Optional<HttpResponse> exchange(Channel channel, PendingExchange pending, long end)
+            throws NotRunException, OutcomeUnknownException {
+        Address to = pending.to();
         ClientExchange exchange = channel.pipeline().get(ClientExchange.class);
         if (exchange == null) {
-            channel.close();
-            throw notRun(to, "connection was closed before the request", null);
+            return Optional.empty();
+        }
+        try {
+            exchange.begin(channel, pending);
+        } catch (RejectedExecutionException e) {
+            throw notRun(to, "the client is closed", e);
         }
-        PendingExchange pending = new PendingExchange(to, request, gate);
-        exchange.begin(channel, pending);
         try {
             HttpResponse response = pending.result().get(end - System.nanoTime(), TimeUnit.NANOSECONDS);
             if (pending.reusable()) {
                 idle.put(to, channel);
             }
-            return response;
+            return Optional.of(response);
         } catch (TimeoutException e) {
             pending.abandon(channel);
-            throw pending.failure("no whole answer within " + timeout.toMillis() + " ms", e);
+            throw pending.failure("no whole answer in time", e);
         } catch (InterruptedException e) {
             pending.abandon(channel);
             Thread.currentThread().interrupt();
             throw pending.failure("the wait was interrupted", e);
         } catch (ExecutionException e) {
             channel.close();
+            if (e.getCause() instanceof ClosedEarlyException) {
+                return Optional.empty();
+            }
             throw pending.failure(String.valueOf(e.getCause().getMessage()), e.getCause());
         }
     }
@@ -129,12 +151,18 @@
         long left = Math.max(1, TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime()));
         Bootstrap connecting =
                 bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(left, Integer.MAX_VALUE));
+        ChannelFuture connected;
+        try {
+            connected = connecting.connect(new InetSocketAddress(to.ip(), to.port()));
+        } catch (RuntimeException e) {
+            throw notRun(to, String.valueOf(e.getMessage()), e);
+        }
         try {
-            return connecting
-                    .connect(new InetSocketAddress(to.ip(), to.port()))
-                    .sync()
-                    .channel();
+            Channel channel = connected.sync().channel();
+            idle.watch(to, channel);
+            return channel;
         } catch (InterruptedException e) {
+            connected.channel().close();
             Thread.currentThread().interrupt();
             throw notRun(to, "the wait was interrupted", e);
         } catch (Exception e) {
--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.InvalidInputException;
 
@@ -38,6 +39,7 @@
     private final ExecutorService executor;
     private final ServerConnections connections;
     private final Channel listener;
+    private final AtomicBoolean closed = new AtomicBoolean();
 
     private HttpServer(
             EventLoopGroup loops, ExecutorService executor, ServerConnections connections, Channel listener) {
@@ -73,11 +75,12 @@
                         HttpDecoderConfig config = new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                                 .setMaxHeaderSize(limits.headerBytes());
+                        ReceiveTimeout timeout = new ReceiveTimeout(limits.receive(), limits.idle());
                         channel.pipeline()
-                                .addLast(new ReceiveTimeout(limits.receive(), limits.idle()))
+                                .addLast(timeout)
                                 .addLast(new HttpServerCodec(config))
                                 .addLast(new HttpObjectAggregator(limits.bodyBytes()))
-                                .addLast(new ServerExchange(handler, executor, connections));
+                                .addLast(new ServerExchange(handler, executor, connections, timeout));
                     }
                 });
         try {
@@ -107,6 +110,9 @@
 
     /** Stops accepting connections; requests in flight are answered and their connections closed afterwards. */
     public void drain() {
+        if (closed.get()) {
+            return;
+        }
         listener.close().syncUninterruptibly();
         connections.drain();
     }
@@ -114,6 +120,9 @@
     /** Closes everything at once. */
     @Override
     public void close() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
         listener.close().syncUninterruptibly();
         connections.closeAll();
         executor.shutdownNow();
--- a/http/src/main/java/org/chestnutbarrow/http/IdleConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/IdleConnections.java
@@ -30,14 +30,20 @@
         }
     }
 
+    /** Lets the connection leave this set when it closes; called once for each connection. */
+    void watch(Address address, Channel channel) {
+        channel.closeFuture().addListener(done -> remove(address, channel));
+    }
+
     void put(Address address, Channel channel) {
         Deque<Channel> idle = byAddress.computeIfAbsent(address, _ -> new ArrayDeque<>());
         synchronized (idle) {
             idle.addFirst(channel);
         }
-        channel.closeFuture().addListener(done -> remove(address, channel));
-        if (closed) {
+        // The connection may have closed before it was added, when its removal had nothing to remove.
+        if (closed || !channel.isActive()) {
             channel.close();
+            remove(address, channel);
         }
     }
 
@@ -62,6 +68,9 @@
 
     private void remove(Address address, Channel channel) {
         Deque<Channel> idle = byAddress.get(address);
+        if (idle == null) {
+            return;
+        }
         synchronized (idle) {
             idle.remove(channel);
         }
--- a/http/src/main/java/org/chestnutbarrow/http/ReceiveTimeout.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ReceiveTimeout.java
@@ -1,8 +1,7 @@
 package org.chestnutbarrow.http;
 
-import io.netty.channel.ChannelDuplexHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelPromise;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import java.time.Duration;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -13,9 +12,10 @@
  * <p>The timer for a request starts at its first byte and is not extended by further bytes, so a caller that sends one
  * byte at a time does not hold a connection longer than others.
  */
-final class ReceiveTimeout extends ChannelDuplexHandler {
+final class ReceiveTimeout extends ChannelInboundHandlerAdapter {
     private final Duration receive;
     private final Duration idle;
+    private ChannelHandlerContext ctx;
     private Future<?> timer;
     private boolean receiving;
 
@@ -25,16 +25,21 @@
     }
 
     @Override
-    public void channelActive(ChannelHandlerContext ctx) {
-        schedule(ctx, idle);
+    public void handlerAdded(ChannelHandlerContext added) {
+        ctx = added;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ignored) {
+        schedule(idle);
         ctx.fireChannelActive();
     }
 
     @Override
-    public void channelRead(ChannelHandlerContext ctx, Object message) {
+    public void channelRead(ChannelHandlerContext ignored, Object message) {
         if (!receiving) {
             receiving = true;
-            schedule(ctx, receive);
+            schedule(receive);
         }
         ctx.fireChannelRead(message);
     }
@@ -44,20 +49,26 @@
         cancel();
     }
 
-    @Override
-    public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+    /** Whether part of a request has come that is not answered yet. */
+    boolean receiving() {
+        return receiving;
+    }
+
+    /** Starts the idle timer; the answer has to be written within it too. */
+    void answered() {
         receiving = false;
-        schedule(ctx, idle);
-        ctx.write(message, promise);
+        if (!ctx.isRemoved()) {
+            schedule(idle);
+        }
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
+    public void channelInactive(ChannelHandlerContext ignored) {
         cancel();
         ctx.fireChannelInactive();
     }
 
-    private void schedule(ChannelHandlerContext ctx, Duration delay) {
+    private void schedule(Duration delay) {
         cancel();
         timer = ctx.executor().schedule(() -> ctx.close(), delay.toMillis(), TimeUnit.MILLISECONDS);
     }
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -33,7 +33,8 @@
             open.remove(channel);
             count.decrementAndGet();
         });
-        return true;
+        // Draining may have passed over the open connections before this one was added.
+        return !draining;
     }
 
     void began() {
--- a/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
 
@@ -28,23 +29,31 @@
     private final HttpHandler handler;
     private final Executor executor;
     private final ServerConnections connections;
+    private final ReceiveTimeout timeout;
     private boolean busy;
+    private boolean closeAfterAnswer;
 
-    ServerExchange(HttpHandler handler, Executor executor, ServerConnections connections) {
+    ServerExchange(HttpHandler handler, Executor executor, ServerConnections connections, ReceiveTimeout timeout) {
         this.handler = handler;
         this.executor = executor;
         this.connections = connections;
+        this.timeout = timeout;
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
-        if (!message.decoderResult().isSuccess() || !message.uri().startsWith("/") || busy) {
+        if (busy) {
+            // An answer to a pipelined request would be taken for the answer to the one that still runs.
+            closeAfterAnswer = true;
+            return;
+        }
+        if (!message.decoderResult().isSuccess() || !message.uri().startsWith("/")) {
             refuse(ctx);
             return;
         }
         busy = true;
         ctx.channel().config().setAutoRead(false);
-        ctx.pipeline().get(ReceiveTimeout.class).received();
+        timeout.received();
         boolean keepAlive = HttpUtil.isKeepAlive(message);
         HttpRequest request = new HttpRequest(
                 message.method().name(),
@@ -63,11 +72,11 @@
     private void answer(ChannelHandlerContext ctx, HttpRequest request, boolean keepAlive) {
         HttpResponse response;
         try {
-            response = handler.handle(request);
+            response = Objects.requireNonNull(handler.handle(request), "handler returned no answer");
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             response = HttpResponse.text(500, "the server stops\n");
-        } catch (Exception | StackOverflowError e) {
+        } catch (Exception | Error e) {
             log.log(Level.ERROR, () -> "event=request-failed target=" + Wire.quote(request.target()), e);
             response = HttpResponse.text(500, "internal error; see the log of this process\n");
         }
@@ -77,26 +86,42 @@
     }
 
     private void write(ChannelHandlerContext ctx, HttpResponse response, boolean keepAlive, boolean head) {
-        FullHttpResponse message = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(response.status()),
-                Unpooled.wrappedBuffer(head ? new byte[0] : response.body()));
-        Wire.copy(response.headers(), message.headers());
-        message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
-        boolean close = !keepAlive || connections.draining();
+        FullHttpResponse message = encode(response, head);
+        boolean close = !keepAlive || closeAfterAnswer || connections.draining();
         if (close) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
-        busy = false;
+        timeout.answered();
         ChannelFuture written = ctx.writeAndFlush(message);
-        written.addListener(done -> connections.ended());
-        if (close) {
-            written.addListener(ChannelFutureListener.CLOSE);
+        written.addListener(done -> finish(ctx, close));
+    }
+
+    /** Reads on only after the whole answer is written, so that draining never cuts an answer short. */
+    private void finish(ChannelHandlerContext ctx, boolean close) {
+        busy = false;
+        connections.ended();
+        if (close || closeAfterAnswer || connections.draining()) {
+            ctx.close();
         } else {
             ctx.channel().config().setAutoRead(true);
         }
     }
 
+    private static FullHttpResponse encode(HttpResponse response, boolean head) {
+        try {
+            FullHttpResponse message = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(response.status()),
+                    Unpooled.wrappedBuffer(head ? new byte[0] : response.body()));
+            Wire.copy(response.headers(), message.headers());
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+            return message;
+        } catch (IllegalArgumentException e) {
+            log.log(Level.ERROR, () -> "event=answer-malformed reason=" + Wire.quote(String.valueOf(e.getMessage())));
+            return encode(HttpResponse.text(500, "internal error; see the log of this process\n"), head);
+        }
+    }
+
     private static void refuse(ChannelHandlerContext ctx) {
         FullHttpResponse message = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER);
@@ -108,7 +133,7 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == ServerConnections.DrainEvent.DRAIN && !busy) {
+        if (event == ServerConnections.DrainEvent.DRAIN && !busy && !timeout.receiving()) {
             ctx.close();
         }
     }
--- /dev/null
+++ b/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
@@ -0,0 +1,195 @@
+package org.chestnutbarrow.http;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.chestnutbarrow.model.Address;
+import org.testng.annotations.Test;
+
+/** Guards the limits of the server and its promise to finish what it has begun. */
+public final class HttpServerTest {
+    private static final int PATIENCE_MILLIS = 30_000;
+    private static final HttpLimits LIMITS =
+            new HttpLimits(1000, 1000, 3, Duration.ofSeconds(20), Duration.ofSeconds(20));
+    private static final String GET = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    /** Guards against memory taken by large bodies and heads. */
+    @Test
+    void refusesLargeRequests() throws Exception {
+        AtomicInteger handled = new AtomicInteger();
+        try (HttpServer server = start(LIMITS, request -> HttpResponse.text(200, "n" + handled.incrementAndGet()))) {
+            String large = "POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n" + "x".repeat(1001);
+            assertStatus(exchange(server, large), 413);
+            assertStatus(exchange(server, "GET / HTTP/1.1\r\nA: " + "x".repeat(1100) + "\r\n\r\n"), 400);
+            assertEquals(handled.get(), 0);
+            assertStatus(exchange(server, GET), 200);
+        }
+    }
+
+    /** Guards against callers that hold connections by sending one byte at a time. */
+    @Test
+    void closesSlowSender() throws Exception {
+        HttpLimits hasty = new HttpLimits(1000, 1000, 3, Duration.ofMillis(300), Duration.ofSeconds(20));
+        try (HttpServer server = start(hasty, request -> HttpResponse.text(200, "ok"));
+                Socket socket = open(server)) {
+            Thread.ofVirtual().start(() -> trickle(socket));
+            assertEquals(socket.getInputStream().read(), -1);
+        }
+    }
+
+    /** Guards against more connections than the host has room for, and against a limit that is never given back. */
+    @Test
+    void limitsConnections() throws Exception {
+        try (HttpServer server = start(LIMITS, request -> HttpResponse.text(200, "ok"))) {
+            List<Socket> open = new ArrayList<>();
+            for (int i = 0; i < LIMITS.connections(); i++) {
+                Socket socket = open(server);
+                open.add(socket);
+                assertStatus(exchange(socket, GET), 200);
+            }
+            assertEquals(exchange(server, GET), "");
+            open.getFirst().close();
+            String answer = exchange(server, GET);
+            while (answer.isEmpty()) {
+                answer = exchange(server, GET);
+            }
+            assertStatus(answer, 200);
+            for (Socket socket : open) {
+                socket.close();
+            }
+        }
+    }
+
+    /** Guards against a shutdown that cuts off a request that is being handled or still being received. */
+    @Test
+    void drainFinishesWhatIsInFlight() throws Exception {
+        CountDownLatch started = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        try (HttpServer server = start(LIMITS, request -> {
+                    started.countDown();
+                    release.await();
+                    return HttpResponse.text(200, "x".repeat(500_000));
+                });
+                Socket handled = open(server);
+                Socket received = open(server);
+                Socket idle = open(server)) {
+            // The interim answer shows that the server has read the start of the request.
+            assertStatus(
+                    exchange(received, "POST / HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\n\r\n"), 100);
+            send(handled, GET);
+            started.await();
+            server.drain();
+            assertEquals(idle.getInputStream().read(), -1);
+            release.countDown();
+            assertWhole(handled);
+            send(received, "12");
+            assertWhole(received);
+            // A connection is closed after its request has been counted as ended.
+            assertEquals(handled.getInputStream().read(), -1);
+            assertEquals(received.getInputStream().read(), -1);
+            assertEquals(server.inFlight(), 0);
+        }
+    }
+
+    /** Guards against the answer to a pipelined request overtaking that of the request before it. */
+    @Test
+    void pipelinedRequestIsNotAnsweredInsteadOfTheFirst() throws Exception {
+        CountDownLatch release = new CountDownLatch(1);
+        AtomicInteger handled = new AtomicInteger();
+        try (HttpServer server = start(LIMITS, request -> {
+                    handled.incrementAndGet();
+                    release.await();
+                    return HttpResponse.text(200, "first");
+                });
+                Socket socket = open(server)) {
+            send(socket, GET + GET);
+            Thread.ofVirtual().start(release::countDown);
+            assertStatus(RawServer.readHead(socket.getInputStream()), 200);
+            String rest = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            assertEquals(rest, "first");
+            assertEquals(handled.get(), 1);
+        }
+    }
+
+    /** Guards against requests that are never answered, which would also keep a drain from ending. */
+    @Test
+    void faultyHandlerIsAnsweredWith500() throws Exception {
+        HttpHandler faulty = request -> switch (request.path()) {
+            case "/null" -> null;
+            case "/error" -> throw new LinkageError("broken class");
+            default -> new HttpResponse(200, Headers.of("A", "b\r\nC: d"), new byte[0]);
+        };
+        try (HttpServer server = start(LIMITS, faulty)) {
+            for (String path : List.of("/null", "/error", "/header")) {
+                try (Socket socket = open(server)) {
+                    assertStatus(exchange(socket, "GET " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n"), 500);
+                    socket.getInputStream().readAllBytes();
+                }
+            }
+            assertEquals(server.inFlight(), 0);
+        }
+    }
+
+    private static HttpServer start(HttpLimits limits, HttpHandler handler) throws Exception {
+        return HttpServer.start(Address.parse("127.0.0.1:0"), limits, handler);
+    }
+
+    private static Socket open(HttpServer server) throws IOException {
+        Socket socket =
+                new Socket(InetAddress.getLoopbackAddress(), server.address().port());
+        socket.setSoTimeout(PATIENCE_MILLIS);
+        return socket;
+    }
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static String exchange(HttpServer server, String request) throws IOException {
+        try (Socket socket = open(server)) {
+            return exchange(socket, request);
+        }
+    }
+
+    /** The head of the answer, or nothing if the server closed the connection. */
+    private static String exchange(Socket socket, String request) {
+        try {
+            send(socket, request);
+            return RawServer.readHead(socket.getInputStream());
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
+    private static void trickle(Socket socket) {
+        try {
+            for (int i = 0; i < PATIENCE_MILLIS; i++) {
+                send(socket, "G");
+                Thread.sleep(20);
+            }
+        } catch (IOException | InterruptedException e) {
+            // The server closed the connection, which the test sees from its own side.
+        }
+    }
+
+    private static void assertStatus(String head, int status) {
+        assertTrue(head.startsWith("HTTP/1.1 " + status), head);
+    }
+
+    private static void assertWhole(Socket socket) throws IOException {
+        String head = RawServer.readHead(socket.getInputStream());
+        assertStatus(head, 200);
+        assertTrue(head.toLowerCase(Locale.ROOT).contains("connection: close"), head);
+        assertEquals(socket.getInputStream().readNBytes(500_000).length, 500_000);
+    }
+}
