--- a/peer/src/main/java/org/chestnutbarrow/peer/PeerHandler.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/PeerHandler.java
@@ -2,7 +2,10 @@
 
 import org.chestnutbarrow.model.DaemonId;
 
-/** Takes messages from peers. Called on a virtual thread of its own for each message, so it may block. */
+/**
+ * Takes messages from peers. Called on virtual threads, so it may block; a request has a thread of its own, messages
+ * without an answer share one for each peer.
+ */
 public interface PeerHandler {
     /** Answers a request; an exception becomes {@link PeerMessage.Failure}. */
     PeerMessage answer(DaemonId from, PeerMessage request) throws Exception;
