Let daemons ask one another for explanations

Cause: explain reaches any daemon, while the decisions lie with the owner of the job or the daemon that took the request. Change: messages Explain and Explanation with their codec. Ruled out: a redirect to the owner's HTTP address, which peers do not know.

--- a/peer/src/main/java/org/chestnutbarrow/peer/PeerCodec.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/PeerCodec.java
@@ -1,8 +1,11 @@
 package org.chestnutbarrow.peer;
 
+import java.util.List;
 import org.chestnutbarrow.peer.PeerMessage.CatalogSnapshot;
 import org.chestnutbarrow.peer.PeerMessage.ConfirmPosition;
 import org.chestnutbarrow.peer.PeerMessage.ControlTask;
+import org.chestnutbarrow.peer.PeerMessage.Explain;
+import org.chestnutbarrow.peer.PeerMessage.Explanation;
 import org.chestnutbarrow.peer.PeerMessage.Failure;
 import org.chestnutbarrow.peer.PeerMessage.FenceShard;
 import org.chestnutbarrow.peer.PeerMessage.FetchCatalog;
@@ -32,6 +35,8 @@
     /** Types up to this one belong to the handshake. */
     private static final int LAST_HANDSHAKE_TYPE = 9;
 
+    private static final int MAX_LINES = 10_000;
+
     private PeerCodec() {}
 
     /** A message with the id that ties a request to its answer. */
@@ -52,7 +57,9 @@
         CATALOG_SNAPSHOT(20, StateCodec.SNAPSHOT_FIELDS),
         CONFIRM_POSITION(21, 1),
         POSITION(22, 1),
-        FAILURE(23, 1);
+        FAILURE(23, 1),
+        EXPLAIN(24, 1),
+        EXPLANATION(25, 1);
 
         private static final Type[] ALL = values();
 
@@ -119,6 +126,8 @@
             case ConfirmPosition _ -> Type.CONFIRM_POSITION;
             case Position _ -> Type.POSITION;
             case Failure _ -> Type.FAILURE;
+            case Explain _ -> Type.EXPLAIN;
+            case Explanation _ -> Type.EXPLANATION;
         };
     }
 
@@ -138,6 +147,8 @@
             case ConfirmPosition(long position) -> to.number(position);
             case Position(long position) -> to.number(position);
             case Failure(String reason) -> to.text(reason);
+            case Explain(String id) -> to.text(id);
+            case Explanation(List<String> lines) -> to.list(lines, FieldWriter::text);
         }
     }
 
@@ -157,6 +168,8 @@
             case CONFIRM_POSITION -> new ConfirmPosition(from.number());
             case POSITION -> new Position(from.number());
             case FAILURE -> new Failure(from.text());
+            case EXPLAIN -> new Explain(from.text());
+            case EXPLANATION -> new Explanation(from.list(FieldReader::text, MAX_LINES));
         };
     }
 }
--- a/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
@@ -142,6 +142,16 @@
     /** The offset of the last log record that the sender has applied. */
     record Position(long position) implements PeerMessage {}
 
+    /** Asks what the receiver has decided on a request or job; answered with {@link Explanation}. */
+    record Explain(String id) implements PeerMessage {}
+
+    /** Lines about a request or job, oldest first; empty if the sender knows nothing of it. */
+    record Explanation(List<String> lines) implements PeerMessage {
+        public Explanation {
+            lines = List.copyOf(lines);
+        }
+    }
+
     /** The receiver could not handle the request; nothing was done. */
     record Failure(String reason) implements PeerMessage {}
 }
