--- a/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
@@ -127,9 +127,12 @@
 
     /** Waits until every running daemon is ready. */
     public void awaitReady(Duration atMost) throws InterruptedException {
-        await("all daemons ready", atMost, () -> daemons.entrySet().stream()
-                .filter(entry -> processes.alive(entry.getKey()))
-                .allMatch(entry -> status(entry.getValue(), "/ready") == 200));
+        await(
+                "all daemons ready",
+                atMost,
+                () -> daemons.entrySet().stream()
+                        .filter(entry -> processes.alive(entry.getKey()))
+                        .allMatch(entry -> status(entry.getValue(), "/ready") == 200));
     }
 
     /** Waits for a condition; fails with the name of what was awaited. */
@@ -163,7 +166,8 @@
     /** Runs the command line against the given daemons; returns its exit code. */
     public int cli(List<String> daemonsToUse, List<String> arguments) throws IOException, InterruptedException {
         String addresses = String.join(
-                ",", daemonsToUse.stream().map(name -> daemons.get(name).toString()).toList());
+                ",",
+                daemonsToUse.stream().map(name -> daemons.get(name).toString()).toList());
         List<String> all = new ArrayList<>(List.of("--daemon", addresses));
         all.addAll(arguments);
         return processes.run("cli", CLI, all);
@@ -227,9 +231,11 @@
             }
         }
         proxy = standin("proxy", options, "address");
-        JsonNode pairs = Json.MAPPER.readTree(folder.resolve("proxy.json").toFile()).path("pairs");
+        JsonNode pairs =
+                Json.MAPPER.readTree(folder.resolve("proxy.json").toFile()).path("pairs");
         pairs.properties()
-                .forEach(entry -> proxied.put(entry.getKey(), Address.parse(entry.getValue().asText())));
+                .forEach(entry -> proxied.put(
+                        entry.getKey(), Address.parse(entry.getValue().asText())));
     }
 
     private Address standin(String name, List<String> arguments, String field)
--- a/bench/src/main/java/org/chestnutbarrow/bench/ClusterSpec.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/ClusterSpec.java
@@ -68,15 +68,6 @@
     /** The same with daemons behind the fault proxy. */
     public ClusterSpec throughProxy() {
         return new ClusterSpec(
-                daemons,
-                workers,
-                zones,
-                cores,
-                memoryMiB,
-                accelerators,
-                serviceTimes,
-                logMaxAgeSeconds,
-                true,
-                seed);
+                daemons, workers, zones, cores, memoryMiB, accelerators, serviceTimes, logMaxAgeSeconds, true, seed);
     }
 }
--- a/bench/src/main/java/org/chestnutbarrow/bench/Demo.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Demo.java
@@ -93,9 +93,13 @@
         require("declarations are in force", cli("apply", file.toString()) == 0);
         require("watcher is accepted", submit("watch", options.deployment.watcher(), 2, 0));
         for (int i = 1; i <= JOBS; i++) {
-            require("job " + i + " is accepted", submit("batch-" + i, options.deployment.batch(), TASKS_PER_JOB, TASK_RUN_MS));
+            require(
+                    "job " + i + " is accepted",
+                    submit("batch-" + i, options.deployment.batch(), TASKS_PER_JOB, TASK_RUN_MS));
         }
-        require("a repeated submission is accepted once", submit("batch-1", options.deployment.batch(), TASKS_PER_JOB, TASK_RUN_MS));
+        require(
+                "a repeated submission is accepted once",
+                submit("batch-1", options.deployment.batch(), TASKS_PER_JOB, TASK_RUN_MS));
         say(start, "declarations applied, " + JOBS + " jobs and a watcher submitted");
     }
 
@@ -210,8 +214,10 @@
                 .row("not run", load.count("not-run"))
                 .row("unknown", load.count("unknown"))
                 .row("no answer", load.count("no-answer"))
-                .row("latency p50 / p99 / p99.9 ms", String.format(
-                        Locale.ROOT, "%.1f / %.1f / %.1f", load.millis(50), load.millis(99), load.millis(99.9)))
+                .row(
+                        "latency p50 / p99 / p99.9 ms",
+                        String.format(
+                                Locale.ROOT, "%.1f / %.1f / %.1f", load.millis(50), load.millis(99), load.millis(99.9)))
                 .row("daemons' resident MiB", cluster.residentMiB()));
         out.println();
         Table table = new Table("what must hold", "held");
@@ -221,14 +227,16 @@
     }
 
     private void progress(long start, LoadResult load) {
-        say(start, String.format(
-                Locale.ROOT,
-                "ran %d, not run %d, unknown %d, p50 %.1f ms, p99 %.1f ms",
-                load.count("ran"),
-                load.count("not-run"),
-                load.count("unknown") + load.count("no-answer"),
-                load.millis(50),
-                load.millis(99)));
+        say(
+                start,
+                String.format(
+                        Locale.ROOT,
+                        "ran %d, not run %d, unknown %d, p50 %.1f ms, p99 %.1f ms",
+                        load.count("ran"),
+                        load.count("not-run"),
+                        load.count("unknown") + load.count("no-answer"),
+                        load.millis(50),
+                        load.millis(99)));
     }
 
     private void say(long start, String text) {
--- a/bench/src/main/java/org/chestnutbarrow/bench/Judge.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Judge.java
@@ -46,7 +46,9 @@
                 }
             } else if (observation instanceof Observation.TaskEnded end) {
                 Observation.TaskStarted start = running.get(end.task());
-                if (start != null && start.attempt().equals(end.attempt()) && start.worker().equals(end.worker())) {
+                if (start != null
+                        && start.attempt().equals(end.attempt())
+                        && start.worker().equals(end.worker())) {
                     running.remove(end.task());
                 }
             }
@@ -91,8 +93,8 @@
             List<Observation> seen, Map<String, WorkerInfo> workers, String zone, long fromMs, long toMs) {
         List<String> broken = new ArrayList<>();
         for (Observation observation : seen) {
-            boolean start = observation instanceof Observation.TaskStarted
-                    || observation instanceof Observation.RequestStarted;
+            boolean start =
+                    observation instanceof Observation.TaskStarted || observation instanceof Observation.RequestStarted;
             boolean within = observation.atMs() >= fromMs && observation.atMs() <= toMs;
             if (start && within && workers.get(observation.worker()).zone().equals(zone)) {
                 broken.add(observation + " started in zone " + zone + " that was out since " + fromMs);
--- a/bench/src/main/java/org/chestnutbarrow/bench/LoadGenerator.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/LoadGenerator.java
@@ -96,12 +96,13 @@
         String id = System.currentTimeMillis() + "-" + spec.seed() + "x" + number;
         Headers headers = Headers.of("Chestnutbarrow-Request-Id", id)
                 .with("Chestnutbarrow-Idempotent", String.valueOf(!once))
-                .with("Chestnutbarrow-Deadline-Ms", String.valueOf(spec.deadline().toMillis()));
+                .with(
+                        "Chestnutbarrow-Deadline-Ms",
+                        String.valueOf(spec.deadline().toMillis()));
         if (once) {
             nonIdempotent.add(id);
         }
-        HttpRequest request =
-                new HttpRequest("POST", "/" + spec.workClass() + "/" + number, headers, new byte[] {'x'});
+        HttpRequest request = new HttpRequest("POST", "/" + spec.workClass() + "/" + number, headers, new byte[] {'x'});
         sent.incrementAndGet();
         for (int i = 0; i < daemons.size(); i++) {
             Address daemon = daemons.get((int) ((number + i) % daemons.size()));
--- a/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
@@ -97,7 +97,9 @@
 
     /** Sends a signal such as {@code STOP} or {@code CONT}. */
     void signal(String name, String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, String.valueOf(pid(name))).start().waitFor();
+        new ProcessBuilder("kill", "-" + signal, String.valueOf(pid(name)))
+                .start()
+                .waitFor();
     }
 
     private void killAll() {
--- a/cli/src/main/java/org/chestnutbarrow/cli/DaemonClient.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/DaemonClient.java
@@ -53,7 +53,8 @@
         for (int i = 0; i < daemons.size(); i++) {
             try {
                 Answer answer = answer(http.send(daemons.get(i), request, timeout));
-                boolean refused = answer.status() == UNAVAILABLE && answer.text("result").equals("not-applied");
+                boolean refused =
+                        answer.status() == UNAVAILABLE && answer.text("result").equals("not-applied");
                 if (!refused || i == daemons.size() - 1) {
                     return answer;
                 }
--- a/cli/src/main/java/org/chestnutbarrow/cli/Main.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/Main.java
@@ -20,8 +20,7 @@
     private static final String DEFAULT_DAEMON = "127.0.0.1:8080";
     private static final int WIDTH = 100;
 
-    private static final String EXAMPLES =
-            """
+    private static final String EXAMPLES = """
 
             Commands and examples:
               check FILE         check a declaration file            check examples/hivatal/declarations.jsonc
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/CatalogEvents.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/CatalogEvents.java
@@ -17,8 +17,7 @@
     private final JobRunner jobs;
     private final Runnable roomChanged;
 
-    CatalogEvents(
-            Catalog catalog, FreshnessGate gate, CatalogJobLog jobLog, JobRunner jobs, Runnable roomChanged) {
+    CatalogEvents(Catalog catalog, FreshnessGate gate, CatalogJobLog jobLog, JobRunner jobs, Runnable roomChanged) {
         this.catalog = catalog;
         this.gate = gate;
         this.jobLog = jobLog;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/ConfigApi.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/ConfigApi.java
@@ -54,9 +54,8 @@
     /** The configuration in force here. */
     HttpResponse get() {
         Configuration configuration = catalog.configuration();
-        ObjectNode answer = Answers.object()
-                .put("version", configuration.version())
-                .put("changeId", configuration.changeId());
+        ObjectNode answer =
+                Answers.object().put("version", configuration.version()).put("changeId", configuration.changeId());
         answer.set("declarations", DeclarationFile.write(configuration.declarations()));
         ObjectNode zones = answer.putObject("zones");
         for (AvailabilityZone zone : configuration.declarations().zones()) {
@@ -74,7 +73,10 @@
             return Answers.refused(404, "not-applied", "no change with this id is among the recent ones");
         }
         return Answers.json(
-                200, Answers.object().put("result", "accepted").put("version", known.get().version()));
+                200,
+                Answers.object()
+                        .put("result", "accepted")
+                        .put("version", known.get().version()));
     }
 
     /** Replaces the declarations. */
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -28,7 +28,6 @@
 import org.chestnutbarrow.membership.WorkerLeases;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.DaemonId;
-import org.chestnutbarrow.model.Hashing;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.LogRecord;
 import org.chestnutbarrow.model.Resources;
@@ -195,7 +194,11 @@
                 tasks,
                 link,
                 jobLog,
-                () -> leaving ? peers.alive().stream().filter(id -> !id.equals(settings.id())).toList() : peers.alive(),
+                () -> leaving
+                        ? peers.alive().stream()
+                                .filter(id -> !id.equals(settings.id()))
+                                .toList()
+                        : peers.alive(),
                 this::heldWorkers,
                 () -> leases.listed().stream().map(Worker::id).toList(),
                 calls);
@@ -205,8 +208,8 @@
         CatalogEvents events = new CatalogEvents(catalog, gate, jobLog, jobs, this::roomChanged);
         Random random = new Random(incarnation);
         Duration retention = settings.logRetention();
-        Snapshots snapshots = closing(
-                new Snapshots(catalog, records, writer, time, retention, () -> follower.caughtUp(), random));
+        Snapshots snapshots =
+                closing(new Snapshots(catalog, records, writer, time, retention, () -> follower.caughtUp(), random));
         follower = closing(new LogFollower(
                 log, catalog, records, time, peerCatalog::fetch, events, List.of(events, writer, snapshots), random));
         snapshots.start();
@@ -259,10 +262,14 @@
         }));
         Events.info(
                 "daemon-started",
-                "daemon", settings.id(),
-                "incarnation", incarnation,
-                "http", address(),
-                "peer", link.address());
+                "daemon",
+                settings.id(),
+                "incarnation",
+                incarnation,
+                "http",
+                address(),
+                "peer",
+                link.address());
     }
 
     private void tickJobs() {
@@ -322,12 +329,13 @@
             held.add(new HeldWorker(room.worker(), settings.id(), offered(room)));
         }
         Map<WorkerId, Worker> listed = leases.listedById();
-        peers.rooms().forEach((daemon, rooms) -> rooms.forEach((id, free) -> {
-            Worker worker = listed.get(id);
-            if (worker != null) {
-                held.add(new HeldWorker(worker, daemon, free));
-            }
-        }));
+        peers.rooms()
+                .forEach((daemon, rooms) -> rooms.forEach((id, free) -> {
+                    Worker worker = listed.get(id);
+                    if (worker != null) {
+                        held.add(new HeldWorker(worker, daemon, free));
+                    }
+                }));
         return held;
     }
 
@@ -349,10 +357,14 @@
                 "chestnutbarrow_configuration_age_seconds",
                 "Time since the configuration was known to be current",
                 () -> gate.freshness().age().toNanos() / 1e9);
-        metrics.gauge("chestnutbarrow_workers_held", "Workers whose lease is held", () -> accounts.rooms()
-                .size());
-        metrics.gauge("chestnutbarrow_peers_alive", "Daemons heard within a second, this one included", () -> peers.alive()
-                .size());
+        metrics.gauge(
+                "chestnutbarrow_workers_held",
+                "Workers whose lease is held",
+                () -> accounts.rooms().size());
+        metrics.gauge(
+                "chestnutbarrow_peers_alive",
+                "Daemons heard within a second, this one included",
+                () -> peers.alive().size());
         metrics.gauge("chestnutbarrow_peer_sent_bytes", "Bytes sent to peers", link::bytesOut);
         metrics.gauge("chestnutbarrow_peer_received_bytes", "Bytes received from peers", link::bytesIn);
         metrics.gauge("chestnutbarrow_log_records_unreadable", "Log records skipped", records::unreadable);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/JobApi.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/JobApi.java
@@ -122,10 +122,14 @@
             case ApplyResult.JobAdded added -> {
                 Events.info(
                         "job-accepted",
-                        "job", added.job().id(),
-                        "class", added.job().workClass(),
-                        "team", added.job().team(),
-                        "tasks", added.job().tasks());
+                        "job",
+                        added.job().id(),
+                        "class",
+                        added.job().workClass(),
+                        "team",
+                        added.job().team(),
+                        "tasks",
+                        added.job().tasks());
                 yield Answers.json(201, accepted(added.job()));
             }
             case ApplyResult.JobKnown earlier -> known(earlier.first(), job);
@@ -137,8 +141,7 @@
                     ApplyResult.ShardLost _,
                     ApplyResult.TasksRecorded _,
                     ApplyResult.ReceiptsJudged _,
-                    ApplyResult.SnapshotSeen _ ->
-                throw new IllegalStateException("result of another kind of record");
+                    ApplyResult.SnapshotSeen _ -> throw new IllegalStateException("result of another kind of record");
         };
     }
 
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogReceipts.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogReceipts.java
@@ -30,7 +30,8 @@
         } catch (TimeoutException e) {
             throw new NotRunException("the receipt was not read back in time", AGAIN, e);
         } catch (ExecutionException e) {
-            throw new NotRunException("the receipt was not made: " + e.getCause().getMessage(), AGAIN, e);
+            throw new NotRunException(
+                    "the receipt was not made: " + e.getCause().getMessage(), AGAIN, e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new NotRunException("interrupted before the receipt was made", AGAIN, e);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -66,7 +66,9 @@
             if (givenId.isPresent() && !request.idempotent()) {
                 Optional<HttpResponse> refusal = makeReceipt(id);
                 if (refusal.isPresent()) {
-                    log.refused(work.get().name(), refusal.get().headers().first(OUTCOME).orElse(""));
+                    log.refused(
+                            work.get().name(),
+                            refusal.get().headers().first(OUTCOME).orElse(""));
                     return refusal.get();
                 }
             }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestLog.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestLog.java
@@ -26,14 +26,22 @@
         }
         String line = Events.line(
                 "request-routed",
-                "request", request.id(),
-                "class", workClass,
-                "outcome", exchange.outcome().label(),
-                "worker", exchange.worker(),
-                "zone", exchange.zone(),
-                "reason", exchange.reason(),
-                "status", exchange.response().status(),
-                "micros", nanos / NANOS_PER_MICRO);
+                "request",
+                request.id(),
+                "class",
+                workClass,
+                "outcome",
+                exchange.outcome().label(),
+                "worker",
+                exchange.worker(),
+                "zone",
+                exchange.zone(),
+                "reason",
+                exchange.reason(),
+                "status",
+                exchange.response().status(),
+                "micros",
+                nanos / NANOS_PER_MICRO);
         Events.write(line);
         decisions.add(request.id(), line);
     }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/StatusApi.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/StatusApi.java
@@ -97,7 +97,8 @@
         if (job.isEmpty() && lines.isEmpty()) {
             return Answers.refused(404, "not-applied", "no request or job with this id is known; old ones are dropped");
         }
-        ObjectNode answer = job.map(JobApi::describe).orElseGet(() -> Answers.object().put("id", id));
+        ObjectNode answer =
+                job.map(JobApi::describe).orElseGet(() -> Answers.object().put("id", id));
         ArrayNode decisions = answer.putArray("decisions");
         lines.forEach(decisions::add);
         return Answers.json(200, answer);
@@ -129,16 +130,15 @@
         ArrayNode classes = Answers.object().arrayNode();
         for (WorkClass work : configuration.declarations().classes().values()) {
             ObjectNode row = classes.addObject().put("class", work.name()).put("target", describe(work.target()));
-            String measured =
-                    switch (work.target()) {
-                        case Target.TailLatency latency ->
-                            latencies
-                                    .quantile(work.name(), latency.quantile())
-                                    .map(Duration::toMillis)
-                                    .map(millis -> millis + " ms")
-                                    .orElse("no requests");
-                        case Target.FinishBy _, Target.AlwaysOn _ -> "";
-                    };
+            String measured = switch (work.target()) {
+                case Target.TailLatency latency ->
+                    latencies
+                            .quantile(work.name(), latency.quantile())
+                            .map(Duration::toMillis)
+                            .map(millis -> millis + " ms")
+                            .orElse("no requests");
+                case Target.FinishBy _, Target.AlwaysOn _ -> "";
+            };
             row.put("measured", measured).put("waiting", router.waiting(work.name()));
         }
         return classes;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/UsageWatcher.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/UsageWatcher.java
@@ -132,10 +132,14 @@
                 case Action.Throttle throttle -> {
                     Events.info(
                             "task-throttled",
-                            "worker", worker,
-                            "task", throttle.task(),
-                            "percent", throttle.percent(),
-                            "why", throttle.why());
+                            "worker",
+                            worker,
+                            "task",
+                            throttle.task(),
+                            "percent",
+                            throttle.percent(),
+                            "why",
+                            throttle.why());
                     metrics.event("task-throttled");
                     var command = new WorkerControl.TaskCommand.Throttle(throttle.percent());
                     control.apply(room.worker().control(), room.epoch(), throttle.task(), throttle.attempt(), command);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerAttempts.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerAttempts.java
@@ -62,6 +62,13 @@
                 .filter(status -> status.attempt().equals(attempt));
     }
 
+    List<TaskStatus> running() {
+        return known.values().stream()
+                .map(Known::status)
+                .filter(status -> !status.state().ended())
+                .toList();
+    }
+
     void put(TaskStatus status) {
         known.put(status.task(), new Known(status, time.nanos()));
         uncertain.remove(new Key(status.task(), status.attempt()));
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
@@ -28,6 +28,7 @@
 import org.chestnutbarrow.peer.PeerMessage.FenceShard;
 import org.chestnutbarrow.peer.PeerMessage.ShardTasks;
 import org.chestnutbarrow.peer.PeerMessage.StartTask;
+import org.chestnutbarrow.peer.PeerMessage.TaskAction;
 import org.chestnutbarrow.peer.PeerMessage.TaskResult;
 import org.chestnutbarrow.platform.WorkerControl;
 import org.chestnutbarrow.platform.WorkerControl.StartCommand;
@@ -247,6 +248,17 @@
         }
     }
 
+    /** Attempts that run on a held worker, as far as is known. */
+    List<TaskStatus> running(WorkerId worker) {
+        return attempts(worker).exclusively(WorkerAttempts::running);
+    }
+
+    /** Lets an attempt write a checkpoint and end; the owner of its shard is told and resumes it elsewhere. */
+    void evict(WorkerId worker, TaskId task, Attempt attempt) {
+        TaskResult result = control(new ControlTask(worker, task, attempt, TaskAction.CHECKPOINT));
+        result.status().ifPresent(status -> changed.accept(worker, List.of(status)));
+    }
+
     /** Drops what is known of a worker whose lease was lost or released. */
     void closed(WorkerId worker) {
         workers.remove(worker);
--- a/format/src/main/java/org/chestnutbarrow/format/DaemonSettings.java
+++ b/format/src/main/java/org/chestnutbarrow/format/DaemonSettings.java
@@ -47,7 +47,8 @@
     @Override
     public String toString() {
         return "DaemonSettings[id=" + id + ", zone=" + zone + ", http=" + http + ", peer=" + peer + ", peers=" + peers
-                + ", log=" + log + ", hostList=" + hostList + ", logRetention=" + logRetention + ", logLevel=" + logLevel + ", logFile=" + logFile
+                + ", log=" + log + ", hostList=" + hostList + ", logRetention=" + logRetention + ", logLevel="
+                + logLevel + ", logFile=" + logFile
                 + ", limits=" + limits + "]";
     }
 
--- a/format/src/main/java/org/chestnutbarrow/format/SettingsFile.java
+++ b/format/src/main/java/org/chestnutbarrow/format/SettingsFile.java
@@ -63,8 +63,7 @@
         SortedMap<DaemonId, Address> peers = peers(reader, id, problems);
         Optional<Address> log = address(reader, "log", PEER_FORM);
         Optional<Address> hostList = address(reader, "hostList", PEER_FORM);
-        Duration retention = reader.parse(
-                        reader.optional("logRetention"), RETENTION_FORM, SettingsFile::retention)
+        Duration retention = reader.parse(reader.optional("logRetention"), RETENTION_FORM, SettingsFile::retention)
                 .orElse(DEFAULT_RETENTION);
         System.Logger.Level level = reader.parse(
                         reader.optional("logLevel"), "one of debug, info, warning, error", SettingsFile::level)
--- a/placement/src/main/java/org/chestnutbarrow/placement/JobShard.java
+++ b/placement/src/main/java/org/chestnutbarrow/placement/JobShard.java
@@ -157,9 +157,8 @@
                 listed.add(status.task());
                 machine.observe(event.worker(), status, source, out);
             }
-            List<TaskEntry> missing = active(task -> task.phase == Phase.RUNNING
-                    && task.worker.equals(event.worker())
-                    && !listed.contains(task.id));
+            List<TaskEntry> missing = active(task ->
+                    task.phase == Phase.RUNNING && task.worker.equals(event.worker()) && !listed.contains(task.id));
             for (TaskEntry task : missing) {
                 if (task.since - event.asked() < 0) {
                     machine.gone(task, "is gone: the worker no longer lists it", 0);
--- a/placement/src/main/java/org/chestnutbarrow/placement/PlacementEvent.java
+++ b/placement/src/main/java/org/chestnutbarrow/placement/PlacementEvent.java
@@ -56,7 +56,8 @@
      *
      * @param asked when the answered command was sent
      */
-    record StartAnswered(WorkerId worker, TaskId task, Attempt attempt, long asked, StartAnswer answer) implements PlacementEvent {}
+    record StartAnswered(WorkerId worker, TaskId task, Attempt attempt, long asked, StartAnswer answer)
+            implements PlacementEvent {}
 
     /** These ends now stand in the log. */
     record EndsLogged(int shard, List<TaskEnd> ends) implements PlacementEvent {
--- a/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
@@ -382,7 +382,8 @@
         ModelWorker worker = worker(start.worker());
         StartAnswer answer = worker.held ? begin(worker, start) : new StartAnswer.NotHolder();
         trace(start.task() + " " + start.attempt() + " " + answer);
-        send(() -> from.apply(new PlacementEvent.StartAnswered(start.worker(), start.task(), start.attempt(), asked, answer)));
+        send(() -> from.apply(
+                new PlacementEvent.StartAnswered(start.worker(), start.task(), start.attempt(), asked, answer)));
     }
 
     private StartAnswer begin(ModelWorker worker, PlacementEffect.Start start) {
