--- a/standin/src/test/java/org/chestnutbarrow/standin/PlatformTest.java
+++ b/standin/src/test/java/org/chestnutbarrow/standin/PlatformTest.java
@@ -176,6 +176,27 @@
         }
     }
 
+    /** Guards against endpoints that hold more connections than their capacity says. */
+    @Test
+    public void connectionsOverTheLimitAreClosed() throws Exception {
+        try (StandinWorkers workers = StandinWorkers.start(StandinWorkers.Options.DEFAULT)) {
+            HostEntry host = workers.hosts().getFirst();
+            Address endpoint = Address.parse(host.endpoint());
+            List<Socket> open = new ArrayList<>();
+            try {
+                for (int i = 0; i <= host.capacity().connections(); i++) {
+                    open.add(new Socket(endpoint.ip(), endpoint.port()));
+                }
+                open.getLast().setSoTimeout((int) TIMEOUT.toMillis());
+                assertEquals(open.getLast().getInputStream().read(), -1);
+            } finally {
+                for (Socket socket : open) {
+                    socket.close();
+                }
+            }
+        }
+    }
+
     /** Guards against proxy faults that do nothing, or that last beyond their end. */
     @Test
     public void theProxyInjectsAndEndsFaults() throws Exception {
