--- a/bench/src/main/java/org/chestnutbarrow/bench/LoadGenerator.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/LoadGenerator.java
@@ -105,21 +105,26 @@
         HttpRequest request = new HttpRequest("POST", "/" + spec.workClass() + "/" + number, headers, new byte[] {'x'});
         sent.incrementAndGet();
         for (int i = 0; i < daemons.size(); i++) {
-            Address daemon = daemons.get((int) ((number + i) % daemons.size()));
-            try {
-                take(id, due, http.send(daemon, request, spec.deadline().plus(EXTRA)));
-                return;
-            } catch (NotRunException e) {
-                // Nothing was sent, so the next daemon may be tried.
-                continue;
-            } catch (OutcomeUnknownException e) {
-                count("no-answer");
+            if (sendTo(daemons.get((int) ((number + i) % daemons.size())), id, due, request)) {
                 return;
             }
         }
         count("unreachable");
     }
 
+    /** Sends a request to one daemon; returns false if nothing was sent, so that the next one may be tried. */
+    private boolean sendTo(Address daemon, String id, long due, HttpRequest request) {
+        try {
+            take(id, due, http.send(daemon, request, spec.deadline().plus(EXTRA)));
+            return true;
+        } catch (NotRunException e) {
+            return false;
+        } catch (OutcomeUnknownException e) {
+            count("no-answer");
+            return true;
+        }
+    }
+
     private void take(String id, long due, HttpResponse response) {
         String outcome = response.headers().first("Chestnutbarrow-Outcome").orElse("none");
         count(outcome);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -179,12 +179,17 @@
                 time));
         LeaseReports reports = new LeaseReports(tasks, endpoints, this::roomChanged);
         LeaseCommands commands =
-                new LeaseCommands(settings.id(), control, accounts, reports, RequestRunner.REQUEST_TIME, time);
+                new LeaseCommands(leaseHolder(), control, accounts, reports, RequestRunner.REQUEST_TIME, time);
         WorkerLeases workerLeases = new WorkerLeases(settings.id(), incarnation, time);
         HttpHostList hosts = new HttpHostList(platform, settings.hostList(), HOSTS_TIME);
         leases = closing(new LeaseKeeper(workerLeases, commands, peers, gate::freshness, accounts, hosts));
     }
 
+    /** The name of this process to workers; a restarted daemon is another holder and does not inherit leases. */
+    private DaemonId leaseHolder() {
+        return new DaemonId(settings.id() + ":" + Long.toHexString(incarnation));
+    }
+
     private void buildJobs(CatalogJobLog jobLog, WorkerTasks tasks) {
         JobShards shards = new JobShards(time, this::interactiveLoad);
         jobs = new JobRunner(
--- a/standin/src/main/java/org/chestnutbarrow/standin/Endpoint.java
+++ b/standin/src/main/java/org/chestnutbarrow/standin/Endpoint.java
@@ -41,7 +41,7 @@
             // The epoch is checked after the wait, as the lease may have changed meanwhile.
             Optional<WorkerState.Served> served = state.begin(id, workClass(request), request.path(), epoch);
             if (served.isEmpty()) {
-                return Json.error(412, "stale-epoch");
+                return Json.error(412, "stale-epoch").with("Chestnutbarrow-Stale", "true");
             }
             serve(served.get());
         } finally {
