--- a/daemon/src/test/java/org/chestnutbarrow/daemon/HeartbeatsTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/HeartbeatsTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -13,12 +14,10 @@
 import org.chestnutbarrow.membership.Confirmation;
 import org.chestnutbarrow.membership.FreshnessGate;
 import org.chestnutbarrow.membership.Peers;
-import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.peer.PeerLink;
-import org.chestnutbarrow.peer.PeerMessage;
 import org.chestnutbarrow.peer.PeerMessage.Heartbeat;
 import org.chestnutbarrow.peer.PeerMessage.WorkerRoom;
 import org.chestnutbarrow.testkit.ManualTime;
@@ -72,9 +71,9 @@
         }
     }
 
-    private Heartbeats heartbeats(PeerLink link) {
+    private Heartbeats heartbeats(FakeLink link) {
         List<WorkerRoom> rooms = List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST));
-        return new Heartbeats(A, 1, peers, gate, link, () -> rooms, () -> 1, time);
+        return new Heartbeats(A, 1, peers, gate, link.link(), () -> rooms, () -> 1, time);
     }
 
     private static Heartbeat heartbeat(boolean leaving) {
@@ -83,7 +82,7 @@
     }
 
     /** Answers every call after some time on the manual clock. */
-    private final class FakeLink implements PeerLink {
+    private final class FakeLink {
         private final Duration transit;
         private final Heartbeat answer;
         private final CountDownLatch done = new CountDownLatch(1);
@@ -94,26 +93,16 @@
             this.answer = answer;
         }
 
-        @Override
-        public PeerMessage call(DaemonId peer, PeerMessage request, Duration timeout) {
-            sent = (Heartbeat) request;
-            time.advance(transit);
-            done.countDown();
-            return answer;
+        /** A link whose only method is {@code call(peer, request, timeout)}. */
+        private PeerLink link() {
+            return (PeerLink) Proxy.newProxyInstance(
+                    PeerLink.class.getClassLoader(), new Class<?>[] {PeerLink.class}, (proxy, method, arguments) -> {
+                        assertEquals(method.getName(), "call");
+                        sent = (Heartbeat) arguments[1];
+                        time.advance(transit);
+                        done.countDown();
+                        return answer;
+                    });
         }
-
-        @Override
-        public Address address() {
-            return Address.parse("127.0.0.1:1");
-        }
-
-        @Override
-        public void connect(DaemonId peer, Address address) {}
-
-        @Override
-        public void send(DaemonId peer, PeerMessage message) {}
-
-        @Override
-        public void close() {}
     }
 }
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/LeaseKeeperTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/LeaseKeeperTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
@@ -15,14 +16,11 @@
 import org.chestnutbarrow.membership.Peers;
 import org.chestnutbarrow.membership.WorkerLeases;
 import org.chestnutbarrow.model.Address;
-import org.chestnutbarrow.model.Attempt;
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.Freshness;
 import org.chestnutbarrow.model.RefusedException;
 import org.chestnutbarrow.model.Resources;
-import org.chestnutbarrow.model.TaskId;
-import org.chestnutbarrow.model.TaskStatus;
 import org.chestnutbarrow.model.UnavailableException;
 import org.chestnutbarrow.model.Worker;
 import org.chestnutbarrow.model.WorkerId;
@@ -59,7 +57,8 @@
                 ID, new AvailabilityZone("z"), "r", ADDRESS, ADDRESS, false, new Resources(2, 2, 1000, 1000, 0));
         HostList hosts = () -> new HostList.Listing(Instant.EPOCH, List.of(worker));
         Peers peers = new Peers(SELF, List.of(SELF), time);
-        LeaseCommands commands = new LeaseCommands(SELF, control, accounts, reports, Duration.ofSeconds(10), time);
+        LeaseCommands commands =
+                new LeaseCommands(SELF, control.control(), accounts, reports, Duration.ofSeconds(10), time);
         keeper = new LeaseKeeper(new WorkerLeases(SELF, 1, time), commands, peers, () -> freshness, accounts, hosts);
         keeper.fetchHosts();
     }
@@ -172,16 +171,26 @@
     }
 
     /** A worker that grants a new epoch for each claim. */
-    private static final class FakeControl implements WorkerControl {
+    private static final class FakeControl {
         private volatile boolean silent;
         private volatile boolean refusing;
         private volatile int leases;
         private volatile int released;
         private long epoch;
 
-        @Override
-        public synchronized Grant lease(Address worker, DaemonId holder, long asked, Duration ttl)
-                throws RefusedException, UnavailableException {
+        /** A worker whose only methods are {@code lease(worker, holder, epoch, ttl)} and {@code release}. */
+        private WorkerControl control() {
+            return (WorkerControl) Proxy.newProxyInstance(
+                    WorkerControl.class.getClassLoader(),
+                    new Class<?>[] {WorkerControl.class},
+                    (proxy, method, arguments) -> switch (method.getName()) {
+                        case "lease" -> lease((long) arguments[2]);
+                        case "release" -> release();
+                        default -> throw new UnsupportedOperationException(method.getName());
+                    });
+        }
+
+        private synchronized WorkerControl.Grant lease(long asked) throws RefusedException, UnavailableException {
             leases = leases + 1;
             if (silent) {
                 throw new UnavailableException("no answer", "repeat");
@@ -190,32 +199,12 @@
                 throw new RefusedException("held", "wait");
             }
             epoch = asked == 0 ? epoch + 1 : asked;
-            return new Grant(epoch, 1, List.of(), 0);
+            return new WorkerControl.Grant(epoch, 1, List.of(), 0);
         }
 
-        @Override
-        public synchronized void release(Address worker, DaemonId holder, long asked) {
+        private synchronized Object release() {
             released = released + 1;
-        }
-
-        @Override
-        public TaskStatus start(Address worker, StartCommand command) {
-            throw new UnsupportedOperationException("not a lease command");
-        }
-
-        @Override
-        public TaskStatus apply(Address worker, long asked, TaskId task, Attempt attempt, TaskCommand command) {
-            throw new UnsupportedOperationException("not a lease command");
-        }
-
-        @Override
-        public List<TaskStatus> fence(Address worker, long asked, int shard, long shardEpoch) {
-            throw new UnsupportedOperationException("not a lease command");
-        }
-
-        @Override
-        public Usage usage(Address worker) {
-            throw new UnsupportedOperationException("not a lease command");
+            return null;
         }
     }
 }
