Give each acquisition of a worker's lease an epoch of its own

Cause: the stand-in gave the same epoch to a holder that took its own live lease again, so a late release under that epoch freed a lease in use. Ruled out: forbidding a second acquisition, which a holder needs after a lost answer.

--- a/standin/src/main/java/org/chestnutbarrow/standin/WorkerState.java
+++ b/standin/src/main/java/org/chestnutbarrow/standin/WorkerState.java
@@ -193,19 +193,24 @@
         long now = time.nanos();
         long until = now + TimeUnit.MILLISECONDS.toNanos(command.ttlMs());
         boolean same = holder.isPresent() && holder.get().id().equals(command.holder());
-        if (command.epoch() != 0 && (!same || !current(command))) {
+        boolean renewal = command.epoch() != 0;
+        if (renewal && (!same || !current(command))) {
             return stale();
         }
         if (!same && holder.isPresent() && !holder.get().expired()) {
             Holder other = holder.get();
             return new Reply.Held(other.id(), epoch, TimeUnit.NANOSECONDS.toMillis(other.until() - now));
         }
-        boolean live = same && !holder.get().expired();
+        // An expired lease that nobody else took may be renewed under its own epoch. Taking it makes a new epoch even
+        // for
+        // the same holder, so that a late release under the old epoch cannot free it.
+        boolean lapsed = holder.isEmpty() || holder.get().expired();
         holder = Optional.of(new Holder(command.holder(), until, false));
         released = false;
-        if (!live) {
-            // An expired lease that nobody else took may be renewed under its own epoch.
-            epoch = command.epoch() == 0 ? epoch + 1 : epoch;
+        if (!renewal) {
+            epoch++;
+        }
+        if (!renewal || lapsed) {
             recordLease(holder.get(), Journal.LeaseChange.GRANTED);
         }
         tasks.replaceAll((id, task) -> task.running() ? task.renewed(now) : task);
