--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/HeldWorker.java
@@ -0,0 +1,13 @@
+package org.chestnutbarrow.daemon;
+
+import org.chestnutbarrow.model.DaemonId;
+import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.Worker;
+
+/**
+ * A worker whose lease a live daemon holds, as this daemon last heard.
+ *
+ * @param holder the daemon, which may be this one
+ * @param free what is free there
+ */
+record HeldWorker(Worker worker, DaemonId holder, Resources free) {}
