Pass the time of the lease request to the consumers of task reports

Cause: states learnt after a list was asked for are newer than the list. Ruled out: the time of the answer, which makes the list look newer. Change: TaskReports carries the time at which the lease was asked for.

--- a/daemon/src/test/java/org/chestnutbarrow/daemon/LeaseKeeperTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/LeaseKeeperTest.java
@@ -155,12 +155,12 @@
         private final List<String> lines = new CopyOnWriteArrayList<>();
 
         @Override
-        public void taken(Worker worker, WorkerControl.Grant grant) {
+        public void taken(Worker worker, WorkerControl.Grant grant, long askedAt) {
             lines.add("taken " + worker.id() + " " + grant.epoch());
         }
 
         @Override
-        public void renewed(Worker worker, WorkerControl.Grant grant) {
+        public void renewed(Worker worker, WorkerControl.Grant grant, long askedAt) {
             lines.add("renewed " + worker.id() + " " + grant.epoch());
         }
 
