End attempts whose owner has lost contact with the holder

Cause: a holder renews all attempts on its workers for as long as it is fresh. An owner that does not hear the holder counts them as lapsed and starts them elsewhere, so a cut between two daemons made a task run twice. Ruled out: a longer fixed wait at the owner, because the holder renews without end; asking the log, which may be away; stopping whenever the owner is silent, because a killed owner in a log outage would then stop all its running tasks. Change: Contacts decides for both sides by round trips and by what a majority does not hear; OwnerWatch ends attempts; heartbeats carry silent daemons and the use by team. A daemon that cannot read the log takes the state of a peer that is ahead. Request ids are checked in form and length, and a request that was refused after its receipt is told to use a new id.

--- a/capacity/src/test/java/org/chestnutbarrow/capacity/AccountsTest.java
+++ b/capacity/src/test/java/org/chestnutbarrow/capacity/AccountsTest.java
@@ -18,6 +18,7 @@
 import org.chestnutbarrow.model.Worker;
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.testkit.ManualTime;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Guards against giving a worker more than it holds, and against charging without a lease. */
@@ -28,8 +29,14 @@
     private static final long LEASE_NANOS = Duration.ofSeconds(2).toNanos();
     private static final TaskId TASK = new TaskId(new JobId("job"), 0);
 
-    private final ManualTime time = new ManualTime();
-    private final Accounts accounts = new Accounts(time);
+    private ManualTime time;
+    private Accounts accounts;
+
+    @BeforeMethod
+    public void startWithoutWorkers() {
+        time = new ManualTime();
+        accounts = new Accounts(time);
+    }
 
     @Test
     public void refusesMoreRequestsThanSlots() {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -23,6 +23,7 @@
 import org.chestnutbarrow.http.HttpLimits;
 import org.chestnutbarrow.http.HttpServer;
 import org.chestnutbarrow.interference.Interference;
+import org.chestnutbarrow.membership.Contacts;
 import org.chestnutbarrow.membership.FreshnessGate;
 import org.chestnutbarrow.membership.Peers;
 import org.chestnutbarrow.membership.WorkerLeases;
@@ -65,8 +66,10 @@
     private static final Duration READ_BACK_TIME = Duration.ofSeconds(3);
     private static final int PLATFORM_ANSWER_BYTES = 32 * 1024 * 1024;
     private static final int ENDPOINT_ANSWER_BYTES = 1024 * 1024;
-    private static final GroupWriter.Bounds RECEIPTS =
-            new GroupWriter.Bounds(2000, 512 * 1024, 20_000, Duration.ofMillis(50));
+    /** At 8 daemons this makes at most 100 appends a second. */
+    private static final Duration RECEIPT_PACE = Duration.ofMillis(80);
+
+    private static final GroupWriter.Bounds RECEIPTS = new GroupWriter.Bounds(2000, 512 * 1024, 20_000, RECEIPT_PACE);
     private static final int RECEIPT_BYTES = 256;
     private static final Duration TICK = Duration.ofMillis(100);
     /** Time for the balancer to see that the daemon is not ready any more. */
@@ -94,10 +97,13 @@
 
     private final Peers peers;
     private final FreshnessGate gate;
+    private final Contacts contacts;
+    private final TeamUse teams;
     private final PeerDispatch dispatch = new PeerDispatch();
     private NettyPeerLink link;
     private Heartbeats heartbeats;
     private LeaseKeeper leases;
+    private OwnerWatch owners;
     private LogFollower follower;
     private LogWriter writer;
     private JobRunner jobs;
@@ -113,6 +119,8 @@
         configured.add(settings.id());
         this.peers = new Peers(settings.id(), configured, time);
         this.gate = new FreshnessGate(settings.id(), configured, time);
+        this.contacts = new Contacts(settings.id(), configured, time);
+        this.teams = new TeamUse(peers::alive);
     }
 
     /**
@@ -173,11 +181,14 @@
                 incarnation,
                 peers,
                 gate,
+                contacts,
+                teams,
                 link,
                 this::ownRooms,
                 () -> catalog.configuration().version(),
                 time));
-        LeaseReports reports = new LeaseReports(tasks, endpoints, this::roomChanged);
+        owners = closing(new OwnerWatch(accounts, tasks, catalog, contacts, time));
+        LeaseReports reports = new LeaseReports(tasks, owners, endpoints, this::roomChanged);
         LeaseCommands commands =
                 new LeaseCommands(leaseHolder(), control, accounts, reports, RequestRunner.REQUEST_TIME, time);
         WorkerLeases workerLeases = new WorkerLeases(settings.id(), incarnation, time);
@@ -216,7 +227,15 @@
         Snapshots snapshots =
                 closing(new Snapshots(catalog, records, writer, time, retention, () -> follower.caughtUp(), random));
         follower = closing(new LogFollower(
-                log, catalog, records, time, peerCatalog::fetch, events, List.of(events, writer, snapshots), random));
+                log,
+                catalog,
+                records,
+                time,
+                peerCatalog::fetch,
+                () -> gate.ahead().isPresent(),
+                events,
+                List.of(events, writer, snapshots),
+                random));
         snapshots.start();
     }
 
@@ -260,6 +279,7 @@
         follower.start();
         leases.start();
         usage.start();
+        owners.start();
         closing(new Repeating("jobs", TICK, this::tickJobs));
         closing(new Repeating("waits", TICK, () -> {
             inForce.check();
@@ -278,7 +298,8 @@
     }
 
     private void tickJobs() {
-        if (follower.caughtUp()) {
+        // Ticks go on while the state is stale: times without contact must be seen as such.
+        if (follower.caughtUp() || gate.freshness().allowsStarts()) {
             jobs.tick();
         }
     }
@@ -293,7 +314,7 @@
     }
 
     private boolean ready() {
-        return !leaving && follower.caughtUp() && gate.freshness().allowsStarts();
+        return !leaving && gate.freshness().allowsStarts();
     }
 
     private Optional<DaemonId> shardOwner(int shard) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Exchange.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Exchange.java
@@ -33,6 +33,14 @@
         return new Exchange(new Outcome.Unknown(reason), response, worker, zone, reason);
     }
 
+    /** The same for a request whose receipt was made before: its id is used up although it did not run. */
+    Exchange withNewIdAdvice() {
+        HttpResponse advice = HttpResponse.text(
+                        response.status(), "not run: " + reason + "; send it again later with a new request id\n")
+                .with("Retry-After", "1");
+        return new Exchange(outcome, advice, worker, zone, reason);
+    }
+
     boolean isNotRun() {
         return outcome instanceof Outcome.NotRun;
     }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Heartbeats.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Heartbeats.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.Executors;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.chestnutbarrow.membership.Contacts;
 import org.chestnutbarrow.membership.FreshnessGate;
 import org.chestnutbarrow.membership.PeerChange;
 import org.chestnutbarrow.membership.PeerReport;
@@ -40,6 +41,8 @@
     private final long incarnation;
     private final Peers peers;
     private final FreshnessGate gate;
+    private final Contacts contacts;
+    private final TeamUse teams;
     private final PeerLink link;
     private final Supplier<List<WorkerRoom>> rooms;
     private final LongSupplier version;
@@ -55,6 +58,8 @@
             long incarnation,
             Peers peers,
             FreshnessGate gate,
+            Contacts contacts,
+            TeamUse teams,
             PeerLink link,
             Supplier<List<WorkerRoom>> rooms,
             LongSupplier version,
@@ -63,6 +68,8 @@
         this.incarnation = incarnation;
         this.peers = peers;
         this.gate = gate;
+        this.contacts = contacts;
+        this.teams = teams;
         this.link = link;
         this.rooms = rooms;
         this.version = version;
@@ -104,6 +111,8 @@
     /** Answers the heartbeat of a peer. */
     Heartbeat answer(DaemonId from, Heartbeat request) {
         if (from.equals(request.daemon())) {
+            contacts.heard(from, request.position());
+            teams.heard(from, request.teamUse());
             log(peers.heard(report(request)));
         } else {
             Events.warn("heartbeat-ignored", "from", from, "daemon", request.daemon(), "reason", "other-sender");
@@ -124,6 +133,7 @@
             long requestedAt = time.nanos();
             if (link.call(peer, heartbeat, ANSWER_TIMEOUT) instanceof Heartbeat answer
                     && answer.daemon().equals(peer)) {
+                contacts.answered(peer, requestedAt, answer.position(), answer.silent());
                 gate.heard(report(answer), requestedAt);
             }
         } catch (NotRunException | OutcomeUnknownException e) {
@@ -143,7 +153,9 @@
                 gate.ownLogAge(),
                 gate.readsLog(),
                 version.getAsLong(),
-                workers);
+                workers,
+                contacts.silent(gate.position()),
+                teams.use());
     }
 
     private static PeerReport report(Heartbeat h) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseReports.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseReports.java
@@ -7,17 +7,20 @@
 /** Passes what workers report with their leases to the parts concerned. Safe for use by several threads. */
 final class LeaseReports implements TaskReports {
     private final WorkerTasks tasks;
+    private final OwnerWatch owners;
     private final HttpClient endpoints;
     private final Runnable roomChanged;
 
-    LeaseReports(WorkerTasks tasks, HttpClient endpoints, Runnable roomChanged) {
+    LeaseReports(WorkerTasks tasks, OwnerWatch owners, HttpClient endpoints, Runnable roomChanged) {
         this.tasks = tasks;
+        this.owners = owners;
         this.endpoints = endpoints;
         this.roomChanged = roomChanged;
     }
 
     @Override
     public void taken(Worker worker, WorkerControl.Grant grant, long askedAt) {
+        owners.taken(worker.id());
         tasks.reported(worker.id(), grant.tasks(), askedAt);
         roomChanged.run();
     }
@@ -29,6 +32,7 @@
 
     @Override
     public void gone(Worker worker, long epoch) {
+        owners.gone(worker.id());
         tasks.closed(worker.id());
         // Idle connections count against the worker's limit, which the next holder needs.
         endpoints.closeIdle(worker.endpoint());
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogFollower.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogFollower.java
@@ -6,6 +6,7 @@
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
@@ -40,6 +41,7 @@
     private final LogRecords records;
     private final TimeSource time;
     private final Supplier<Optional<LogRecord.Snapshot>> peerSnapshot;
+    private final BooleanSupplier peerAhead;
     private final ReadReport report;
     private final List<AppliedListener> listeners;
     private final Backoff backoff;
@@ -55,6 +57,7 @@
      * Creates a follower that starts with {@link #start}.
      *
      * @param peerSnapshot asks the peers for their state; empty if none answers; may block
+     * @param peerAhead whether a peer has lately told of a newer position
      * @param listeners told of every batch in the order given
      */
     LogFollower(
@@ -63,6 +66,7 @@
             LogRecords records,
             TimeSource time,
             Supplier<Optional<LogRecord.Snapshot>> peerSnapshot,
+            BooleanSupplier peerAhead,
             ReadReport report,
             List<AppliedListener> listeners,
             RandomGenerator random) {
@@ -71,6 +75,7 @@
         this.records = records;
         this.time = time;
         this.peerSnapshot = peerSnapshot;
+        this.peerAhead = peerAhead;
         this.report = report;
         this.listeners = List.copyOf(listeners);
         this.backoff = new Backoff(FIRST_RETRY, LONGEST_RETRY, random);
@@ -104,11 +109,19 @@
                 reachable = false;
                 Events.warn("log-read-failed", "position", catalog.position(), "reason", e.getMessage());
                 report.readFailed(String.valueOf(e.getMessage()));
+                catchUpFromPeer();
                 pause(backoff.failed());
             }
         }
     }
 
+    /** Takes a peer's state if it is newer, so that a daemon that cannot reach the log stays as fresh as its peers. */
+    private void catchUpFromPeer() {
+        if (peerAhead.getAsBoolean()) {
+            restore(peerSnapshot.get(), 0, "peer");
+        }
+    }
+
     private void pause(Duration delay) {
         try {
             boolean ended = !delay.isZero() && closed.await(delay.toNanos(), TimeUnit.NANOSECONDS);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.chestnutbarrow.http.HttpRequest;
 import org.chestnutbarrow.http.HttpResponse;
+import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.NotRunException;
@@ -61,9 +62,12 @@
             return refuse(404, id, "no interactive class has this name; ask the operators or check the path");
         }
         RouteRequest request;
+        boolean receipted;
         try {
+            checkId(givenId);
             request = read(message, work.get(), id, start);
-            if (givenId.isPresent() && !request.idempotent()) {
+            receipted = givenId.isPresent() && !request.idempotent();
+            if (receipted) {
                 Optional<HttpResponse> refusal = makeReceipt(id);
                 if (refusal.isPresent()) {
                     log.refused(
@@ -76,6 +80,9 @@
             return refuse(400, id, e.getMessage());
         }
         Exchange exchange = runner.run(request, message);
+        if (receipted && exchange.isNotRun()) {
+            exchange = exchange.withNewIdAdvice();
+        }
         log.decided(request, exchange, time.nanos() - start);
         HttpResponse response = mark(exchange.response(), exchange.outcome(), id);
         return exchange.worker().isEmpty() ? response : response.with(WORKER, exchange.worker());
@@ -93,6 +100,15 @@
                 ask, new RouteRequest(ask.requestId(), work.get(), ask.idempotent(), deadline, true));
     }
 
+    /** Ids go into log lines, receipts and headers, so their form and length are bounded. */
+    private static void checkId(Optional<String> id) throws InvalidInputException {
+        try {
+            id.ifPresent(text -> Checks.identifier("request id", text));
+        } catch (IllegalArgumentException e) {
+            throw new InvalidInputException(e.getMessage(), "use the form <epochMillis>-<random>", e);
+        }
+    }
+
     private Optional<WorkClass> workClass(HttpRequest message) {
         String path = message.path();
         int end = path.indexOf('/', 1);
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/HeartbeatsTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/HeartbeatsTest.java
@@ -7,11 +7,13 @@
 import java.lang.reflect.Proxy;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.chestnutbarrow.membership.Confirmation;
+import org.chestnutbarrow.membership.Contacts;
 import org.chestnutbarrow.membership.FreshnessGate;
 import org.chestnutbarrow.membership.Peers;
 import org.chestnutbarrow.model.DaemonId;
@@ -32,6 +34,7 @@
     private final ManualTime time = new ManualTime();
     private final Peers peers = new Peers(A, List.of(A, B), time);
     private final FreshnessGate gate = new FreshnessGate(A, List.of(A, B), time);
+    private final Contacts contacts = new Contacts(A, List.of(A, B), time);
 
     @Test
     public void countsTheTransitOfAnAnswerAgainstIt() throws InterruptedException {
@@ -73,12 +76,13 @@
 
     private Heartbeats heartbeats(FakeLink link) {
         List<WorkerRoom> rooms = List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST));
-        return new Heartbeats(A, 1, peers, gate, link.link(), () -> rooms, () -> 1, time);
+        return new Heartbeats(
+                A, 1, peers, gate, contacts, new TeamUse(peers::alive), link.link(), () -> rooms, () -> 1, time);
     }
 
     private static Heartbeat heartbeat(boolean leaving) {
         List<WorkerRoom> rooms = List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST));
-        return new Heartbeat(B, 1, leaving, 3, Optional.of(Duration.ofMillis(100)), true, 1, rooms);
+        return new Heartbeat(B, 1, leaving, 3, Optional.of(Duration.ofMillis(100)), true, 1, rooms, Set.of(), Map.of());
     }
 
     /** Answers every call after some time on the manual clock. */
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/LogNode.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/LogNode.java
@@ -38,6 +38,7 @@
                 records,
                 TimeSource.SYSTEM,
                 () -> Optional.ofNullable(peer.get()),
+                () -> peer.get() != null,
                 this,
                 List.of(writer, this),
                 new Random(1));
--- a/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.chestnutbarrow.model.Attempt;
 import org.chestnutbarrow.model.CheckpointId;
 import org.chestnutbarrow.model.DaemonId;
@@ -24,6 +25,8 @@
      * @param readsLog whether the sender's last attempt to read the log succeeded
      * @param version version of the configuration that the sender has in force
      * @param workers workers that the sender holds the lease of, with their room
+     * @param silent daemons that the sender has not heard lately; empty if it knows of newer log records than its own
+     * @param teamUse what tasks of the sender's job shards use, by team
      */
     record Heartbeat(
             DaemonId daemon,
@@ -33,10 +36,14 @@
             Optional<Duration> logAge,
             boolean readsLog,
             long version,
-            List<WorkerRoom> workers)
+            List<WorkerRoom> workers,
+            Set<DaemonId> silent,
+            Map<String, Resources> teamUse)
             implements PeerMessage {
         public Heartbeat {
             workers = List.copyOf(workers);
+            silent = Set.copyOf(silent);
+            teamUse = Map.copyOf(teamUse);
         }
     }
 
--- a/peer/src/main/java/org/chestnutbarrow/peer/StateCodec.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/StateCodec.java
@@ -1,7 +1,11 @@
 package org.chestnutbarrow.peer;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import org.chestnutbarrow.model.DaemonId;
+import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.peer.PeerMessage.CatalogSnapshot;
 import org.chestnutbarrow.peer.PeerMessage.ForwardRequest;
@@ -11,7 +15,7 @@
 
 /** Fields of heartbeats, forwarded requests and catalog snapshots. Stateless. */
 final class StateCodec {
-    static final int HEARTBEAT_FIELDS = 8;
+    static final int HEARTBEAT_FIELDS = 10;
     static final int REQUEST_FIELDS = 8;
     static final int RESPONSE_FIELDS = 6;
     static final int SNAPSHOT_FIELDS = 2;
@@ -40,7 +44,11 @@
                 .list(
                         message.workers(),
                         (writer, room) ->
-                                writer.array(2).text(room.worker().value()).resources(room.free()));
+                                writer.array(2).text(room.worker().value()).resources(room.free()))
+                .list(message.silent(), (writer, daemon) -> writer.text(daemon.value()))
+                .list(
+                        message.teamUse().entrySet(),
+                        (writer, use) -> writer.array(2).text(use.getKey()).resources(use.getValue()));
     }
 
     static Heartbeat heartbeat(FieldReader from) throws FrameException {
@@ -52,7 +60,19 @@
                 from.optional(FieldReader::duration),
                 from.flag(),
                 from.number(),
-                from.list(StateCodec::room));
+                from.list(StateCodec::room),
+                new HashSet<>(from.list(reader -> new DaemonId(reader.text()))),
+                teamUse(from));
+    }
+
+    private static Map<String, Resources> teamUse(FieldReader from) throws FrameException {
+        Map<String, Resources> teamUse = new HashMap<>();
+        int size = from.array();
+        for (int i = 0; i < size; i++) {
+            from.array(2);
+            teamUse.put(from.text(), from.resources());
+        }
+        return teamUse;
     }
 
     private static WorkerRoom room(FieldReader from) throws FrameException {
--- a/peer/src/test/java/org/chestnutbarrow/peer/Messages.java
+++ b/peer/src/test/java/org/chestnutbarrow/peer/Messages.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.chestnutbarrow.model.Attempt;
 import org.chestnutbarrow.model.CheckpointId;
 import org.chestnutbarrow.model.DaemonId;
@@ -35,9 +36,20 @@
                     Optional.of(Duration.ofNanos(1)),
                     true,
                     9,
-                    List.of(new PeerMessage.WorkerRoom(WORKER, DEMAND))),
+                    List.of(new PeerMessage.WorkerRoom(WORKER, DEMAND)),
+                    Set.of(new DaemonId("b")),
+                    Map.of("team", DEMAND)),
             new PeerMessage.Heartbeat(
-                    new DaemonId("a"), Long.MIN_VALUE, false, 0, Optional.empty(), false, -1, List.of()),
+                    new DaemonId("a"),
+                    Long.MIN_VALUE,
+                    false,
+                    0,
+                    Optional.empty(),
+                    false,
+                    -1,
+                    List.of(),
+                    Set.of(),
+                    Map.of()),
             new PeerMessage.ForwardRequest(
                     "front",
                     "1-2",
@@ -62,6 +74,8 @@
             new PeerMessage.CatalogSnapshot(77, new byte[100_000]),
             new PeerMessage.ConfirmPosition(-1),
             new PeerMessage.Position(Long.MAX_VALUE),
+            new PeerMessage.Explain("job-1"),
+            new PeerMessage.Explanation(List.of("state: waiting", "")),
             new PeerMessage.Failure("reason \u00e9"));
 
     private Messages() {}
