--- a/bench/src/main/java/org/chestnutbarrow/bench/Demo.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Demo.java
@@ -78,6 +78,9 @@
             journals.collect();
             judge(load, finished);
             report(load);
+            if (options.record != null) {
+                Recorder.record(cluster, journals.observations(), options.record);
+            }
         } finally {
             if (options.keep) {
                 out.println("settings and logs are in " + folder);
--- a/bench/src/main/java/org/chestnutbarrow/bench/DemoOptions.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/DemoOptions.java
@@ -23,6 +23,9 @@
     @Option(name = "--seed", metaVar = "N", usage = "seed of the load")
     long seed = 1;
 
+    @Option(name = "--record", metaVar = "FOLDER", usage = "write the log and the starts and ends of tasks to a folder")
+    Path record;
+
     @Option(name = "--keep", usage = "keep the folder with settings and logs")
     boolean keep;
 
