--- a/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
@@ -57,6 +57,7 @@
 
     private final ClusterSpec spec;
     private final Path folder;
+    private final List<String> daemonJvm;
     private final Processes processes;
     private final HttpClient http = new HttpClient(MAX_ANSWER_BYTES);
     private final Map<String, Address> daemons = new TreeMap<>();
@@ -67,15 +68,23 @@
     private Address workers;
     private Address proxy;
 
-    private Cluster(ClusterSpec spec, Path folder) {
+    private Cluster(ClusterSpec spec, Path folder, List<String> daemonProperties) {
         this.spec = spec;
+        this.daemonJvm =
+                Stream.concat(DAEMON_JVM.stream(), daemonProperties.stream()).toList();
         this.folder = folder;
         this.processes = new Processes(folder);
     }
 
     /** Starts all processes; does not wait until the daemons are ready. */
     public static Cluster start(ClusterSpec spec, Path folder) throws IOException, InterruptedException {
-        Cluster cluster = new Cluster(spec, folder);
+        return start(spec, folder, List.of());
+    }
+
+    /** The same with JVM options such as {@code -Dname=value} for all daemons. */
+    static Cluster start(ClusterSpec spec, Path folder, List<String> daemonProperties)
+            throws IOException, InterruptedException {
+        Cluster cluster = new Cluster(spec, folder, daemonProperties);
         try {
             cluster.startAll();
             return cluster;
@@ -122,7 +131,7 @@
 
     /** Starts a daemon that was killed, as a new process with the same settings. */
     public void startDaemon(String name) throws IOException {
-        processes.start(name, DAEMON_JVM, DAEMON, List.of(settings(name).toString()));
+        processes.start(name, daemonJvm, DAEMON, List.of(settings(name).toString()));
     }
 
     /** Waits until every running daemon is ready. */
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -139,7 +139,13 @@
         WorkerControl control = new HttpWorkerControl(platform, WORKER_TIME);
         writer = new LogWriter(log, records, settings.id(), incarnation, () -> follower.reachable(), READ_BACK_TIME);
         router = new Router(
-                time, accounts, catalog::configuration, gate::freshness, this::peerSlots, new Random(incarnation));
+                time,
+                accounts,
+                catalog::configuration,
+                gate::freshness,
+                this::peerSlots,
+                new Random(incarnation),
+                Measurement.routing());
         CatalogJobLog jobLog = new CatalogJobLog(settings.id(), incarnation, catalog, writer, time);
         TaskRelay relay = new TaskRelay(settings.id(), this::shardOwner, link);
         WorkerTasks tasks = new WorkerTasks(
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/UsageWatcher.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/UsageWatcher.java
@@ -80,6 +80,10 @@
     }
 
     private void watch(Room room, Duration bound) {
+        if (!Measurement.interferenceActs()) {
+            underWay.remove(room.worker().id());
+            return;
+        }
         try {
             WorkerControl.Usage usage = control.usage(room.worker().control());
             interference.report(report(room, usage, bound)).ifPresent(action -> carryOut(room, action));
--- a/routing/src/main/java/org/chestnutbarrow/routing/Router.java
+++ b/routing/src/main/java/org/chestnutbarrow/routing/Router.java
@@ -8,15 +8,12 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.Predicate;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.chestnutbarrow.capacity.Accounts;
 import org.chestnutbarrow.capacity.Hold;
-import org.chestnutbarrow.capacity.Room;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.Freshness;
-import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.Worker;
 import org.chestnutbarrow.model.WorkerId;
@@ -36,7 +33,6 @@
  */
 public final class Router {
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
-    private static final int SAMPLES = 2;
 
     private final TimeSource time;
     private final Accounts accounts;
@@ -44,10 +40,23 @@
     private final Supplier<Freshness> freshness;
     private final Supplier<List<PeerSlots>> peers;
     private final RandomGenerator random;
+    private final RoutingOptions options;
+    private final Selection selection;
     private final Map<String, ClassRoutes> classes = new ConcurrentHashMap<>();
     private final AtomicLong nextTicket = new AtomicLong();
     private volatile Candidates candidates = Candidates.NONE;
 
+    /** Creates a router with the usual options. */
+    public Router(
+            TimeSource time,
+            Accounts accounts,
+            Supplier<Configuration> configuration,
+            Supplier<Freshness> freshness,
+            Supplier<List<PeerSlots>> peers,
+            RandomGenerator random) {
+        this(time, accounts, configuration, freshness, peers, random, RoutingOptions.DEFAULT);
+    }
+
     /**
      * Creates a router.
      *
@@ -60,13 +69,16 @@
             Supplier<Configuration> configuration,
             Supplier<Freshness> freshness,
             Supplier<List<PeerSlots>> peers,
-            RandomGenerator random) {
+            RandomGenerator random,
+            RoutingOptions options) {
         this.time = time;
         this.accounts = accounts;
         this.configuration = configuration;
         this.freshness = freshness;
         this.peers = peers;
         this.random = random;
+        this.options = options;
+        this.selection = new Selection(time, accounts, random, options.choice());
     }
 
     /** Decides on a request that has just arrived. */
@@ -84,7 +96,7 @@
      */
     public Decision retry(RouteRequest request, Set<WorkerId> tried) {
         ClassRoutes routes = routes(request);
-        if (!routes.budget().tryRetry()) {
+        if (options.retryBudget() && !routes.budget().tryRetry()) {
             return new Decision.Refuse("retry-budget-spent", RETRY_AFTER);
         }
         return decide(request, routes, tried);
@@ -189,7 +201,7 @@
             Optional<Hold> hold = choose(routes, tried);
             if (hold.isPresent()) {
                 routes.began();
-                return new Decision.Send(hold.get(), "least-cost-of-two");
+                return new Decision.Send(hold.get(), "chosen");
             }
         }
         if (!request.forwarded()) {
@@ -234,67 +246,8 @@
         return Optional.empty();
     }
 
-    /** Reserves a slot on the better of two random workers, or else on any worker with room. */
     private Optional<Hold> choose(ClassRoutes routes, Set<WorkerId> tried) {
-        List<Worker> workers = candidates().workers();
-        if (workers.isEmpty()) {
-            return Optional.empty();
-        }
-        long now = time.nanos();
-        Worker best = null;
-        double bestCost = Double.POSITIVE_INFINITY;
-        for (int i = 0; i < SAMPLES; i++) {
-            Worker worker = workers.get(random.nextInt(workers.size()));
-            double cost = tried.contains(worker.id()) ? Double.POSITIVE_INFINITY : cost(routes, worker, now);
-            if (cost < bestCost) {
-                best = worker;
-                bestCost = cost;
-            }
-        }
-        Optional<Hold> hold = best == null ? Optional.empty() : accounts.hold(best.id(), Resources.ONE_REQUEST);
-        return hold.or(() -> scan(
-                        workers,
-                        worker -> !tried.contains(worker.id()) && cost(routes, worker, now) < Double.POSITIVE_INFINITY))
-                // A free slot on an ejected worker, or on one that was tried, is better than waiting: nothing would
-                // end the wait if no request is in flight.
-                .or(() -> scan(workers, worker -> admits(routes, worker, now)));
-    }
-
-    private Optional<Hold> scan(List<Worker> workers, Predicate<Worker> accepted) {
-        int start = random.nextInt(workers.size());
-        for (int i = 0; i < workers.size(); i++) {
-            Worker worker = workers.get((start + i) % workers.size());
-            if (accepted.test(worker)) {
-                Optional<Hold> hold = accounts.hold(worker.id(), Resources.ONE_REQUEST);
-                if (hold.isPresent()) {
-                    return hold;
-                }
-            }
-        }
-        return Optional.empty();
-    }
-
-    private boolean admits(ClassRoutes routes, Worker worker, long now) {
-        Optional<Room> room = accounts.room(worker.id());
-        return room.isPresent()
-                && routes.scores()
-                        .with(worker, now, score -> score.admits(room.get().requests()));
-    }
-
-    /** Expected cost of one more request on the worker; infinite if it has no room or is ejected. */
-    private double cost(ClassRoutes routes, Worker worker, long now) {
-        Optional<Room> room = accounts.room(worker.id());
-        if (room.isEmpty() || !Resources.ONE_REQUEST.fitsIn(room.get().free())) {
-            return Double.POSITIVE_INFINITY;
-        }
-        int requests = room.get().requests();
-        return routes.scores()
-                .with(
-                        worker,
-                        now,
-                        score -> score.ejected(now) || !score.admits(requests)
-                                ? Double.POSITIVE_INFINITY
-                                : score.cost(requests, routes.usual(), now));
+        return selection.choose(routes, candidates().workers(), tried);
     }
 
     private void learn(ClassRoutes routes, Worker worker, SendResult result) {
--- a/standin/src/main/java/org/chestnutbarrow/standin/AnswerFaults.java
+++ b/standin/src/main/java/org/chestnutbarrow/standin/AnswerFaults.java
@@ -11,6 +11,16 @@
     private final AtomicInteger answersToLose = new AtomicInteger();
     private volatile Duration delay = Duration.ZERO;
     private volatile Optional<TruncatedAnswerException.Part> cut = Optional.empty();
+    private volatile boolean fails;
+
+    void setFails(boolean value) {
+        fails = value;
+    }
+
+    /** Whether requests are answered with an error before they run. */
+    boolean fails() {
+        return fails;
+    }
 
     void setDelay(Duration value) {
         delay = value;
--- a/standin/src/main/java/org/chestnutbarrow/standin/Endpoint.java
+++ b/standin/src/main/java/org/chestnutbarrow/standin/Endpoint.java
@@ -34,6 +34,9 @@
 
     @Override
     public HttpResponse handle(HttpRequest request) throws Exception {
+        if (faults.fails()) {
+            return Json.error(500, "failing");
+        }
         String id = request.headers().first(REQUEST_ID).orElse("");
         Optional<Long> epoch = request.headers().first("Chestnutbarrow-Epoch").map(Long::valueOf);
         slots.acquire();
--- a/standin/src/main/java/org/chestnutbarrow/standin/StandinWorkers.java
+++ b/standin/src/main/java/org/chestnutbarrow/standin/StandinWorkers.java
@@ -160,6 +160,8 @@
                 registerAll();
             }
             case WorkerFault.FailTasks fail -> worker.setFailsTasks(fail.on());
+            case WorkerFault.FailRequests fail ->
+                worker.faults(WorkerFault.Server.ENDPOINT).setFails(fail.on());
             case WorkerFault.Delay delay -> worker.faults(delay.server()).setDelay(Duration.ofMillis(delay.ms()));
             case WorkerFault.Cut cut -> worker.faults(cut.server()).setCut(Optional.ofNullable(cut.part()));
             case WorkerFault.Leaving leaving -> {
--- a/standin/src/main/java/org/chestnutbarrow/standin/WorkerFault.java
+++ b/standin/src/main/java/org/chestnutbarrow/standin/WorkerFault.java
@@ -10,6 +10,7 @@
     @JsonSubTypes.Type(value = WorkerFault.Crash.class, name = "crash"),
     @JsonSubTypes.Type(value = WorkerFault.Restart.class, name = "restart"),
     @JsonSubTypes.Type(value = WorkerFault.FailTasks.class, name = "fail-tasks"),
+    @JsonSubTypes.Type(value = WorkerFault.FailRequests.class, name = "fail-requests"),
     @JsonSubTypes.Type(value = WorkerFault.Delay.class, name = "delay"),
     @JsonSubTypes.Type(value = WorkerFault.Cut.class, name = "cut"),
     @JsonSubTypes.Type(value = WorkerFault.Leaving.class, name = "leaving"),
@@ -28,6 +29,9 @@
     /** Makes every task fail that starts while this is on. */
     record FailTasks(String worker, boolean on) implements WorkerFault {}
 
+    /** Answers every request with 500 at once, without running it, while this is on. */
+    record FailRequests(String worker, boolean on) implements WorkerFault {}
+
     /** Delays answers after the effect; 0 ends it. */
     record Delay(String worker, Server server, long ms) implements WorkerFault {
         public Delay {
