--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -163,7 +163,8 @@
         dispatch.open(new PeerDispatch.Parts(heartbeats, requests, peerCatalog, tasks, jobs, explanations));
         UsageWatcher usage =
                 closing(new UsageWatcher(accounts, control, tasks, interference, catalog::configuration, metrics));
-        gauges();
+        new DaemonMetrics(metrics, catalog, gate, accounts, peers, router)
+                .register(link, platform, endpoints, writer, records);
         startAll(inForce, usage);
     }
 
@@ -222,7 +223,16 @@
 
     private RequestFront requestFront(LatencyWindows latencies) {
         RequestRunner runner = new RequestRunner(
-                router, accounts, catalog::configuration, gate::freshness, endpoints, link, time, timer, waiters);
+                router,
+                accounts,
+                catalog::configuration,
+                gate::freshness,
+                endpoints,
+                link,
+                time,
+                timer,
+                waiters,
+                metrics);
         GroupWriter<LogRecord.Receipt> receipts = new GroupWriter<>(
                 writer,
                 group -> new LogRecord.ReceiptsMade(settings.id(), incarnation, group),
@@ -352,29 +362,6 @@
                 .orElse(0.0);
     }
 
-    private void gauges() {
-        metrics.gauge("chestnutbarrow_log_position", "Offset of the last log record applied", catalog::position);
-        metrics.gauge(
-                "chestnutbarrow_configuration_version",
-                "Version of the configuration in force",
-                () -> catalog.configuration().version());
-        metrics.gauge(
-                "chestnutbarrow_configuration_age_seconds",
-                "Time since the configuration was known to be current",
-                () -> gate.freshness().age().toNanos() / 1e9);
-        metrics.gauge(
-                "chestnutbarrow_workers_held",
-                "Workers whose lease is held",
-                () -> accounts.rooms().size());
-        metrics.gauge(
-                "chestnutbarrow_peers_alive",
-                "Daemons heard within a second, this one included",
-                () -> peers.alive().size());
-        metrics.gauge("chestnutbarrow_peer_sent_bytes", "Bytes sent to peers", link::bytesOut);
-        metrics.gauge("chestnutbarrow_peer_received_bytes", "Bytes received from peers", link::bytesIn);
-        metrics.gauge("chestnutbarrow_log_records_unreadable", "Log records skipped", records::unreadable);
-    }
-
     /** Finishes what is in flight, hands over workers and ends; blocks until done. */
     void shutdown() throws InterruptedException {
         leaving = true;
--- /dev/null
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/DaemonMetrics.java
@@ -0,0 +1,105 @@
+package org.chestnutbarrow.daemon;
+
+import org.chestnutbarrow.capacity.Accounts;
+import org.chestnutbarrow.catalog.Catalog;
+import org.chestnutbarrow.format.LogRecords;
+import org.chestnutbarrow.http.HttpClient;
+import org.chestnutbarrow.membership.FreshnessGate;
+import org.chestnutbarrow.membership.Peers;
+import org.chestnutbarrow.model.WorkClass;
+import org.chestnutbarrow.peer.NettyPeerLink;
+import org.chestnutbarrow.routing.Router;
+
+/** Registers the values that other parts keep, so that they are read only when metrics are fetched. Used by one thread. */
+final class DaemonMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final Metrics metrics;
+    private final Catalog catalog;
+    private final FreshnessGate gate;
+    private final Accounts accounts;
+    private final Peers peers;
+    private final Router router;
+
+    DaemonMetrics(Metrics metrics, Catalog catalog, FreshnessGate gate, Accounts accounts, Peers peers, Router router) {
+        this.metrics = metrics;
+        this.catalog = catalog;
+        this.gate = gate;
+        this.accounts = accounts;
+        this.peers = peers;
+        this.router = router;
+    }
+
+    /** Adds all metrics; called once. */
+    void register(NettyPeerLink link, HttpClient platform, HttpClient endpoints, LogWriter writer, LogRecords records) {
+        state();
+        waiting();
+        traffic(link, platform, endpoints);
+        metrics.counter("chestnutbarrow_log_appends_total", "Records given to the log", writer::appends);
+        metrics.counter("chestnutbarrow_log_append_bytes_total", "Bytes of these records", writer::appendedBytes);
+        metrics.counter(
+                "chestnutbarrow_log_records_unreadable_total",
+                "Log records skipped because they cannot be read",
+                records::unreadable);
+        metrics.counters("chestnutbarrow_log_lines_total", "Events logged by name", "event", Events::counts);
+    }
+
+    private void state() {
+        metrics.gauge("chestnutbarrow_log_position", "Offset of the last log record applied", catalog::position);
+        metrics.gauge(
+                "chestnutbarrow_configuration_version",
+                "Version of the configuration in force",
+                () -> catalog.configuration().version());
+        metrics.gauge(
+                "chestnutbarrow_configuration_age_seconds",
+                "Time since the configuration was known to be current",
+                () -> gate.freshness().age().toNanos() / NANOS_PER_SECOND);
+        metrics.gauge(
+                "chestnutbarrow_workers_held",
+                "Workers whose lease is held",
+                () -> accounts.rooms().size());
+        metrics.gauge(
+                "chestnutbarrow_peers_alive",
+                "Daemons heard within a second, this one included",
+                () -> peers.alive().size());
+    }
+
+    /** The label's values are the interactive classes in force, so their number is bounded by the configuration. */
+    private void waiting() {
+        metrics.gauges(
+                "chestnutbarrow_requests_waiting", "Interactive requests that wait for a slot", "class", into -> {
+                    for (WorkClass work :
+                            catalog.configuration().declarations().classes().values()) {
+                        if (work.interactive()) {
+                            into.accept(work.name(), router.waiting(work.name()));
+                        }
+                    }
+                });
+    }
+
+    private void traffic(NettyPeerLink link, HttpClient platform, HttpClient endpoints) {
+        metrics.counter("chestnutbarrow_peer_sent_bytes_total", "Bytes sent to peers", link::bytesOut);
+        metrics.counter("chestnutbarrow_peer_received_bytes_total", "Bytes received from peers", link::bytesIn);
+        metrics.counter("chestnutbarrow_peer_sent_messages_total", "Frames sent to peers", link::framesOut);
+        metrics.counter("chestnutbarrow_peer_received_messages_total", "Frames received from peers", link::framesIn);
+        metrics.counter(
+                "chestnutbarrow_peer_messages_dropped_total",
+                "Messages not sent because the peer was not reached",
+                link::dropped);
+        metrics.counter(
+                "chestnutbarrow_platform_sent_bytes_total",
+                "Bytes sent to log, host list and worker control",
+                platform::bytesOut);
+        metrics.counter(
+                "chestnutbarrow_platform_received_bytes_total",
+                "Bytes received from log, host list and worker control",
+                platform::bytesIn);
+        metrics.counter(
+                "chestnutbarrow_platform_requests_total",
+                "Requests to log, host list and worker control",
+                platform::exchanges);
+        metrics.counter("chestnutbarrow_endpoint_sent_bytes_total", "Bytes sent to endpoints", endpoints::bytesOut);
+        metrics.counter(
+                "chestnutbarrow_endpoint_received_bytes_total", "Bytes received from endpoints", endpoints::bytesIn);
+    }
+}
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Events.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Events.java
@@ -2,6 +2,10 @@
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.ObjLongConsumer;
 import org.chestnutbarrow.model.Checks;
 
 /**
@@ -15,6 +19,8 @@
  */
 final class Events {
     private static final Logger log = System.getLogger("chestnutbarrow");
+    /** Event names are constants of the code, so the number of entries is bounded. */
+    private static final Map<String, LongAdder> LINES = new ConcurrentHashMap<>();
 
     private Events() {}
 
@@ -28,17 +34,28 @@
         write(Level.WARNING, event, pairs);
     }
 
-    /** Logs a line made by {@link #line} at the level of normal operation. */
-    static void write(String line) {
+    /** Logs a line made by {@link #line} for this event at the level of normal operation. */
+    static void write(String event, String line) {
+        count(event);
         log.log(Level.INFO, line);
     }
 
     private static void write(Level level, String event, Object... pairs) {
+        count(event);
         if (log.isLoggable(level)) {
             log.log(level, line(event, pairs));
         }
     }
 
+    private static void count(String event) {
+        LINES.computeIfAbsent(event, _ -> new LongAdder()).increment();
+    }
+
+    /** Gives each event name seen so far with how often it was logged, whatever the level that is written. */
+    static void counts(ObjLongConsumer<String> into) {
+        LINES.forEach((event, count) -> into.accept(event, count.sum()));
+    }
+
     /** The line for an event; {@code pairs} alternates keys and values. */
     static String line(String event, Object... pairs) {
         Checks.require(pairs.length % 2 == 0, "keys and values must alternate");
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogWriter.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogWriter.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.format.LogRecords;
 import org.chestnutbarrow.model.DaemonId;
@@ -34,6 +35,8 @@
     private final Duration timeout;
     private final String prefix;
     private final AtomicLong sequence = new AtomicLong();
+    private final LongAdder appends = new LongAdder();
+    private final LongAdder appendedBytes = new LongAdder();
     private final Map<String, CompletableFuture<AppliedRecord>> pending = new ConcurrentHashMap<>();
 
     /**
@@ -94,6 +97,8 @@
         }
         CompletableFuture<AppliedRecord> result = new CompletableFuture<>();
         pending.put(id, result);
+        appends.increment();
+        appendedBytes.add(data.length);
         try {
             log.append(id, data);
         } catch (OutcomeUnknownException e) {
@@ -106,6 +111,16 @@
                 .whenComplete((applied, error) -> pending.remove(id));
     }
 
+    /** Appends that were tried so far, including refused ones and ones whose answer was lost. */
+    long appends() {
+        return appends.sum();
+    }
+
+    /** Bytes of the records of these appends. */
+    long appendedBytes() {
+        return appendedBytes.sum();
+    }
+
     @Override
     public void applied(List<AppliedRecord> applied) {
         for (AppliedRecord record : applied) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Metrics.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Metrics.java
@@ -1,13 +1,18 @@
 package org.chestnutbarrow.daemon;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.ObjDoubleConsumer;
+import java.util.function.ObjLongConsumer;
 
 /**
  * The metrics of one daemon. Safe for use by several threads. Label values are class names, outcomes and other words from
@@ -30,6 +35,21 @@
             .classicUpperBounds(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
             .classicOnly()
             .register(registry);
+    private final Counter retries = Counter.builder()
+            .name("chestnutbarrow_request_retries_total")
+            .help("Interactive requests that were tried again")
+            .labelNames("class")
+            .register(registry);
+    private final Counter forwards = Counter.builder()
+            .name("chestnutbarrow_request_forwards_total")
+            .help("Interactive requests passed to a peer")
+            .labelNames("class")
+            .register(registry);
+    private final Counter receipts = Counter.builder()
+            .name("chestnutbarrow_receipts_total")
+            .help("Receipts of non-idempotent requests by result: made, repeated or refused")
+            .labelNames("result")
+            .register(registry);
     private final Counter events = Counter.builder()
             .name("chestnutbarrow_events_total")
             .help("Events of the daemon's own work by kind")
@@ -44,6 +64,21 @@
         }
     }
 
+    /** Counts a further try of a request. */
+    void retry(String workClass) {
+        retries.labelValues(workClass).inc();
+    }
+
+    /** Counts a request passed to a peer. */
+    void forward(String workClass) {
+        forwards.labelValues(workClass).inc();
+    }
+
+    /** Counts a receipt by its result. */
+    void receipt(String result) {
+        receipts.labelValues(result).inc();
+    }
+
     /** Counts an event from a fixed set of names. */
     void event(String name) {
         events.labelValues(name).inc();
@@ -58,6 +93,35 @@
                 .register(registry);
     }
 
+    /** Adds a gauge with one label; {@code values} gives each label value and its number when metrics are fetched. */
+    void gauges(String name, String help, String label, Consumer<ObjDoubleConsumer<String>> values) {
+        GaugeWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames(label)
+                .callback(callback -> values.accept((word, value) -> callback.call(value, word)))
+                .register(registry);
+    }
+
+    /** Adds a counter with one label that is kept elsewhere; {@code values} gives each label value and its count. */
+    void counters(String name, String help, String label, Consumer<ObjLongConsumer<String>> values) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .labelNames(label)
+                .callback(callback -> values.accept((word, value) -> callback.call((double) value, word)))
+                .register(registry);
+    }
+
+    /** Adds a counter that is kept elsewhere and read when metrics are fetched; its name ends in {@code _total}. */
+    void counter(String name, String help, LongSupplier value) {
+        CounterWithCallback.builder()
+                .name(name)
+                .help(help)
+                .callback(callback -> callback.call((double) value.getAsLong()))
+                .register(registry);
+    }
+
     /** All metrics in the Prometheus text format. */
     String text() {
         ByteArrayOutputStream out = new ByteArrayOutputStream(TEXT_BYTES);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -146,13 +146,16 @@
         Instant taken = RequestIds.check(id, time.now());
         try {
             if (receipts.make(id, taken)) {
+                log.receipt("made");
                 return Optional.empty();
             }
+            log.receipt("repeated");
             Events.info("request-repeated", "request", id);
             HttpResponse response = HttpResponse.text(
                     409, "a request with this id was taken before; ask for its effect before using a new id\n");
             return Optional.of(mark(response, new Outcome.Unknown("taken-before"), id));
         } catch (NotRunException e) {
+            log.receipt("refused");
             Events.warn("receipt-not-made", "request", id, "cause", e.getMessage());
             Exchange refused = Exchange.notRun("no receipt can be made now");
             return Optional.of(mark(refused.response(), refused.outcome(), id));
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestLog.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestLog.java
@@ -42,10 +42,15 @@
                 exchange.response().status(),
                 "micros",
                 nanos / NANOS_PER_MICRO);
-        Events.write(line);
+        Events.write("request-routed", line);
         decisions.add(request.id(), line);
     }
 
+    /** Counts what became of a receipt: {@code made}, {@code repeated} or {@code refused}. */
+    void receipt(String result) {
+        metrics.receipt(result);
+    }
+
     /** Records a request that was refused before routing. */
     void refused(String workClass, String outcome) {
         metrics.request(workClass, outcome, 0);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
@@ -54,6 +54,7 @@
     private final TimeSource time;
     private final ScheduledExecutorService timer;
     private final Waiters waiters;
+    private final Metrics metrics;
 
     RequestRunner(
             Router router,
@@ -64,7 +65,8 @@
             PeerLink peers,
             TimeSource time,
             ScheduledExecutorService timer,
-            Waiters waiters) {
+            Waiters waiters,
+            Metrics metrics) {
         this.router = router;
         this.accounts = accounts;
         this.configuration = configuration;
@@ -74,6 +76,7 @@
         this.time = time;
         this.timer = timer;
         this.waiters = waiters;
+        this.metrics = metrics;
     }
 
     /** Runs a request to its outcome. */
@@ -85,6 +88,7 @@
             if (decision instanceof Decision.Refuse) {
                 return last;
             }
+            metrics.retry(request.work().name());
             last = carryOut(request, message, decision, tried);
         }
         return last;
@@ -191,6 +195,7 @@
                 flatten(message.headers()),
                 message.body());
         String via = forward.reason() + ":" + forward.peer();
+        metrics.forward(request.work().name());
         Exchange answer = call(forward.peer(), ask, left.plus(HOP_TIME), via);
         if (answer.isNotRun() && request.deadline() - time.nanos() > 0) {
             RouteRequest local =
--- a/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.LongAdder;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
@@ -46,6 +47,8 @@
 
     private final EventLoopGroup loops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
     private final IdleConnections idle = new IdleConnections();
+    private final Traffic traffic = new Traffic();
+    private final LongAdder exchanges = new LongAdder();
     private final Bootstrap bootstrap;
 
     /**
@@ -65,6 +68,7 @@
                                 .setMaxInitialLineLength(MAX_LINE_BYTES)
                                 .setMaxHeaderSize(MAX_HEADER_BYTES);
                         channel.pipeline()
+                                .addLast(traffic)
                                 .addLast(new HttpClientCodec(config, false, true))
                                 .addLast(new ClientExchange(maxBodyBytes));
                     }
@@ -87,6 +91,7 @@
      */
     public HttpResponse send(Address to, HttpRequest request, Duration timeout, SendGate gate)
             throws NotRunException, OutcomeUnknownException {
+        exchanges.increment();
         long end = System.nanoTime() + timeout.toNanos();
         Channel kept = idle.take(to);
         while (kept != null) {
@@ -135,6 +140,21 @@
         }
     }
 
+    /** Bytes received from all addresses so far. */
+    public long bytesIn() {
+        return traffic.in();
+    }
+
+    /** Bytes given to the network for all addresses so far. */
+    public long bytesOut() {
+        return traffic.out();
+    }
+
+    /** Requests so far, including those that failed. */
+    public long exchanges() {
+        return exchanges.sum();
+    }
+
     /** Closes the connections to an address that carry no exchange. */
     public void closeIdle(Address to) {
         idle.close(to);
--- a/peer/src/main/java/org/chestnutbarrow/peer/FrameDecoder.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/FrameDecoder.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import java.util.List;
-import java.util.concurrent.atomic.LongAdder;
 
 /**
  * Splits the bytes of a connection into frames and counts them. Used on one event loop.
@@ -12,11 +11,11 @@
  * <p>Invariant: a frame longer than the limit fails at its length, before its bytes are kept.
  */
 final class FrameDecoder extends ByteToMessageDecoder {
-    private final LongAdder bytesIn;
+    private final Traffic received;
     private int limit = Handshake.MAX_FRAME_BYTES;
 
-    FrameDecoder(LongAdder bytesIn) {
-        this.bytesIn = bytesIn;
+    FrameDecoder(Traffic received) {
+        this.received = received;
     }
 
     /** Allows frames of full size from now on. */
@@ -27,7 +26,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
         if (message instanceof ByteBuf bytes) {
-            bytesIn.add(bytes.readableBytes());
+            received.addBytes(bytes.readableBytes());
         }
         super.channelRead(ctx, message);
     }
@@ -48,6 +47,7 @@
         in.skipBytes(Integer.BYTES);
         byte[] frame = new byte[length];
         in.readBytes(frame);
+        received.addFrame();
         out.add(frame);
     }
 }
--- a/peer/src/main/java/org/chestnutbarrow/peer/Frames.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/Frames.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelFuture;
 import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.LongAdder;
 
 /** Frames that belong to the connection itself, and the way all frames are written. Stateless. */
 final class Frames {
@@ -41,10 +40,11 @@
         return Arrays.equals(frame, PONG_FRAME);
     }
 
-    static ChannelFuture write(Channel channel, byte[] frame, LongAdder bytesOut) {
+    static ChannelFuture write(Channel channel, byte[] frame, Traffic sent) {
         ByteBuf bytes = channel.alloc().buffer(Integer.BYTES + frame.length);
         bytes.writeInt(frame.length).writeBytes(frame);
-        bytesOut.add(Integer.BYTES + frame.length);
+        sent.addBytes(Integer.BYTES + frame.length);
+        sent.addFrame();
         return channel.writeAndFlush(bytes);
     }
 
--- a/peer/src/main/java/org/chestnutbarrow/peer/IncomingHandler.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/IncomingHandler.java
@@ -6,7 +6,6 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.atomic.LongAdder;
 import org.chestnutbarrow.model.DaemonId;
 
 /**
@@ -26,7 +25,7 @@
     private final IncomingPeers peers;
     private final Handshake handshake;
     private final FrameDecoder decoder;
-    private final LongAdder bytesOut;
+    private final Traffic sent;
     private State state = new State.AwaitsHello();
     private int handled;
     private long handledBytes;
@@ -42,11 +41,11 @@
         record Authenticated(DaemonId peer, Inbox inbox) implements State {}
     }
 
-    IncomingHandler(IncomingPeers peers, Handshake handshake, FrameDecoder decoder, LongAdder bytesOut) {
+    IncomingHandler(IncomingPeers peers, Handshake handshake, FrameDecoder decoder, Traffic sent) {
         this.peers = peers;
         this.handshake = handshake;
         this.decoder = decoder;
-        this.bytesOut = bytesOut;
+        this.sent = sent;
     }
 
     @Override
@@ -76,7 +75,7 @@
         }
         Handshake.Party accepting = handshake.newParty();
         state = new State.AwaitsProof(connecting, accepting);
-        Frames.write(ctx.channel(), handshake.challenge(connecting, accepting), bytesOut);
+        Frames.write(ctx.channel(), handshake.challenge(connecting, accepting), sent);
     }
 
     private void message(ChannelHandlerContext ctx, byte[] bytes, DaemonId peer, Inbox inbox) throws FrameException {
@@ -127,7 +126,7 @@
             return;
         }
         unwrittenBytes += frame.length;
-        Frames.write(ctx.channel(), frame, bytesOut).addListener(done -> unwrittenBytes -= frame.length);
+        Frames.write(ctx.channel(), frame, sent).addListener(done -> unwrittenBytes -= frame.length);
     }
 
     @Override
--- a/peer/src/main/java/org/chestnutbarrow/peer/NettyPeerLink.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/NettyPeerLink.java
@@ -57,8 +57,8 @@
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final ChannelGroup accepted = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
     private final Map<DaemonId, OutgoingConnection> peers = new ConcurrentHashMap<>();
-    private final LongAdder bytesIn = new LongAdder();
-    private final LongAdder bytesOut = new LongAdder();
+    private final Traffic received = new Traffic();
+    private final Traffic sent = new Traffic();
     private final LongAdder dropped = new LongAdder();
     private final Handshake handshake;
     private final IncomingPeers incoming;
@@ -129,12 +129,22 @@
 
     /** Bytes received from all peers so far. */
     public long bytesIn() {
-        return bytesIn.sum();
+        return received.bytes();
     }
 
     /** Bytes given to the network for all peers so far. */
     public long bytesOut() {
-        return bytesOut.sum();
+        return sent.bytes();
+    }
+
+    /** Frames received from all peers so far, including those of handshakes. */
+    public long framesIn() {
+        return received.frames();
+    }
+
+    /** Frames given to the network for all peers so far, including those of handshakes. */
+    public long framesOut() {
+        return sent.frames();
     }
 
     /** Messages without an answer that were dropped so far because their peer could not be reached. */
@@ -168,11 +178,11 @@
                             return;
                         }
                         accepted.add(channel);
-                        FrameDecoder decoder = new FrameDecoder(bytesIn);
+                        FrameDecoder decoder = new FrameDecoder(received);
                         channel.pipeline()
                                 .addLast(idle())
                                 .addLast(decoder)
-                                .addLast(new IncomingHandler(incoming, handshake, decoder, bytesOut));
+                                .addLast(new IncomingHandler(incoming, handshake, decoder, sent));
                     }
                 });
     }
@@ -183,15 +193,15 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
-        OutgoingConnection connection = new OutgoingConnection(peer, address, bootstrap, bytesOut);
+        OutgoingConnection connection = new OutgoingConnection(peer, address, bootstrap, sent);
         bootstrap.handler(new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                FrameDecoder decoder = new FrameDecoder(bytesIn);
+                FrameDecoder decoder = new FrameDecoder(received);
                 channel.pipeline()
                         .addLast(idle())
                         .addLast(decoder)
-                        .addLast(new OutgoingHandler(connection, handshake, decoder, bytesOut));
+                        .addLast(new OutgoingHandler(connection, handshake, decoder, sent));
             }
         });
         return connection;
--- a/peer/src/main/java/org/chestnutbarrow/peer/OutgoingConnection.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/OutgoingConnection.java
@@ -18,7 +18,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
-import java.util.concurrent.atomic.LongAdder;
 import java.util.concurrent.locks.ReentrantLock;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.DaemonId;
@@ -46,7 +45,7 @@
 
     private final DaemonId peer;
     private final Bootstrap bootstrap;
-    private final LongAdder bytesOut;
+    private final Traffic sent;
     private final ReentrantLock lock = new ReentrantLock();
     private final Map<Long, PendingCall> calls = new HashMap<>();
     private final Queue<Outbound> queue = new ArrayDeque<>();
@@ -77,11 +76,11 @@
     /** A frame to write; {@code call} is null for a message without an answer. */
     private record Outbound(byte[] frame, PendingCall call) {}
 
-    OutgoingConnection(DaemonId peer, Address address, Bootstrap bootstrap, LongAdder bytesOut) {
+    OutgoingConnection(DaemonId peer, Address address, Bootstrap bootstrap, Traffic sent) {
         this.peer = peer;
         this.address = address;
         this.bootstrap = bootstrap;
-        this.bytesOut = bytesOut;
+        this.sent = sent;
     }
 
     DaemonId peer() {
@@ -272,7 +271,7 @@
                 written(outbound);
                 return;
             }
-            Frames.write(channel, outbound.frame(), bytesOut).addListener(done -> written(outbound));
+            Frames.write(channel, outbound.frame(), sent).addListener(done -> written(outbound));
         });
     }
 
--- a/peer/src/main/java/org/chestnutbarrow/peer/OutgoingHandler.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/OutgoingHandler.java
@@ -5,7 +5,6 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.concurrent.atomic.LongAdder;
 
 /** The connecting side of a connection: handshake, then answers. Fields are used on the event loop only. */
 final class OutgoingHandler extends SimpleChannelInboundHandler<byte[]> {
@@ -14,24 +13,24 @@
     private final OutgoingConnection connection;
     private final Handshake handshake;
     private final FrameDecoder decoder;
-    private final LongAdder bytesOut;
+    private final Traffic sent;
     private final Handshake.Party self;
     private boolean authenticated;
     private int silentPeriods;
     private String reason = "connection ended";
 
-    OutgoingHandler(OutgoingConnection connection, Handshake handshake, FrameDecoder decoder, LongAdder bytesOut) {
+    OutgoingHandler(OutgoingConnection connection, Handshake handshake, FrameDecoder decoder, Traffic sent) {
         this.connection = connection;
         this.handshake = handshake;
         this.decoder = decoder;
-        this.bytesOut = bytesOut;
+        this.sent = sent;
         this.self = handshake.newParty();
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         Frames.limitHandshake(ctx.channel(), () -> authenticated);
-        Frames.write(ctx.channel(), handshake.hello(self), bytesOut);
+        Frames.write(ctx.channel(), handshake.hello(self), sent);
     }
 
     @Override
@@ -49,7 +48,7 @@
         if (!other.daemon().equals(connection.peer())) {
             throw new FrameException("the address of " + connection.peer() + " belongs to " + other.daemon());
         }
-        Frames.write(ctx.channel(), handshake.proof(self, other), bytesOut);
+        Frames.write(ctx.channel(), handshake.proof(self, other), sent);
         authenticated = true;
         decoder.authenticated();
         connection.ready(ctx.channel());
@@ -65,7 +64,7 @@
             reason = "no sign of life";
             ctx.close();
         } else {
-            Frames.write(ctx.channel(), Frames.ping(), bytesOut);
+            Frames.write(ctx.channel(), Frames.ping(), sent);
         }
     }
 
