--- a/cli/src/main/java/org/chestnutbarrow/cli/Runner.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/Runner.java
@@ -13,6 +13,7 @@
 import java.util.UUID;
 import org.chestnutbarrow.format.DeclarationFile;
 import org.chestnutbarrow.format.Json;
+import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.Declarations;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.NotRunException;
@@ -40,7 +41,7 @@
             case Command.Apply apply -> apply(apply.file);
             case Command.Zone zone -> zone(zone);
             case Command.Status _ -> show(client.get("/v1/status"));
-            case Command.Explain explain -> show(client.get("/v1/explain/" + explain.id));
+            case Command.Explain explain -> show(client.get("/v1/explain/" + identifier("id", explain.id)));
             case Command.Submit submit -> submit(submit.file);
             case Command.Jobs _ -> show(client.get("/v1/jobs"));
             case Command.Cancel cancel -> cancel(cancel.jobs);
@@ -90,12 +91,21 @@
         return send("/v1/configuration", body);
     }
 
-    private ExitCode zone(Command.Zone zone) throws NotRunException, OutcomeUnknownException {
+    private ExitCode zone(Command.Zone zone) throws InvalidInputException, NotRunException, OutcomeUnknownException {
+        identifier("zone", zone.name);
         ObjectNode body = change(client.get("/v1/configuration"));
         body.put("state", zone.direction.name().toUpperCase(Locale.ROOT));
         return send("/v1/zones/" + zone.name, body);
     }
 
+    private static String identifier(String what, String text) throws InvalidInputException {
+        try {
+            return Checks.identifier(what, text);
+        } catch (IllegalArgumentException e) {
+            throw new InvalidInputException(e.getMessage(), "check the name", e);
+        }
+    }
+
     private ObjectNode change(Answer current) {
         return JsonNodeFactory.instance
                 .objectNode()
@@ -114,13 +124,18 @@
         }
     }
 
-    private ExitCode readBack(ObjectNode body, Answer unknown) throws NotRunException {
-        Answer found = client.get("/v1/changes/" + body.path("id").asText());
-        if (!found.ok()) {
+    private ExitCode readBack(ObjectNode body, Answer unknown) {
+        try {
+            Answer found = client.get("/v1/changes/" + body.path("id").asText());
+            if (found.ok()) {
+                print(found.body());
+                return ExitCode.ACCEPTED;
+            }
+        } catch (NotRunException e) {
+            // That nobody can be asked says nothing about the change, which was sent before.
             return show(unknown);
         }
-        print(found.body());
-        return ExitCode.ACCEPTED;
+        return show(unknown);
     }
 
     private ExitCode submit(Path file) throws InvalidInputException, NotRunException, OutcomeUnknownException {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogSetup.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogSetup.java
@@ -1,10 +1,15 @@
 package org.chestnutbarrow.daemon;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Duration;
 import java.util.Optional;
-import java.util.logging.ConsoleHandler;
-import java.util.logging.FileHandler;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -15,8 +20,26 @@
 
 /** Sends what {@link System.Logger} is given to a file or to standard error, one line an event. Stateless. */
 final class LogSetup {
+    /** A process that is killed loses the lines of normal operation of this time at most. */
+    private static final Duration FLUSH_INTERVAL = Duration.ofMillis(100);
+
+    private static final AtomicReference<Repeating> FLUSHER = new AtomicReference<>();
+
     private LogSetup() {}
 
+    /** Chooses the log manager; must be called before anything is logged. */
+    static void install() {
+        System.setProperty("java.util.logging.manager", KeepingLogManager.class.getName());
+    }
+
+    /** Writes what is left and closes the destination; nothing is logged after it. */
+    static void close() {
+        closeFlusher(FLUSHER.getAndSet(null));
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.close();
+        }
+    }
+
     /**
      * Sets level and destination for the process.
      *
@@ -26,21 +49,33 @@
         LogManager.getLogManager().reset();
         Handler handler;
         try {
-            handler = file.isPresent() ? new FileHandler(file.get().toString(), true) : new ConsoleHandler();
+            OutputStream to = file.isPresent()
+                    ? Files.newOutputStream(file.get(), StandardOpenOption.CREATE, StandardOpenOption.APPEND)
+                    : new FileOutputStream(FileDescriptor.err);
+            handler = new LineHandler(to, new LineFormatter());
         } catch (IOException e) {
             throw new InvalidInputException(
                     "cannot write the log file " + file.get(), "set logTo to a file that can be written", e);
         }
-        handler.setFormatter(new LineFormatter());
         Level least = julLevel(level);
         handler.setLevel(least);
         Logger root = Logger.getLogger("");
         root.addHandler(handler);
+        closeFlusher(FLUSHER.getAndSet(new Repeating("log-flush", FLUSH_INTERVAL, handler::flush)));
         root.setLevel(least);
+        if (LogManager.getLogManager() instanceof KeepingLogManager manager) {
+            manager.keep();
+        }
         // Netty's own debug lines are not events of this system.
         Logger.getLogger("io.netty").setLevel(Level.WARNING);
     }
 
+    private static void closeFlusher(Repeating flusher) {
+        if (flusher != null) {
+            flusher.close();
+        }
+    }
+
     private static Level julLevel(System.Logger.Level level) {
         return switch (level) {
             case ALL, TRACE -> Level.FINER;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Main.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Main.java
@@ -29,6 +29,7 @@
 
     /** Runs a daemon until SIGTERM; exits with 2 if the settings are not valid. */
     public static void main(String[] args) throws InterruptedException {
+        LogSetup.install();
         Main main = new Main();
         CmdLineParser parser = new CmdLineParser(main);
         try {
@@ -68,6 +69,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         } finally {
+            LogSetup.close();
             ended.countDown();
         }
     }
