--- a/bench/src/main/java/org/chestnutbarrow/bench/Experiment.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Experiment.java
@@ -8,16 +8,6 @@
 
 /** What {@code ./run bench} measures, with its options as args4j fills them in. Used by one thread. */
 sealed interface Experiment {
-    /** An experiment by its name on the command line. */
-    static Experiment named(String name) {
-        return switch (name) {
-            case "load" -> new Load();
-            case "cost" -> new Cost();
-            case "added" -> new Added();
-            default -> throw new IllegalArgumentException("no experiment " + name + "; use load, cost or added");
-        };
-    }
-
     /** Policies compared under the same load. */
     final class Load implements Experiment {
         @Argument(metaVar = "SCENARIO|all", usage = "names of scenarios", required = true)
@@ -59,4 +49,22 @@
         @Option(name = "--callers", usage = "concurrent callers of the closed loop")
         int callers = 64;
     }
+
+    /** What a daemon spends on control as the deployment grows. */
+    final class Slopes implements Experiment {
+        @Option(name = "--out", metaVar = "FOLDER", usage = "where results and plots are written")
+        Path out = Path.of("bench-results", "slopes");
+
+        @Option(name = "--warm-up", metaVar = "SECONDS", usage = "time before each measurement (default 8)")
+        int warmUpSeconds = 8;
+
+        @Option(name = "--seconds", metaVar = "SECONDS", usage = "length of each measurement (default 10)")
+        int seconds = 10;
+
+        @Option(
+                name = "--only",
+                metaVar = "NAME",
+                usage = "run one axis: workers, daemons, tasks, jobs, classes or libraries")
+        String only = "";
+    }
 }
