placement, daemon: lapse attempts at unreported workers by contact

Cause: InterleavingTest ran attempts 2.2 (w1) and 2.12 (w5) at once. The owner went on repeating the start of 2.2 while nobody held w1, so a copy was under way when the attempt counted as lapsed, and the next holder of w1 ran it. The fixed lapse of 5.85 s also ignored daemons that this owner does not hear and that renew the tasks of their workers.

Ruled out: a running attempt that was not listed; 2.2 had never been confirmed.

Change: a start is repeated only while its worker is held. LapseRule replaces the fixed lapse in WorkerIndex and ShardClaims; WorkersChanged carries Contact. JobRunner offers and takes the use of quotas by team.

The simulation assumes that a holder refuses starts that are older than 2 s or than its lease; WorkerTasks does not check this yet.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -36,6 +36,7 @@
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.peer.NettyPeerLink;
 import org.chestnutbarrow.peer.PeerMessage;
+import org.chestnutbarrow.placement.Contact;
 import org.chestnutbarrow.placement.JobShards;
 import org.chestnutbarrow.platform.HttpHostList;
 import org.chestnutbarrow.platform.HttpLog;
@@ -206,6 +207,7 @@
                         : peers.alive(),
                 this::heldWorkers,
                 () -> leases.listed().stream().map(Worker::id).toList(),
+                this::contact,
                 calls);
     }
 
@@ -344,6 +346,11 @@
         return held;
     }
 
+    /** Not measured yet: a daemon that is not heard counts as one that holds nothing. */
+    private Contact contact() {
+        return Contact.ALL;
+    }
+
     /** How much tasks should avoid a worker: the share of its slots that requests use. */
     private double interactiveLoad(WorkerId worker) {
         return accounts.room(worker)
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/JobRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/JobRunner.java
@@ -14,6 +14,7 @@
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.TaskId;
 import org.chestnutbarrow.model.TaskStatus;
 import org.chestnutbarrow.model.TimeSource;
@@ -27,6 +28,7 @@
 import org.chestnutbarrow.peer.PeerMessage.StartTask;
 import org.chestnutbarrow.peer.PeerMessage.TaskAction;
 import org.chestnutbarrow.peer.PeerMessage.TaskResult;
+import org.chestnutbarrow.placement.Contact;
 import org.chestnutbarrow.placement.JobExplanation;
 import org.chestnutbarrow.placement.JobShards;
 import org.chestnutbarrow.placement.LoggedJob;
@@ -49,6 +51,7 @@
     private final WorkerTasks local;
     private final PeerLink peers;
     private final Supplier<List<HeldWorker>> held;
+    private final Supplier<Contact> contact;
     private final WorkerCalls calls;
     private final EndsWriter ends;
     private final ShardClaims claims;
@@ -60,6 +63,7 @@
      * @param live daemons believed alive, this one included
      * @param held all workers that a live daemon holds the lease of
      * @param allWorkers all workers of the host list
+     * @param contact how well this daemon hears the configured ones now
      * @param executor runs each task on a virtual thread of its own
      */
     JobRunner(
@@ -72,6 +76,7 @@
             Supplier<Collection<DaemonId>> live,
             Supplier<List<HeldWorker>> held,
             Supplier<Collection<WorkerId>> allWorkers,
+            Supplier<Contact> contact,
             Executor executor) {
         this.self = self;
         this.time = time;
@@ -79,9 +84,10 @@
         this.local = local;
         this.peers = peers;
         this.held = held;
+        this.contact = contact;
         calls = new WorkerCalls(executor);
         ends = new EndsWriter(time, log, executor, this::apply);
-        claims = new ShardClaims(self, time, log, live, held, allWorkers, this::fence, executor, this::apply);
+        claims = new ShardClaims(self, time, log, live, held, allWorkers, contact, this::fence, executor, this::apply);
     }
 
     /** To be called every 100 ms or so, and earlier when a job was added. */
@@ -90,9 +96,10 @@
         Map<WorkerId, HeldWorker> byId = new HashMap<>();
         now.forEach(worker -> byId.put(worker.worker().id(), worker));
         workers = byId;
-        apply(new PlacementEvent.WorkersChanged(now.stream()
+        List<WorkerRoom> rooms = now.stream()
                 .map(worker -> new WorkerRoom(worker.worker(), worker.free()))
-                .toList()));
+                .toList();
+        apply(new PlacementEvent.WorkersChanged(rooms, contact.get()));
         claims.tick();
         apply(new PlacementEvent.Tick());
         ends.tick();
@@ -123,6 +130,21 @@
         tasks.forEach(status -> apply(new PlacementEvent.TaskChanged(worker, status)));
     }
 
+    /** What attempts of the shards owned here use, by team, for the next heartbeat. */
+    Map<String, Resources> teamUse() {
+        return shards.use();
+    }
+
+    /**
+     * Takes the sum of what the other daemons last reported as {@link #teamUse}.
+     *
+     * <p>A team may be over its quota by what all daemons together start for it within one heartbeat and its transit,
+     * and by running attempts that a new owner of a shard adopts.
+     */
+    void teamUseElsewhere(Map<String, Resources> use) {
+        apply(new PlacementEvent.UseElsewhere(use));
+    }
+
     Optional<JobExplanation> explain(JobId job) {
         return shards.explain(job);
     }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseReports.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseReports.java
@@ -29,7 +29,8 @@
 
     @Override
     public void gone(Worker worker, long epoch) {
-        tasks.closed(worker.id());
+        // The attempts stay known: if the worker loses them before the lease is taken again, they are reported as
+        // lapsed.
         // Idle connections count against the worker's limit, which the next holder needs.
         endpoints.closeIdle(worker.endpoint());
     }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/ShardClaims.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/ShardClaims.java
@@ -19,7 +19,8 @@
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.peer.PeerMessage.FenceShard;
 import org.chestnutbarrow.peer.PeerMessage.ShardTasks;
-import org.chestnutbarrow.placement.JobShards;
+import org.chestnutbarrow.placement.Contact;
+import org.chestnutbarrow.placement.LapseRule;
 import org.chestnutbarrow.placement.LoggedJob;
 import org.chestnutbarrow.placement.PlacementEvent;
 
@@ -28,7 +29,7 @@
  * by several threads: the state of a claim is guarded by its own monitor, which is not held across calls.
  *
  * <p>Invariant: attempts of a shard are allowed only when every held worker has been fenced and, if some worker of the
- * host list is not held, all leases there must have lapsed.
+ * host list is neither held nor fenced, all leases there must have lapsed by {@link LapseRule}.
  */
 final class ShardClaims {
     private static final int CLAIMS_IN_FLIGHT = 4;
@@ -39,11 +40,14 @@
     private final Supplier<Collection<DaemonId>> live;
     private final Supplier<List<HeldWorker>> held;
     private final Supplier<Collection<WorkerId>> allWorkers;
+    private final Supplier<Contact> contact;
     private final Fences fences;
     private final Executor executor;
     private final Consumer<PlacementEvent> events;
     private final Semaphore claims = new Semaphore(CLAIMS_IN_FLIGHT);
     private final Map<Integer, Shard> shards = new ConcurrentHashMap<>();
+    private final LapseRule lapse = new LapseRule();
+    private final Map<WorkerId, Long> lastHeld = new ConcurrentHashMap<>();
     private final Set<Integer> claiming = ConcurrentHashMap.newKeySet();
 
     ShardClaims(
@@ -53,6 +57,7 @@
             Supplier<Collection<DaemonId>> live,
             Supplier<List<HeldWorker>> held,
             Supplier<Collection<WorkerId>> allWorkers,
+            Supplier<Contact> contact,
             Fences fences,
             Executor executor,
             Consumer<PlacementEvent> events) {
@@ -62,6 +67,7 @@
         this.live = live;
         this.held = held;
         this.allWorkers = allWorkers;
+        this.contact = contact;
         this.fences = fences;
         this.executor = executor;
         this.events = events;
@@ -77,6 +83,7 @@
         private final long epoch;
         private final long claimRead;
         private final Map<WorkerId, DaemonId> fencedAt = new HashMap<>();
+        private final Set<WorkerId> fenced = new HashSet<>();
         private boolean opened;
         private boolean fencing;
 
@@ -104,6 +111,9 @@
     void tick() {
         Collection<DaemonId> daemons = live.get();
         List<HeldWorker> workers = held.get();
+        long now = time.nanos();
+        lapse.sample(contact.get(), now);
+        workers.forEach(worker -> lastHeld.put(worker.worker().id(), now));
         for (int i = 0; i < Job.SHARDS; i++) {
             int shard = i;
             boolean mine = preferred(shard, daemons, self).equals(self);
@@ -159,7 +169,11 @@
     /** Fences workers that were not fenced under their present holder. */
     private void fence(int shard, Shard state, List<HeldWorker> workers) {
         Set<DaemonId> holders = new HashSet<>();
+        Set<WorkerId> heldIds = new HashSet<>();
+        workers.forEach(worker -> heldIds.add(worker.worker().id()));
         synchronized (state) {
+            // The same daemon may hold a worker again that has restarted meanwhile, so its attempts are listed again.
+            state.fencedAt.keySet().retainAll(heldIds);
             if (state.fencing) {
                 return;
             }
@@ -194,22 +208,29 @@
                             events.accept(new PlacementEvent.AttemptsFound(shard, state.epoch, worker, asked, tasks)));
             synchronized (state) {
                 found.tasks().keySet().forEach(worker -> state.fencedAt.put(worker, holder));
+                state.fenced.addAll(found.tasks().keySet());
             }
         } catch (SchedulerException e) {
             Events.warn("shard-not-fenced", "shard", shard, "holder", holder, "reason", e.getMessage());
         }
     }
 
+    private boolean lapsed(WorkerId worker, Shard state) {
+        long since = lastHeld.getOrDefault(worker, state.claimRead);
+        return lapse.lapsed(since - state.claimRead > 0 ? since : state.claimRead, time.nanos());
+    }
+
     private void open(int shard, Shard state, List<HeldWorker> workers) {
         if (state.opened) {
             return;
         }
         Collection<WorkerId> listed = allWorkers.get();
         // An empty host list has not been read yet.
-        boolean all = !listed.isEmpty() && state.fencedAt.keySet().containsAll(listed);
+        boolean all = !listed.isEmpty() && state.fenced.containsAll(listed);
         // A worker may find a new holder just before its leases lapse; it is then held, and is fenced before this
         // passes.
-        boolean lapsed = time.nanos() - state.claimRead - JobShards.UNHELD_LAPSE.toNanos() >= 0;
+        boolean lapsed = lapse.lapsed(state.claimRead, time.nanos())
+                && listed.stream().allMatch(worker -> state.fenced.contains(worker) || lapsed(worker, state));
         if (!all && !lapsed) {
             return;
         }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerAttempts.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerAttempts.java
@@ -118,10 +118,15 @@
         }
         for (Known gone : List.copyOf(known.values())) {
             TaskStatus status = gone.status();
+            boolean due = !status.state().ended()
+                    || (status.state() == TaskState.LAPSED && now - gone.learnt() >= REPORT_AGAIN);
             if (!listed.contains(status.task()) && gone.learnt() - asked < 0) {
-                known.remove(status.task());
-                if (!status.state().ended()) {
+                if (due) {
+                    // Kept until it is forgotten, since a report may be lost.
+                    put(lapsed(status));
                     news.add(lapsed(status));
+                } else if (status.state() != TaskState.LAPSED) {
+                    known.remove(status.task());
                 }
             }
         }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
@@ -259,11 +259,6 @@
         result.status().ifPresent(status -> changed.accept(worker, List.of(status)));
     }
 
-    /** Drops what is known of a worker whose lease was lost or released. */
-    void closed(WorkerId worker) {
-        workers.remove(worker);
-    }
-
     private WorkerAttempts attempts(WorkerId worker) {
         return workers.computeIfAbsent(worker, id -> new WorkerAttempts(time));
     }
--- a/placement/src/main/java/org/chestnutbarrow/placement/JobShards.java
+++ b/placement/src/main/java/org/chestnutbarrow/placement/JobShards.java
@@ -1,6 +1,5 @@
 package org.chestnutbarrow.placement;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -29,12 +28,6 @@
  * }</pre>
  */
 public final class JobShards {
-    /**
-     * Time after which the tasks of a worker that no live daemon holds, and that could not be fenced, have lapsed: the
-     * task lease of 3.5 s plus 10%, and the 2 s for which a holder that is cut off goes on renewing.
-     */
-    public static final Duration UNHELD_LAPSE = Duration.ofNanos(Timing.UNHELD_LAPSE);
-
     /** Most attempts issued per tick. */
     private static final int STARTS = 512;
 
@@ -78,7 +71,7 @@
             }
             case PlacementEvent.ConfigurationChanged changed -> configure(changed, out);
             case PlacementEvent.WorkersChanged changed -> {
-                if (shared.index().update(changed.workers(), now())) {
+                if (shared.index().update(changed.workers(), changed.contact(), now())) {
                     recheck(out);
                 }
             }
--- a/placement/src/main/java/org/chestnutbarrow/placement/PlacementEvent.java
+++ b/placement/src/main/java/org/chestnutbarrow/placement/PlacementEvent.java
@@ -69,8 +69,13 @@
     /** A configuration came into force: zones taken out or in, quotas. */
     record ConfigurationChanged(Configuration configuration) implements PlacementEvent {}
 
-    /** All workers that a live daemon holds the lease of, with what is free there. */
-    record WorkersChanged(List<WorkerRoom> workers) implements PlacementEvent {
+    /**
+     * All workers that a live daemon holds the lease of, with what is free there. To be sent several times a second:
+     * attempts at other workers lapse by {@link LapseRule}, for which a gap of more than 0.5 s is a loss of contact.
+     *
+     * @param contact how well this daemon hears the others now
+     */
+    record WorkersChanged(List<WorkerRoom> workers, Contact contact) implements PlacementEvent {
         public WorkersChanged {
             workers = List.copyOf(workers);
         }
--- a/placement/src/main/java/org/chestnutbarrow/placement/TaskMachine.java
+++ b/placement/src/main/java/org/chestnutbarrow/placement/TaskMachine.java
@@ -364,7 +364,11 @@
                 } else {
                     // A command that has had no answer yet may have taken effect, like one with an unclear answer.
                     task.uncertain = true;
-                    out.add(task.command);
+                    // While nobody holds the worker, a copy would be under way for its next holder when the attempt
+                    // counts as lapsed.
+                    if (shared.index().held(task.worker)) {
+                        out.add(task.command);
+                    }
                     repeatLater(task);
                 }
             }
--- a/placement/src/main/java/org/chestnutbarrow/placement/Timing.java
+++ b/placement/src/main/java/org/chestnutbarrow/placement/Timing.java
@@ -7,12 +7,6 @@
     /** A task's lease of 3.5 s and 10% for clocks that run at different speeds. */
     static final long LEASE_LAPSE = Duration.ofMillis(3850).toNanos();
 
-    /**
-     * Time after which the tasks of a worker that no live daemon holds have lapsed. A holder that is cut off from the
-     * log and its peers renews for another 2 s, until it finds itself stale, and the leases lapse only after that.
-     */
-    static final long UNHELD_LAPSE = LEASE_LAPSE + Duration.ofSeconds(2).toNanos();
-
     /** Time after which a start or stop command without a result is repeated. */
     static final long REPEAT = Duration.ofMillis(500).toNanos();
 
--- a/placement/src/main/java/org/chestnutbarrow/placement/WorkerIndex.java
+++ b/placement/src/main/java/org/chestnutbarrow/placement/WorkerIndex.java
@@ -37,6 +37,7 @@
     private final List<WorkerNode> byLeaf = new ArrayList<>();
     private final Set<WorkerNode> barred = new HashSet<>();
     private final Map<AvailabilityZone, Long> returned = new HashMap<>();
+    private final LapseRule lapse = new LapseRule();
     private Set<Resources> capacities = Set.of();
     private FitTree tree = new FitTree(1);
     private int leaves = 1;
@@ -73,8 +74,9 @@
     }
 
     /** Takes the complete list of held workers; returns whether a kind of worker has come or gone. */
-    boolean update(List<WorkerRoom> rooms, long now) {
+    boolean update(List<WorkerRoom> rooms, Contact contact, long now) {
         return locked(all -> {
+            lapse.sample(contact, now);
             Set<WorkerId> seen = new HashSet<>();
             Set<Resources> kinds = new HashSet<>();
             List<WorkerRoom> order = new ArrayList<>(rooms);
@@ -128,7 +130,7 @@
             }
             List<WorkerId> lapsed = new ArrayList<>();
             for (WorkerNode node : byLeaf) {
-                if (!node.held && !node.lapsed && now - node.unheldSince >= Timing.UNHELD_LAPSE) {
+                if (!node.held && !node.lapsed && lapse.lapsed(node.unheldSince, now)) {
                     node.lapsed = true;
                     lapsed.add(node.worker.id());
                 }
@@ -189,6 +191,10 @@
         return locked(all -> all.containsKey(worker) && all.get(worker).quarantined());
     }
 
+    boolean held(WorkerId worker) {
+        return locked(all -> all.containsKey(worker) && all.get(worker).held);
+    }
+
     Optional<Worker> worker(WorkerId worker) {
         return locked(all -> Optional.ofNullable(all.get(worker)).map(node -> node.worker));
     }
--- a/placement/src/test/java/org/chestnutbarrow/placement/ModelChecks.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/ModelChecks.java
@@ -33,7 +33,9 @@
         Resources demand = new Resources(0, 0, 500 * (1 + random.nextInt(3)), 1_000L * (1 + random.nextInt(4)), 0);
         Optional<Instant> finishBy =
                 random.nextInt(4) == 0 ? Optional.empty() : Optional.of(now.plusSeconds(random.nextInt(100)));
-        Duration runTime = Duration.ofMillis(500L + random.nextInt(6_000));
+        // Some run longer than a holder may go on without being heard.
+        int longest = random.nextInt(4) == 0 ? 40_000 : 6_000;
+        Duration runTime = Duration.ofMillis(500L + random.nextInt(longest));
         String team = "t" + random.nextInt(2);
         return new Job(id, "c", team, 1 + random.nextInt(8), demand, runTime, finishBy, now);
     }
--- a/placement/src/test/java/org/chestnutbarrow/placement/ModelWorker.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/ModelWorker.java
@@ -19,13 +19,17 @@
 import org.chestnutbarrow.model.Worker;
 import org.chestnutbarrow.model.WorkerId;
 
-/** A worker together with the daemon that holds its lease, as {@link Simulation} needs them. */
+/** A worker together with what the holder of its lease knows of it, as {@link Simulation} needs them. */
 final class ModelWorker {
     final Worker worker;
     final Map<TaskId, Run> runs = new HashMap<>();
     final Map<Integer, Long> fences = new HashMap<>();
     final Set<Attempt> refused = new HashSet<>();
-    boolean held = true;
+    /** Number of the daemon that holds its lease; -1 for none. */
+    int holder;
+
+    int lostBy;
+    long heldSince;
     boolean bad;
     long unheldSince;
 
@@ -39,12 +43,23 @@
         final long endsAt;
         TaskState state = TaskState.RUNNING;
         Optional<CheckpointId> checkpoint = Optional.empty();
+        /** When its lease runs out because it is no longer renewed. */
+        long lapsesAt = Long.MAX_VALUE;
+
+        /** Whether the worker has lost it and only its last holder knows of it. */
+        boolean lost;
 
         Run(PlacementEffect.Start start, long endsAt) {
             this.start = start;
             this.endsAt = endsAt;
         }
 
+        void checkpoint() {
+            TaskId task = start.task();
+            state = TaskState.CHECKPOINTED;
+            checkpoint = Optional.of(new CheckpointId(task.job() + "-" + task.index() + "-" + start.attempt()));
+        }
+
         TaskStatus status() {
             return new TaskStatus(
                     start.task(),
@@ -67,14 +82,35 @@
             Resources capacity = new Resources(8, 64, 4_000, 16_000, i % 4 == 0 ? 1 : 0);
             workers.add(new ModelWorker(
                     new Worker(new WorkerId("w" + i), zone, "r" + i / 2, address, address, false, capacity)));
+            workers.get(i).holder = i % ModelDaemons.COUNT;
         }
         return workers;
     }
 
-    /** Loses all attempts. */
+    /** A daemon acquires the lease; it does not know what earlier holders have refused. */
+    void take(int daemon, long now) {
+        holder = daemon;
+        heldSince = now;
+        refused.clear();
+        runs.values().removeIf(run -> run.lost && daemon != lostBy);
+    }
+
+    /** Ends attempts whose lease has run out. */
+    void lapse(long now) {
+        boolean all = holder < 0 && now - unheldSince >= 3_500_000_000L;
+        runs.values().stream()
+                .filter(run -> !run.state.ended() && (all || run.lapsesAt - now <= 0))
+                .forEach(run -> run.state = TaskState.LAPSED);
+    }
+
+    /** Loses all attempts; a holder that acquires the lease again reports the running ones as lapsed. */
     void crash() {
-        runs.values().stream().filter(run -> !run.state.ended()).forEach(run -> run.state = TaskState.LAPSED);
-        runs.clear();
+        runs.values().removeIf(run -> run.state.ended());
+        runs.values().forEach(run -> {
+            run.state = TaskState.LAPSED;
+            run.lost = true;
+        });
+        lostBy = holder;
     }
 
     Resources free() {
@@ -93,7 +129,7 @@
     List<TaskStatus> list(int shard) {
         List<TaskStatus> list = new ArrayList<>();
         for (Run run : runs.values()) {
-            if (run.start.shard() == shard) {
+            if (run.start.shard() == shard && !run.lost) {
                 list.add(run.status());
             }
         }
--- a/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
@@ -7,22 +7,23 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BiConsumer;
 import org.chestnutbarrow.model.Attempt;
 import org.chestnutbarrow.model.AvailabilityZone;
-import org.chestnutbarrow.model.CheckpointId;
 import org.chestnutbarrow.model.Job;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.LogRecord.TaskEnd;
 import org.chestnutbarrow.model.TaskId;
 import org.chestnutbarrow.model.TaskState;
 import org.chestnutbarrow.model.WorkerId;
+import org.chestnutbarrow.placement.ModelDaemons.Held;
 import org.chestnutbarrow.placement.ModelWorker.Run;
 import org.chestnutbarrow.placement.PlacementEvent.StartAnswer;
-import org.chestnutbarrow.placement.PlacementEvent.WorkerRoom;
 import org.chestnutbarrow.testkit.ManualTime;
 import org.testng.Assert;
 
@@ -30,6 +31,9 @@
 final class Simulation {
     private static final long SECOND = 1_000_000_000L;
 
+    /** Age from which a holder refuses a start; {@code WorkerTasks} does not enforce it yet. */
+    private static final long COMMAND_LIFE = 2 * SECOND;
+
     final Map<String, Integer> counts = new TreeMap<>();
     private final Random random;
     private final ManualTime time = new ManualTime();
@@ -43,6 +47,7 @@
     private final Set<TaskId> excused = new HashSet<>();
     private final Set<AvailabilityZone> out = new HashSet<>();
     private final ModelNetwork network;
+    private final ModelDaemons daemons;
     private long epoch;
     private long claimed;
     private Owner owner;
@@ -52,6 +57,7 @@
         network = new ModelNetwork(time, random);
         workers.addAll(ModelWorker.fleet());
         workers.get(0).bad = random.nextInt(3) == 0;
+        daemons = new ModelDaemons(time, random, network, workers);
         takeOver();
     }
 
@@ -59,9 +65,61 @@
     private final class Owner {
         private final JobShards shards = new JobShards(time, worker -> 0);
         private final long ownEpoch = epoch;
+        private final int daemon;
+        private final long claimRead = now();
+        private final LapseRule lapse = new LapseRule();
+        private final Map<WorkerId, Integer> fencedAt = new HashMap<>();
+        private final Map<WorkerId, Long> lastHeld = new HashMap<>();
+        private final Set<WorkerId> fenced = new HashSet<>();
+        private final Set<WorkerId> fencing = new HashSet<>();
+        private boolean opened;
         private boolean alive = true;
         private long pausedUntil;
 
+        Owner(int daemon) {
+            this.daemon = daemon;
+        }
+
+        /** Reports the held workers, fences what is not fenced and opens the shards when that is allowed. */
+        void tick() {
+            if (!alive || pausedUntil - now() > 0) {
+                return;
+            }
+            Map<WorkerId, Held> held = daemons.held(daemon);
+            Contact contact = daemons.contact(daemon);
+            count("contact " + contact);
+            apply(new PlacementEvent.WorkersChanged(
+                    held.values().stream().map(Held::room).toList(), contact));
+            lapse.sample(contact, now());
+            held.keySet().forEach(id -> lastHeld.put(id, now()));
+            // The same daemon may hold a worker again that has restarted meanwhile.
+            fencedAt.keySet().retainAll(held.keySet());
+            List<Held> unfenced = held.values().stream()
+                    .filter(h -> !Objects.equals(
+                            h.holder(), fencedAt.get(h.room().worker().id())))
+                    .toList();
+            unfenced.stream().filter(h -> fencing.add(h.room().worker().id())).forEach(h -> fence(this, h));
+            if (unfenced.isEmpty() && !opened) {
+                open();
+            }
+            apply(new PlacementEvent.Tick());
+        }
+
+        private void open() {
+            boolean all = fenced.size() == workers.size();
+            boolean lapsed = workers.stream()
+                    .map(worker -> worker.worker.id())
+                    .filter(id -> !fenced.contains(id))
+                    .allMatch(id -> lapse.lapsed(Math.max(claimRead, lastHeld.getOrDefault(id, claimRead)), now()));
+            if (lapsed) {
+                opened = true;
+                count(all ? "takeover" : "takeover with unfenced workers");
+                for (int shard = 0; shard < Job.SHARDS; shard++) {
+                    apply(new PlacementEvent.WorkersFenced(shard, ownEpoch, now()));
+                }
+            }
+        }
+
         void apply(PlacementEvent event) {
             if (!alive) {
                 return;
@@ -83,7 +141,8 @@
         network.chaos = false;
         workers.forEach(worker -> worker.bad = false);
         out.clear();
-        workers.stream().filter(worker -> !worker.held).forEach(this::takeWorker);
+        daemons.repair();
+        workers.forEach(worker -> daemons.take(worker, 0));
         owner.apply(new PlacementEvent.ConfigurationChanged(ModelChecks.configuration(workers, out)));
         for (int i = 0; i < 4_000 && !allEnded(); i++) {
             step(500);
@@ -117,32 +176,42 @@
     }
 
     private void fault() {
-        switch (random.nextInt(24)) {
+        switch (random.nextInt(26)) {
             case 0, 1, 2 -> submit();
             case 3 -> {
                 if (random.nextInt(3) == 0) {
-                    count("owner crash");
-                    owner.alive = false;
-                    takeOver();
+                    count("daemon crash");
+                    stopDaemon(random.nextBoolean() ? owner.daemon : random.nextInt(ModelDaemons.COUNT), true);
                 }
             }
             case 4 -> {
                 if (random.nextInt(4) == 0) {
-                    count("owner pause");
+                    count("daemon pause");
+                    stopDaemon(random.nextBoolean() ? owner.daemon : random.nextInt(ModelDaemons.COUNT), false);
+                }
+            }
+            case 8 -> {
+                if (random.nextInt(3) == 0) {
+                    count("links break");
+                    daemons.breakLinks(owner.daemon);
+                }
+            }
+            case 9 -> {
+                if (random.nextInt(12) == 0) {
+                    count("takeover from a live owner");
                     Owner old = owner;
-                    old.pausedUntil = now() + random.nextLong(12 * SECOND);
-                    network.post(14 * SECOND, () -> old.alive = false);
                     takeOver();
+                    network.post(random.nextLong(2 * SECOND), () -> old.alive = false);
                 }
             }
             case 5 ->
-                pick().ifPresent(worker -> {
+                daemons.pick().ifPresent(worker -> {
                     if (random.nextBoolean()) {
                         count("worker crash");
                         worker.runs.values().forEach(run -> excused.add(run.start.task()));
                         worker.crash();
                     }
-                    loseWorker(worker);
+                    daemons.lose(worker);
                 });
             case 6 -> {
                 AvailabilityZone zone = new AvailabilityZone("z" + random.nextInt(3));
@@ -163,9 +232,20 @@
         }
     }
 
-    private Optional<ModelWorker> pick() {
-        ModelWorker worker = workers.get(random.nextInt(workers.size()));
-        return worker.held ? Optional.of(worker) : Optional.empty();
+    /** A daemon dies or pauses and so loses its workers; the owner is replaced, or goes on after a short pause. */
+    private void stopDaemon(int daemon, boolean dies) {
+        long duration = SECOND + random.nextLong((dies ? 5 : 12) * SECOND);
+        daemons.stop(daemon, duration, dies);
+        workers.stream().filter(worker -> worker.holder == daemon).forEach(daemons::lose);
+        if (daemon == owner.daemon) {
+            Owner old = owner;
+            old.alive = !dies;
+            old.pausedUntil = now() + duration;
+            if (dies || duration > 2 * SECOND) {
+                network.post(14 * SECOND, () -> old.alive = false);
+                takeOver();
+            }
+        }
     }
 
     private void submit() {
@@ -183,10 +263,13 @@
     private void takeOver() {
         epoch++;
         claimed = now();
-        owner = new Owner();
+        int next = random.nextInt(ModelDaemons.COUNT);
+        while (!daemons.runs(next)) {
+            next = (next + 1) % ModelDaemons.COUNT;
+        }
+        owner = new Owner(next);
         Owner mine = owner;
         mine.apply(new PlacementEvent.ConfigurationChanged(ModelChecks.configuration(workers, out)));
-        mine.apply(rooms());
         Map<Integer, List<LoggedJob>> byShard = new HashMap<>();
         for (int shard = 0; shard < Job.SHARDS; shard++) {
             byShard.put(shard, new ArrayList<>());
@@ -199,75 +282,66 @@
                     .add(new LoggedJob(job, cancelled.contains(job.id()), finished.get(job.id()), jobEnds));
         }
         byShard.forEach((shard, list) -> mine.apply(new PlacementEvent.ShardGained(shard, mine.ownEpoch, list)));
-        boolean all = workers.stream().allMatch(worker -> worker.held);
-        workers.stream().filter(worker -> worker.held).forEach(this::fence);
-        if (!all) {
-            count("takeover with unfenced workers");
-        }
-        long delay = all ? 2 * SECOND + 1 : Timing.UNHELD_LAPSE;
-        network.post(delay, () -> {
-            for (int shard = 0; shard < Job.SHARDS; shard++) {
-                mine.apply(new PlacementEvent.WorkersFenced(shard, mine.ownEpoch, now()));
-            }
-        });
+        mine.tick();
     }
 
-    /** Fences all shards at a worker for the present owner; the answer may be late but is not lost. */
-    private void fence(ModelWorker worker) {
-        Owner mine = owner;
+    /** Fences all shards at a worker; the command or its answer may be lost. */
+    private void fence(Owner from, Held held) {
+        WorkerId id = held.room().worker().id();
         long asked = now();
-        for (int shard = 0; shard < Job.SHARDS; shard++) {
-            worker.fences.put(shard, mine.ownEpoch);
-            PlacementEvent found = new PlacementEvent.AttemptsFound(
-                    shard, mine.ownEpoch, worker.worker.id(), asked, worker.list(shard));
-            network.post(random.nextLong(2 * SECOND), () -> mine.apply(found));
-        }
-    }
-
-    private void loseWorker(ModelWorker worker) {
-        count("worker without holder");
-        worker.held = false;
-        worker.unheldSince = now();
-        worker.runs.values().forEach(run -> excused.add(run.start.task()));
-        owner.apply(rooms());
-        network.post(random.nextLong(9 * SECOND), () -> takeWorker(worker));
-    }
-
-    private void takeWorker(ModelWorker worker) {
-        if (!worker.held) {
-            lapse(worker);
-            worker.held = true;
-            fence(worker);
-        }
-    }
-
-    private void lapse(ModelWorker worker) {
-        if (!worker.held && now() - worker.unheldSince >= 3_500_000_000L) {
-            worker.runs.values().stream()
-                    .filter(run -> !run.state.ended())
-                    .forEach(run -> run.state = TaskState.LAPSED);
-        }
-    }
-
-    private PlacementEvent rooms() {
-        return new PlacementEvent.WorkersChanged(workers.stream()
-                .filter(worker -> worker.held)
-                .map(worker -> new WorkerRoom(worker.worker, worker.free()))
-                .toList());
+        network.post(SECOND * 5 / 2, () -> from.fencing.remove(id));
+        network.post(random.nextLong(SECOND), () -> {
+            ModelWorker worker = daemons.worker(id);
+            if (worker.holder != held.holder() || !daemons.up(from.daemon, held.holder())) {
+                return;
+            }
+            List<PlacementEvent> found = new ArrayList<>();
+            for (int shard = 0; shard < Job.SHARDS; shard++) {
+                worker.fences.merge(shard, from.ownEpoch, Math::max);
+                found.add(new PlacementEvent.AttemptsFound(shard, from.ownEpoch, id, asked, worker.list(shard)));
+            }
+            network.post(random.nextLong(SECOND), () -> {
+                if (daemons.up(held.holder(), from.daemon)) {
+                    found.forEach(from::apply);
+                    from.fencedAt.put(id, held.holder());
+                    from.fenced.add(id);
+                }
+            });
+        });
     }
 
     private void step(int millis) {
         long target = now() + millis * 1_000_000L;
         network.deliver(target);
         time.advance(Duration.ofNanos(target - now()));
+        daemons.beat();
+        Set<WorkerId> held = daemons.held(owner.daemon).keySet();
         for (ModelWorker worker : workers) {
-            lapse(worker);
+            worker.lapse(now());
             List.copyOf(worker.runs.values()).stream()
                     .filter(run -> !run.state.ended() && run.endsAt <= now())
                     .forEach(run -> finish(worker, run));
+            if (!held.contains(worker.worker.id())) {
+                worker.runs.values().forEach(run -> excused.add(run.start.task()));
+            }
+        }
+        // A holder knows a claim of the shard at the latest when its view of the log must be renewed.
+        if (now() - claimed >= 2 * SECOND) {
+            daemons.stopCutOff(owner.daemon, this::stopAtHolder);
+        }
+        owner.tick();
+    }
+
+    /** A holder stops an attempt of an owner that it is cut off from, or at least renews its lease no more. */
+    private void stopAtHolder(ModelWorker worker, Run run) {
+        count("stop by a holder without contact");
+        excused.add(run.start.task());
+        if (random.nextBoolean()) {
+            run.lapsesAt = Math.min(run.lapsesAt, now() + SECOND * 7 / 2);
+        } else {
+            run.checkpoint();
+            report(worker, run);
         }
-        owner.apply(rooms());
-        owner.apply(new PlacementEvent.Tick());
     }
 
     private void finish(ModelWorker worker, Run run) {
@@ -281,7 +355,8 @@
     /** Reports an attempt's state to the owner until the worker has been told to forget it. */
     private void report(ModelWorker worker, Run run) {
         if (worker.runs.get(run.start.task()) == run) {
-            if (worker.held) {
+            int holder = worker.holder;
+            if (holder >= 0 && daemons.up(holder, owner.daemon)) {
                 PlacementEvent changed = new PlacementEvent.TaskChanged(worker.worker.id(), run.status());
                 network.send(() -> owner.apply(changed));
             }
@@ -291,16 +366,11 @@
 
     private void execute(Owner from, PlacementEffect effect) {
         switch (effect) {
-            case PlacementEffect.Start start -> {
-                long asked = now();
-                network.send(() -> start(from, start, asked));
-            }
-            case PlacementEffect.Stop stop ->
-                network.send(() -> control(from, stop.worker(), stop.task(), stop, stop.attempt()));
-            case PlacementEffect.Checkpoint move ->
-                network.send(() -> control(from, move.worker(), move.task(), move, move.attempt()));
+            case PlacementEffect.Start start -> start(from, start);
+            case PlacementEffect.Stop stop -> control(from, stop.worker(), stop.task(), stop, stop.attempt());
+            case PlacementEffect.Checkpoint move -> control(from, move.worker(), move.task(), move, move.attempt());
             case PlacementEffect.Forget forget ->
-                network.send(() -> control(from, forget.worker(), forget.task(), forget, forget.attempt()));
+                control(from, forget.worker(), forget.task(), forget, forget.attempt());
             case PlacementEffect.AppendEnd append -> network.post(random.nextLong(SECOND), () -> append(from, append));
             case PlacementEffect.Unplaceable unplaceable -> count("unplaceable");
         }
@@ -319,30 +389,52 @@
         network.post(random.nextLong(SECOND), () -> from.apply(logged));
     }
 
-    private ModelWorker worker(WorkerId id) {
-        return workers.stream()
-                .filter(w -> w.worker.id().equals(id))
-                .findFirst()
-                .orElseThrow();
+    /** Sends a command to the daemon that the owner believes to hold the worker; on a broken link it may be kept. */
+    private void command(Owner from, WorkerId id, BiConsumer<ModelWorker, Held> action) {
+        Held held = daemons.held(from.daemon).get(id);
+        if (held != null) {
+            network.send(() -> {
+                if (daemons.up(from.daemon, held.holder())) {
+                    action.accept(daemons.worker(id), held);
+                } else if (random.nextBoolean()) {
+                    network.post(random.nextLong(20 * SECOND), () -> action.accept(daemons.worker(id), held));
+                }
+            });
+        }
     }
 
-    private void start(Owner from, PlacementEffect.Start start, long asked) {
-        ModelWorker worker = worker(start.worker());
-        StartAnswer answer = worker.held ? begin(worker, start) : new StartAnswer.NotHolder();
-        network.send(() -> from.apply(
-                new PlacementEvent.StartAnswered(start.worker(), start.task(), start.attempt(), asked, answer)));
+    private void answer(Owner from, Held held, PlacementEvent answer) {
+        if (daemons.up(held.holder(), from.daemon)) {
+            network.send(() -> from.apply(answer));
+        }
     }
 
-    private StartAnswer begin(ModelWorker worker, PlacementEffect.Start start) {
+    private void start(Owner from, PlacementEffect.Start start) {
+        long asked = now();
+        command(from, start.worker(), (worker, held) -> {
+            StartAnswer answer =
+                    worker.holder == held.holder() ? begin(worker, start, held.sent()) : new StartAnswer.NotHolder();
+            answer(
+                    from,
+                    held,
+                    new PlacementEvent.StartAnswered(start.worker(), start.task(), start.attempt(), asked, answer));
+        });
+    }
+
+    private StartAnswer begin(ModelWorker worker, PlacementEffect.Start start, long reported) {
         Run same = worker.run(start.task(), start.attempt());
         if (same != null) {
             return new StartAnswer.Done(same.status());
         }
+        boolean late = reported - worker.heldSince < 0 || now() - reported >= COMMAND_LIFE;
         // The holder knows a claim of the shard at the latest when its view of the log must be renewed.
         boolean superseded = start.attempt().epoch() < epoch && now() - claimed >= 2 * SECOND;
         Run other = worker.runs.get(start.task());
         boolean older = other != null && other.start.attempt().compareTo(start.attempt()) > 0;
+        boolean cutOff = now() - claimed >= 2 * SECOND && daemons.cutOff(worker.holder, owner.daemon);
         boolean refused = superseded
+                || late
+                || cutOff
                 || older
                 || worker.refused.contains(start.attempt())
                 || worker.fences.getOrDefault(start.shard(), 0L)
@@ -356,7 +448,7 @@
         Run run = new Run(start, now() + start.runTime().toNanos());
         Run before = newest.get(start.task());
         boolean known = !excused.contains(start.task());
-        workers.forEach(this::lapse);
+        workers.forEach(w -> w.lapse(now()));
         ModelChecks.start(workers, run, before, known, finished.get(start.task().job()));
         if (start.resumeFrom().isPresent()) {
             count("resume");
@@ -370,13 +462,21 @@
     }
 
     private void control(Owner from, WorkerId id, TaskId task, PlacementEffect effect, Attempt attempt) {
-        ModelWorker worker = worker(id);
-        Run run = worker.run(task, attempt);
-        if (!worker.held || run == null) {
-            if (worker.held && effect instanceof PlacementEffect.Stop) {
+        command(from, id, (worker, held) -> {
+            if (worker.holder == held.holder()) {
+                control(from, worker, held, worker.run(task, attempt), effect, task, attempt);
+            }
+        });
+    }
+
+    private void control(
+            Owner from, ModelWorker worker, Held held, Run run, PlacementEffect effect, TaskId task, Attempt attempt) {
+        if (run == null) {
+            if (effect instanceof PlacementEffect.Stop) {
                 worker.refused.add(attempt);
                 StartAnswer refused = new StartAnswer.Refused("unknown attempt");
-                network.send(() -> from.apply(new PlacementEvent.StartAnswered(id, task, attempt, now(), refused)));
+                WorkerId id = worker.worker.id();
+                answer(from, held, new PlacementEvent.StartAnswered(id, task, attempt, now(), refused));
             }
             return;
         }
@@ -387,9 +487,10 @@
             return;
         }
         if (!run.state.ended()) {
-            run.state = effect instanceof PlacementEffect.Stop ? TaskState.STOPPED : TaskState.CHECKPOINTED;
-            if (run.state == TaskState.CHECKPOINTED) {
-                run.checkpoint = Optional.of(new CheckpointId(task.job() + "-" + task.index() + "-" + attempt));
+            if (effect instanceof PlacementEffect.Stop) {
+                run.state = TaskState.STOPPED;
+            } else {
+                run.checkpoint();
             }
             report(worker, run);
         }
