--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -37,6 +37,7 @@
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.peer.NettyPeerLink;
 import org.chestnutbarrow.peer.PeerMessage;
+import org.chestnutbarrow.placement.Contact;
 import org.chestnutbarrow.placement.JobShards;
 import org.chestnutbarrow.platform.HttpHostList;
 import org.chestnutbarrow.platform.HttpLog;
@@ -167,6 +168,7 @@
         buildMembership(control, tasks);
         buildJobs(jobLog, tasks);
         relay.open(jobs);
+        teams.open(jobs::teamUse);
         PeerCatalog peerCatalog = new PeerCatalog(catalog, records, link, peers::alive);
         buildFollower(log, jobLog, peerCatalog);
         Explanations explanations = new Explanations(decisions, jobs, link, peers::others);
@@ -224,6 +226,7 @@
                         : peers.alive(),
                 this::heldWorkers,
                 () -> leases.listed().stream().map(Worker::id).toList(),
+                this::contact,
                 calls);
     }
 
@@ -316,6 +319,7 @@
     private void tickJobs() {
         // Ticks go on while the state is stale: times without contact must be seen as such.
         if (follower.caughtUp() || gate.freshness().allowsStarts()) {
+            jobs.teamUseElsewhere(teams.elsewhere());
             jobs.tick();
         }
     }
@@ -381,6 +385,14 @@
         return held;
     }
 
+    private Contact contact() {
+        return switch (contacts.level()) {
+            case ALL -> Contact.ALL;
+            case MAJORITY -> Contact.MAJORITY;
+            case MINORITY -> Contact.MINORITY;
+        };
+    }
+
     /** How much tasks should avoid a worker: the share of its slots that requests use. */
     private double interactiveLoad(WorkerId worker) {
         return accounts.room(worker)
