--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -4,7 +4,6 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -312,13 +311,10 @@
 
     private List<PeerSlots> peerSlots() {
         List<PeerSlots> slots = new ArrayList<>();
-        Map<DaemonId, Map<WorkerId, Resources>> rooms = peers.rooms();
-        for (Map.Entry<DaemonId, Map<WorkerId, Resources>> entry : rooms.entrySet()) {
-            int free = entry.getValue().values().stream()
-                    .mapToInt(Resources::slots)
-                    .sum();
-            slots.add(new PeerSlots(entry.getKey(), free));
-        }
+        peers.rooms().forEach((daemon, rooms) -> {
+            int free = rooms.values().stream().mapToInt(Resources::slots).sum();
+            slots.add(new PeerSlots(daemon, free));
+        });
         return slots;
     }
 
@@ -399,9 +395,4 @@
         endpoints.close();
         platform.close();
     }
-
-    /** All workers of the host list. */
-    Collection<Worker> workers() {
-        return leases.listed();
-    }
 }
--- a/peer/src/test/java/org/chestnutbarrow/peer/Messages.java
+++ b/peer/src/test/java/org/chestnutbarrow/peer/Messages.java
@@ -62,6 +62,8 @@
             new PeerMessage.CatalogSnapshot(77, new byte[100_000]),
             new PeerMessage.ConfirmPosition(-1),
             new PeerMessage.Position(Long.MAX_VALUE),
+            new PeerMessage.Explain("reconcile-1"),
+            new PeerMessage.Explanation(List.of("event=place job=reconcile-1")),
             new PeerMessage.Failure("reason \u00e9"));
 
     private Messages() {}
