--- a/placement/src/test/java/org/chestnutbarrow/placement/LapseRuleTest.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/LapseRuleTest.java
@@ -27,11 +27,11 @@
         assertFalse(lapsed(0, 4_349), "lapsed before the task lease and the next heartbeat");
         assertTrue(lapsed(0, 4_350));
         assertFalse(lapsed(100, 4_350), "the worker was held until later");
-        sample(Contact.MAJORITY, 4_400, 13_400);
-        assertFalse(lapsed(0, 13_499), "a majority counted as all");
-        assertTrue(lapsed(0, 13_500));
-        sample(Contact.ALL, 13_500, 17_700);
-        assertFalse(lapsed(13_400, 17_800), "the time with all daemons included time with a majority");
+        sample(Contact.MAJORITY, 4_400, 19_900);
+        assertFalse(lapsed(0, 19_999), "a majority counted as all");
+        assertTrue(lapsed(0, 20_000));
+        sample(Contact.ALL, 20_000, 24_200);
+        assertFalse(lapsed(19_900, 24_300), "the time with all daemons included time with a majority");
     }
 
     @Test
