--- a/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
@@ -325,7 +325,6 @@
                 worker.runs.values().forEach(run -> excused.add(run.start.task()));
             }
         }
-        // A holder knows a claim of the shard at the latest when its view of the log must be renewed.
         if (now() - claimed >= 2 * SECOND) {
             daemons.stopCutOff(owner.daemon, this::stopAtHolder);
         }
@@ -355,8 +354,7 @@
     /** Reports an attempt's state to the owner until the worker has been told to forget it. */
     private void report(ModelWorker worker, Run run) {
         if (worker.runs.get(run.start.task()) == run) {
-            int holder = worker.holder;
-            if (holder >= 0 && daemons.up(holder, owner.daemon)) {
+            if (worker.holder >= 0 && daemons.up(worker.holder, owner.daemon)) {
                 PlacementEvent changed = new PlacementEvent.TaskChanged(worker.worker.id(), run.status());
                 network.send(() -> owner.apply(changed));
             }
