--- a/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
@@ -105,13 +105,18 @@
         return log;
     }
 
+    /** Where the host list's faults are switched. */
+    public Address hosts() {
+        return hosts;
+    }
+
     /** Where the proxy's faults are switched; only if the deployment is proxied. */
     public Address proxy() {
         return proxy;
     }
 
     /** The processes, to be killed or paused. */
-    Processes processes() {
+    public Processes processes() {
         return processes;
     }
 
--- a/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
@@ -15,7 +15,7 @@
  * Java processes of one deployment. Safe for use by several threads. All processes that still run are killed by
  * {@link #close} and when this process ends.
  */
-final class Processes implements AutoCloseable {
+public final class Processes implements AutoCloseable {
     private static final Duration RUN_TIME = Duration.ofSeconds(60);
     private static final Duration STOP_TIME = Duration.ofSeconds(5);
 
@@ -78,7 +78,7 @@
     }
 
     /** Ends a process at once, as {@code kill -9} does. */
-    void kill(String name) throws InterruptedException {
+    public void kill(String name) throws InterruptedException {
         Process process = running.remove(name);
         process.destroyForcibly();
         process.waitFor();
