Refuse an empty request id, an unknown zone state and take mixed-up answers as lost

Cause: an empty Chestnutbarrow-Request-Id reached a constructor check of RouteRequest and was answered 500 without an outcome. An unknown zone state was answered with the name of the enum instead of a remedy. An answer that echoes another request's id gave the worker's slot back at once, although the endpoint may still serve the request, and kept the connection, which is out of step.

Change: both inputs are refused with 400 and a remedy. A mixed-up answer is handled as a lost request: the slot stays charged for the longest request time, and idle connections to the endpoint are closed. A request that takes the connection in the moment before it is closed still gets a mixed-up answer, which its own check of the echoed id catches.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/ConfigApi.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/ConfigApi.java
@@ -105,7 +105,7 @@
                 return Answers.refused(
                         404, "not-applied", "zone " + zone + " is not declared; declare it or check the name");
             }
-            ZoneState state = ZoneState.valueOf(text(body, "state"));
+            ZoneState state = zoneState(text(body, "state"));
             return write(new LogRecord.ZoneChanged(id, base(body), text(body, "author"), zone, state));
         } catch (InvalidInputException e) {
             return Answers.invalid(e);
@@ -187,6 +187,14 @@
         throw new InvalidInputException("the body is not a JSON object", "send a JSON object");
     }
 
+    private static ZoneState zoneState(String text) throws InvalidInputException {
+        return switch (text) {
+            case "IN" -> ZoneState.IN;
+            case "OUT" -> ZoneState.OUT;
+            default -> throw new InvalidInputException("field state has another value", "send IN or OUT");
+        };
+    }
+
     private static String text(JsonNode body, String field) throws InvalidInputException {
         JsonNode value = body.path(field);
         if (!value.isTextual() || value.textValue().isEmpty()) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -101,6 +101,10 @@
     }
 
     private RouteRequest read(HttpRequest message, WorkClass work, String id, long start) throws InvalidInputException {
+        if (id.isEmpty()) {
+            throw new InvalidInputException(
+                    REQUEST_ID + " is empty", "leave it out or use the form <epochMillis>-<random>");
+        }
         boolean idempotent = IDEMPOTENT_METHODS.contains(message.method());
         Optional<String> stated = message.headers().first(IDEMPOTENT);
         if (stated.isPresent()) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
@@ -144,24 +144,31 @@
             return Exchange.notRun(e.getMessage());
         } catch (OutcomeUnknownException e) {
             Duration took = Duration.ofNanos(time.nanos() - start);
-            waiters.wake(router.finished(request, hold, new SendResult.Lost(took)));
-            timer.schedule(() -> waiters.wake(router.settle(hold)), REQUEST_TIME.toMillis(), TimeUnit.MILLISECONDS);
-            return Exchange.unknown(worker.id().value(), worker.zone().value(), e.getMessage());
+            return lost(request, hold, took, e.getMessage());
         }
     }
 
+    /** Ends a try that the endpoint may still be serving: its capacity stays charged until it must have ended. */
+    private Exchange lost(RouteRequest request, Hold hold, Duration took, String why) {
+        waiters.wake(router.finished(request, hold, new SendResult.Lost(took)));
+        timer.schedule(() -> waiters.wake(router.settle(hold)), REQUEST_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        Worker worker = hold.worker();
+        return Exchange.unknown(worker.id().value(), worker.zone().value(), why);
+    }
+
     private Exchange answered(RouteRequest request, Hold hold, HttpResponse response, Duration took, String reason) {
         Worker worker = hold.worker();
+        Optional<String> echoed = response.headers().first("Chestnutbarrow-Request-Id");
+        if (echoed.isPresent() && !echoed.get().equals(request.id())) {
+            // The connection is out of step: what it carries next may be the answer to this request.
+            endpoints.closeIdle(worker.endpoint());
+            return lost(request, hold, took, "the answer belongs to another request");
+        }
         waiters.wake(router.finished(request, hold, new SendResult.Answered(took, response.status())));
         if (response.status() == 412
                 && response.headers().first("Chestnutbarrow-Stale").isPresent()) {
             return Exchange.notRun("lease-taken-over");
         }
-        Optional<String> echoed = response.headers().first("Chestnutbarrow-Request-Id");
-        if (echoed.isPresent() && !echoed.get().equals(request.id())) {
-            return Exchange.unknown(
-                    worker.id().value(), worker.zone().value(), "the answer belongs to another request");
-        }
         return Exchange.ran(response, worker.id().value(), worker.zone().value(), reason);
     }
 
