interference: open workers whose latency varies without batch tasks

Cause: a report with p99 over 1.2 times the undisturbed one closed its worker to batch for 20 s, also when no batch task ran there. p99 of a second's few requests varies by more than that on its own, so each closure was renewed before it ended. Seen in DaemonFaultTest with real processes: after 11:27:25 no task ran on any of six workers, p99 was 60 to 113 ms of a bound of 250 ms, and 100 waiting tasks were not placed for 90 s. Ruled out: leaked accounts (requests used the same workers all the time), shards without owner (all were gained and fenced). Change: a worker without movable tasks is closed only if it is over its bound. Not changed: with movable tasks one report over the ratio still throttles and closes, however far the latency is from its bound.

--- a/interference/src/main/java/org/chestnutbarrow/interference/WorkerControlState.java
+++ b/interference/src/main/java/org/chestnutbarrow/interference/WorkerControlState.java
@@ -72,9 +72,15 @@
     }
 
     private Optional<Action> relieve(WorkerReport report, Sensitivity sensitivity, boolean overBound, Instant now) {
-        closedUntil = now.plus(CLOSED_TIME);
         List<TaskLoad> movable =
                 report.tasks().stream().filter(TaskLoad::movable).toList();
+        // Batch tasks do not cause a disturbance of a worker that runs none. Closing it for its ratio alone would keep
+        // it
+        // closed for as long as its latency varies, and no batch task would ever start there again.
+        if (movable.isEmpty() && !overBound) {
+            return Optional.empty();
+        }
+        closedUntil = now.plus(CLOSED_TIME);
         Optional<TaskLoad> worst = movable.stream()
                 .filter(task -> !throttled.containsKey(task.task()))
                 .max(Comparator.comparingDouble(task -> sensitivity.contribution(task, report.capacityMilliCores())));
--- a/interference/src/test/java/org/chestnutbarrow/interference/InterferenceTest.java
+++ b/interference/src/test/java/org/chestnutbarrow/interference/InterferenceTest.java
@@ -67,6 +67,16 @@
         assertTrue(report(95, watcher).isEmpty());
     }
 
+    /** Guards against workers that stay closed to batch because their latency varies while no batch task runs. */
+    @Test
+    public void opensAgainWhenLatencyVariesWithoutBatchTasks() {
+        assertTrue(report(30, load(0, "big", 20_000, 0.1)).isPresent());
+        for (int i = 0; i < 30; i++) {
+            assertTrue(report(30).isEmpty());
+        }
+        assertFalse(interference.closed(WORKER));
+    }
+
     @Test
     public void liftsTheLimitWhenCalm() {
         TaskLoad load = load(0, "big", 20_000, 0.1);
