http, daemon: end kept connections while a stopping daemon is still served

Cause: on SIGTERM idle connections were closed at once after the 2 s for the balancer. A request that a caller sent on such a connection at that moment was lost without an answer. DaemonFaultTest saw 1 of 372 requests without an answer. Ruled out: requests in flight at the drain; they were answered. Change: from SIGTERM on each answer ends its connection and says so, so that few connections are left to close after 2 s. What remains: a request on a connection that was idle for all of the 2 s, and one on a connection that the kernel accepted and the daemon did not before it stops listening.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -380,6 +380,7 @@
         leaving = true;
         Events.info("shutdown-begun", "daemon", settings.id());
         heartbeats.leave();
+        server.leave();
         Thread.sleep(BALANCER_TIME);
         server.drain();
         long end = time.nanos() + DRAIN_TIME.toNanos();
--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -113,6 +113,14 @@
         return connections.open();
     }
 
+    /**
+     * Ends each connection with its next answer, which says so. To be called some time before {@link #drain}: a request
+     * that a caller sends on a kept connection while the server closes it is lost without an answer.
+     */
+    public void leave() {
+        connections.leave();
+    }
+
     /** Stops accepting connections; requests in flight are answered and their connections closed afterwards. */
     public void drain() {
         if (closed.get()) {
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -16,6 +16,7 @@
     private final AtomicInteger count = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile boolean draining;
+    private volatile boolean leaving;
 
     ServerConnections(int limit) {
         this.limit = limit;
@@ -57,6 +58,15 @@
         return draining;
     }
 
+    /** Whether each answer ends its connection, because the server stops soon. */
+    boolean leaving() {
+        return leaving || draining;
+    }
+
+    void leave() {
+        leaving = true;
+    }
+
     void drain() {
         draining = true;
         for (Channel channel : open) {
--- a/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
@@ -97,7 +97,7 @@
 
     private void write(ChannelHandlerContext ctx, HttpResponse response, boolean keepAlive, boolean head) {
         FullHttpResponse message = encode(response, head);
-        boolean close = !keepAlive || closeAfterAnswer || connections.draining();
+        boolean close = !keepAlive || closeAfterAnswer || connections.leaving();
         if (close) {
             message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
+++ b/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
@@ -101,6 +101,20 @@
         }
     }
 
+    /** Guards against requests lost on connections that callers keep until the server closes them. */
+    @Test
+    void leavingServerEndsEachConnectionWithItsNextAnswer() throws Exception {
+        try (HttpServer server = start(LIMITS, request -> HttpResponse.text(200, "ok"));
+                Socket kept = open(server)) {
+            assertStatus(exchange(kept, GET), 200);
+            server.leave();
+            send(kept, GET);
+            String last = new String(kept.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertTrue(last.toLowerCase(Locale.ROOT).contains("connection: close"), last);
+            assertStatus(exchange(server, GET), 200);
+        }
+    }
+
     /** Guards against the answer to a pipelined request overtaking that of the request before it. */
     @Test
     void pipelinedRequestIsNotAnsweredInsteadOfTheFirst() throws Exception {
