--- a/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
@@ -111,7 +111,7 @@
     }
 
     /** The processes, to be killed or paused. */
-    Processes processes() {
+    public Processes processes() {
         return processes;
     }
 
@@ -163,6 +163,16 @@
         return call(address, HttpRequest.json("POST", target, json));
     }
 
+    /** Path of the settings file of a daemon. */
+    public Path settingsOf(String name) {
+        return settings(name);
+    }
+
+    /** Runs a daemon that must refuse to start, until it ends; returns its exit code. Its output is in NAME.out. */
+    public int runDaemon(String name, Path settings) throws IOException, InterruptedException {
+        return processes.run(name, DAEMON, List.of(settings.toString()));
+    }
+
     /** Runs the command line against the given daemons; returns its exit code. */
     public int cli(List<String> daemonsToUse, List<String> arguments) throws IOException, InterruptedException {
         String addresses = String.join(
@@ -235,7 +245,7 @@
                 Json.MAPPER.readTree(folder.resolve("proxy.json").toFile()).path("pairs");
         pairs.properties()
                 .forEach(entry -> proxied.put(
-                        entry.getKey(), Address.parse(entry.getValue().asText())));
+                        entry.getKey(), Address.parse(entry.getValue().path("listen").asText())));
     }
 
     private Address standin(String name, List<String> arguments, String field)
--- a/bench/src/main/java/org/chestnutbarrow/bench/Journals.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Journals.java
@@ -93,6 +93,10 @@
                         at,
                         event.path("requestId").asText(),
                         event.path("workClass").asText()));
+            case "lease" -> {
+                addLease(worker, at, event);
+                return;
+            }
             default -> {
                 return;
             }
@@ -100,6 +104,16 @@
         addUse(worker, at, event.path("use"));
     }
 
+    private void addLease(String worker, long at, JsonNode event) {
+        if (event.path("change").asText().equals("GRANTED")) {
+            observations.add(new Observation.LeaseGranted(
+                    worker,
+                    at,
+                    event.path("holder").asText(),
+                    event.path("epoch").asLong()));
+        }
+    }
+
     private void addUse(String worker, long at, JsonNode use) {
         JsonNode demand = use.path("demand");
         observations.add(new Observation.InUse(
--- a/bench/src/main/java/org/chestnutbarrow/bench/Judge.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Judge.java
@@ -141,7 +141,7 @@
     private static int rank(Observation observation) {
         return switch (observation) {
             case Observation.TaskEnded _ -> 0;
-            case Observation.InUse _, Observation.RequestStarted _ -> 1;
+            case Observation.InUse _, Observation.RequestStarted _, Observation.LeaseGranted _ -> 1;
             case Observation.TaskStarted _ -> 2;
         };
     }
--- a/bench/src/main/java/org/chestnutbarrow/bench/Observation.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Observation.java
@@ -22,4 +22,7 @@
 
     /** The endpoint began to serve a request. */
     record RequestStarted(String worker, long atMs, String requestId, String workClass) implements Observation {}
+
+    /** The worker granted its lease to a daemon; what starts from then on starts under this epoch. */
+    record LeaseGranted(String worker, long atMs, String holder, long epoch) implements Observation {}
 }
--- a/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
@@ -15,7 +15,7 @@
  * Java processes of one deployment. Safe for use by several threads. All processes that still run are killed by
  * {@link #close} and when this process ends.
  */
-final class Processes implements AutoCloseable {
+public final class Processes implements AutoCloseable {
     private static final Duration RUN_TIME = Duration.ofSeconds(60);
     private static final Duration STOP_TIME = Duration.ofSeconds(5);
 
@@ -67,7 +67,8 @@
         return Collections.unmodifiableList(new ArrayList<>(running.keySet()));
     }
 
-    boolean alive(String name) {
+    /** Whether a process of that name runs. */
+    public boolean alive(String name) {
         Process process = running.get(name);
         return process != null && process.isAlive();
     }
@@ -78,14 +79,14 @@
     }
 
     /** Ends a process at once, as {@code kill -9} does. */
-    void kill(String name) throws InterruptedException {
+    public void kill(String name) throws InterruptedException {
         Process process = running.remove(name);
         process.destroyForcibly();
         process.waitFor();
     }
 
     /** Asks a process to end by SIGTERM; returns whether it did in time. */
-    boolean terminate(String name, Duration atMost) throws InterruptedException {
+    public boolean terminate(String name, Duration atMost) throws InterruptedException {
         Process process = running.remove(name);
         process.destroy();
         boolean ended = process.waitFor(atMost.toMillis(), TimeUnit.MILLISECONDS);
@@ -96,7 +97,7 @@
     }
 
     /** Sends a signal such as {@code STOP} or {@code CONT}. */
-    void signal(String name, String signal) throws IOException, InterruptedException {
+    public void signal(String name, String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, String.valueOf(pid(name)))
                 .start()
                 .waitFor();
