--- a/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Cluster.java
@@ -245,7 +245,8 @@
                 Json.MAPPER.readTree(folder.resolve("proxy.json").toFile()).path("pairs");
         pairs.properties()
                 .forEach(entry -> proxied.put(
-                        entry.getKey(), Address.parse(entry.getValue().path("listen").asText())));
+                        entry.getKey(),
+                        Address.parse(entry.getValue().path("listen").asText())));
     }
 
     private Address standin(String name, List<String> arguments, String field)
