--- a/bench/src/main/java/org/chestnutbarrow/bench/Bench.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Bench.java
@@ -18,7 +18,8 @@
         @SubCommand(name = "load", impl = Experiment.Load.class),
         @SubCommand(name = "cost", impl = Experiment.Cost.class),
         @SubCommand(name = "added", impl = Experiment.Added.class),
-        @SubCommand(name = "slopes", impl = Experiment.Slopes.class)
+        @SubCommand(name = "slopes", impl = Experiment.Slopes.class),
+        @SubCommand(name = "faults", impl = Experiment.Faults.class)
     })
     private Experiment experiment;
 
@@ -40,12 +41,24 @@
     }
 
     private static boolean run(Experiment experiment) throws Exception {
-        switch (experiment) {
-            case Experiment.Load load -> new LoadExperiment(load, System.out).run();
-            case Experiment.Cost cost -> RoutingCost.run(cost.out);
-            case Experiment.Added added -> new AddedLatency(added, System.out).run();
-            case Experiment.Slopes slopes -> new SlopesExperiment(slopes, System.out).run();
-        }
-        return true;
+        return switch (experiment) {
+            case Experiment.Load load -> {
+                new LoadExperiment(load, System.out).run();
+                yield true;
+            }
+            case Experiment.Cost cost -> {
+                RoutingCost.run(cost.out);
+                yield true;
+            }
+            case Experiment.Added added -> {
+                new AddedLatency(added, System.out).run();
+                yield true;
+            }
+            case Experiment.Slopes slopes -> {
+                new SlopesExperiment(slopes, System.out).run();
+                yield true;
+            }
+            case Experiment.Faults faults -> new FaultExperiments(faults, System.out).run();
+        };
     }
 }
--- a/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Processes.java
@@ -67,7 +67,8 @@
         return Collections.unmodifiableList(new ArrayList<>(running.keySet()));
     }
 
-    boolean alive(String name) {
+    /** Whether a process of that name runs. */
+    public boolean alive(String name) {
         Process process = running.get(name);
         return process != null && process.isAlive();
     }
@@ -85,7 +86,7 @@
     }
 
     /** Asks a process to end by SIGTERM; returns whether it did in time. */
-    boolean terminate(String name, Duration atMost) throws InterruptedException {
+    public boolean terminate(String name, Duration atMost) throws InterruptedException {
         Process process = running.remove(name);
         process.destroy();
         boolean ended = process.waitFor(atMost.toMillis(), TimeUnit.MILLISECONDS);
@@ -96,7 +97,7 @@
     }
 
     /** Sends a signal such as {@code STOP} or {@code CONT}. */
-    void signal(String name, String signal) throws IOException, InterruptedException {
+    public void signal(String name, String signal) throws IOException, InterruptedException {
         new ProcessBuilder("kill", "-" + signal, String.valueOf(pid(name)))
                 .start()
                 .waitFor();
