--- a/bench/src/main/java/org/chestnutbarrow/bench/Trial.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Trial.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.bench;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
 import java.nio.file.Files;
@@ -134,7 +135,7 @@
         switch (step) {
             case Step.Batch batch -> {
                 if (!policy.withoutBatch()) {
-                    cluster.post(cluster.daemon(names.get(0)), "/v1/jobs", job(batch));
+                    submit(cluster, cluster.daemon(names.get(0)), job(batch));
                 }
             }
             case Step.ZoneOut out -> cluster.cli(names, List.of("zone", "out", out.zone()));
@@ -144,6 +145,14 @@
         }
     }
 
+    /** A job that is not accepted would make policies look better than they are. */
+    private static void submit(Cluster cluster, Address daemon, String job) throws IOException {
+        JsonNode answer = cluster.post(daemon, "/v1/jobs", job);
+        if (!answer.path("result").asText().equals("accepted")) {
+            throw new IOException("job was not accepted: " + answer);
+        }
+    }
+
     private String job(Step.Batch batch) {
         return String.format(
                 Locale.ROOT,
