Interference: keep a worker open to batch if no task runs on it

A slow report closed a worker to batch for 20 s even if no task ran there, as in the warm-up.

Change: only a report with tasks closes a worker; a test guards it.

--- a/interference/src/main/java/org/chestnutbarrow/interference/WorkerControlState.java
+++ b/interference/src/main/java/org/chestnutbarrow/interference/WorkerControlState.java
@@ -72,7 +72,10 @@
     }
 
     private Optional<Action> relieve(WorkerReport report, Sensitivity sensitivity, boolean overBound, Instant now) {
-        closedUntil = now.plus(CLOSED_TIME);
+        // Without tasks the disturbance has another cause, and keeping tasks away would only cost throughput.
+        if (!report.tasks().isEmpty()) {
+            closedUntil = now.plus(CLOSED_TIME);
+        }
         List<TaskLoad> movable =
                 report.tasks().stream().filter(TaskLoad::movable).toList();
         Optional<TaskLoad> worst = movable.stream()
--- a/interference/src/test/java/org/chestnutbarrow/interference/InterferenceTest.java
+++ b/interference/src/test/java/org/chestnutbarrow/interference/InterferenceTest.java
@@ -80,6 +80,13 @@
         assertFalse(interference.closed(WORKER));
     }
 
+    /** Guards against slow machines that keep batch away from workers on which none runs. */
+    @Test
+    public void doesNotCloseASlowWorkerWithoutTasks() {
+        assertTrue(report(95).isEmpty());
+        assertFalse(interference.closed(WORKER));
+    }
+
     private Optional<Action> report(int latencyMs, TaskLoad... loads) {
         time.advance(Duration.ofSeconds(1));
         return reportOfThePast(Duration.ZERO, latencyMs, loads);
