--- a/interference/src/main/java/org/chestnutbarrow/interference/WorkerControlState.java
+++ b/interference/src/main/java/org/chestnutbarrow/interference/WorkerControlState.java
@@ -74,10 +74,9 @@
     private Optional<Action> relieve(WorkerReport report, Sensitivity sensitivity, boolean overBound, Instant now) {
         List<TaskLoad> movable =
                 report.tasks().stream().filter(TaskLoad::movable).toList();
-        // Batch tasks do not cause a disturbance of a worker that runs none. Closing it for its ratio alone would keep
-        // it
-        // closed for as long as its latency varies, and no batch task would ever start there again.
-        if (movable.isEmpty() && !overBound) {
+        // Without batch tasks the disturbance has another cause. Closing the worker would keep it closed for as long as
+        // its latency varies, and no batch task would start there again.
+        if (movable.isEmpty()) {
             return Optional.empty();
         }
         closedUntil = now.plus(CLOSED_TIME);
