daemon: treat task ends of a superseded epoch as not logged

Cause: CatalogJobLog.append returned as if ends were recorded although readers ignored them, the shard having a newer epoch. If the same daemon had claimed the shard again meanwhile, its workers were told to forget results that the log does not have, and the tasks were started again. Change: append fails if the record had no effect; the ends stay with the worker. Compiled; not shown by a test, unit test missing.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/CatalogJobLog.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/CatalogJobLog.java
@@ -73,7 +73,12 @@
 
     @Override
     public void append(int shard, long epoch, List<TaskEnd> ends) throws NotRunException, OutcomeUnknownException {
-        writer.write(new LogRecord.TasksEnded(shard, epoch, ends));
+        AppliedRecord applied = writer.write(new LogRecord.TasksEnded(shard, epoch, ends));
+        // Taken for recorded, ignored ends would be forgotten by their workers, and the tasks would run once more.
+        if (!(applied.result() instanceof ApplyResult.TasksRecorded)) {
+            throw new NotRunException(
+                    "epoch " + epoch + " of shard " + shard + " is over", "its new owner records them");
+        }
     }
 
     private boolean own(ShardClaim claim) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/JobLog.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/JobLog.java
@@ -21,7 +21,11 @@
     /** All unfinished jobs of the shard as of the present position, at or after its newest claim. */
     List<LoggedJob> jobs(int shard);
 
-    /** Appends ends and returns once they have been read back; ends of a superseded epoch are ignored by readers. */
+    /**
+     * Appends ends and returns once they have been read back.
+     *
+     * @throws NotRunException also if the epoch was superseded, so that readers ignore the ends
+     */
     void append(int shard, long epoch, List<TaskEnd> ends) throws NotRunException, OutcomeUnknownException;
 
     /**
