--- a/bench/src/main/java/org/chestnutbarrow/bench/FaultExperiments.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/FaultExperiments.java
@@ -29,7 +29,7 @@
     private static final String VICTIM = "entry-3";
     private static final String OTHER = "entry-1";
     private static final String ZONE = "miskolc";
-    private static final Duration WAIT = Duration.ofSeconds(120);
+    private static final Duration WAIT = Duration.ofMinutes(2);
     private static final long BEFORE_MS = 2000;
     private static final long FAULT_MS = 8000;
     private static final long NOTICED_MS = 1500;
@@ -290,9 +290,9 @@
         return results.withArray("/" + name);
     }
 
-    private void figure(String what, String name, double value) {
-        figures.row(what, String.format(Locale.ROOT, "%.2f", value));
-        results.put(name, value);
+    private void figure(String what, String name, Number value) {
+        figures.row(what, String.format(Locale.ROOT, "%.2f", value.doubleValue()));
+        results.put(name, value.doubleValue());
     }
 
     private boolean report(List<String> broken) throws IOException {
