--- a/bench/src/main/java/org/chestnutbarrow/bench/FaultExperiments.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/FaultExperiments.java
@@ -290,9 +290,9 @@
         return results.withArray("/" + name);
     }
 
-    private void figure(String what, String name, double value) {
-        figures.row(what, String.format(Locale.ROOT, "%.2f", value));
-        results.put(name, value);
+    private void figure(String what, String name, Number value) {
+        figures.row(what, String.format(Locale.ROOT, "%.2f", value.doubleValue()));
+        results.put(name, value.doubleValue());
     }
 
     private boolean report(List<String> broken) throws IOException {
