--- a/bench/src/main/java/org/chestnutbarrow/bench/FaultExperiments.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/FaultExperiments.java
@@ -115,13 +115,12 @@
 
         OutageResult gap = outage(length);
         figure("log appends per second, no fault", "logAppendsPerSecond", appends);
-        figure("batch tasks finished in " + options.outageSeconds + " s, no fault", "tasksWithoutOutage", (double) done);
+        figure("batch tasks finished in " + options.outageSeconds + " s, no fault", "tasksWithoutOutage", (double)
+                done);
         figure("batch tasks finished in the same time of log outage", "tasksDuringOutage", (double) gap.tasks());
         figure("requests that ran in that time, no fault", "requestsWithoutOutage", (double) normal.count("ran"));
-        figure(
-                "requests that ran in the same time of log outage",
-                "requestsDuringOutage",
-                (double) gap.load().count("ran"));
+        figure("requests that ran in the same time of log outage", "requestsDuringOutage", (double)
+                gap.load().count("ran"));
         figure("batch work in the outage, % of that without", "outageWorkPercent", 100.0 * gap.tasks() / done);
     }
 
--- a/bench/src/main/java/org/chestnutbarrow/bench/Recorder.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Recorder.java
@@ -77,7 +77,8 @@
                         .put("attempt", end.attempt())
                         .put("state", end.state())
                         .put("doneMs", end.doneMs());
-            case Observation.InUse _, Observation.RequestStarted _, Observation.LeaseGranted _ -> Json.MAPPER.missingNode();
+            case Observation.InUse _, Observation.RequestStarted _, Observation.LeaseGranted _ ->
+                Json.MAPPER.missingNode();
         };
     }
 }
