Refuse starts that were sent for an earlier lease; know receipts in an outage

Cause: a start that is long on its way can reach a holder after the owner has given the attempt up and started another one. A request repeated with its id during a log outage was answered as not run although the first copy ran. Two daemons that do not hear each other took the same shards in turn, 682 records in 10 s. Ruled out: the age of the start by clocks, which differ between hosts; a new receipt to learn of the old one, which needs the log. Change: StartTask names the lease epoch that the owner heard of, and under another one the worker decides by a stop; attempts are known before the account opens; a known receipt is answered 409 without the log; a shard that was lost is not claimed again for 15 s.

--- a/bench/src/main/java/org/chestnutbarrow/bench/LibraryCosts.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/LibraryCosts.java
@@ -169,7 +169,7 @@
     private static void exchange(NettyPeerLink sender, int workers) {
         List<PeerMessage.WorkerRoom> rooms = new ArrayList<>();
         for (int i = 0; i < workers; i++) {
-            rooms.add(new PeerMessage.WorkerRoom(new WorkerId("worker-" + (10_000 + i)), ROOM));
+            rooms.add(new PeerMessage.WorkerRoom(new WorkerId("worker-" + (10_000 + i)), ROOM, i));
         }
         PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(
                 SENDER,
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -99,6 +99,7 @@
     private final FreshnessGate gate;
     private final Contacts contacts;
     private final TeamUse teams;
+    private final LeaseEpochs leaseEpochs = new LeaseEpochs();
     private final PeerDispatch dispatch = new PeerDispatch();
     private NettyPeerLink link;
     private Heartbeats heartbeats;
@@ -191,6 +192,7 @@
                 gate,
                 contacts,
                 teams,
+                leaseEpochs,
                 link,
                 this::ownRooms,
                 () -> catalog.configuration().version(),
@@ -266,7 +268,12 @@
                 _ -> RECEIPT_BYTES,
                 RECEIPTS);
         RequestLog requestLog = new RequestLog(metrics, latencies, decisions);
-        return new RequestFront(runner, new LogReceipts(receipts), catalog::configuration, time, requestLog);
+        return new RequestFront(
+                runner,
+                new LogReceipts(receipts, id -> catalog.receipt(id).isPresent()),
+                catalog::configuration,
+                time,
+                requestLog);
     }
 
     private HttpFront front(
@@ -353,7 +360,7 @@
     private List<PeerMessage.WorkerRoom> ownRooms() {
         List<PeerMessage.WorkerRoom> rooms = new ArrayList<>();
         for (Room room : accounts.rooms()) {
-            rooms.add(new PeerMessage.WorkerRoom(room.worker().id(), offered(room)));
+            rooms.add(new PeerMessage.WorkerRoom(room.worker().id(), offered(room), room.epoch()));
         }
         return rooms;
     }
@@ -368,14 +375,14 @@
     private List<HeldWorker> heldWorkers() {
         List<HeldWorker> held = new ArrayList<>();
         for (Room room : accounts.rooms()) {
-            held.add(new HeldWorker(room.worker(), settings.id(), offered(room)));
+            held.add(new HeldWorker(room.worker(), settings.id(), offered(room), room.epoch()));
         }
         Map<WorkerId, Worker> listed = leases.listedById();
         peers.rooms()
                 .forEach((daemon, rooms) -> rooms.forEach((id, free) -> {
                     Worker worker = listed.get(id);
                     if (worker != null) {
-                        held.add(new HeldWorker(worker, daemon, free));
+                        held.add(new HeldWorker(worker, daemon, free, leaseEpochs.get(daemon, id)));
                     }
                 }));
         return held;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Heartbeats.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Heartbeats.java
@@ -43,6 +43,7 @@
     private final FreshnessGate gate;
     private final Contacts contacts;
     private final TeamUse teams;
+    private final LeaseEpochs leaseEpochs;
     private final PeerLink link;
     private final Supplier<List<WorkerRoom>> rooms;
     private final LongSupplier version;
@@ -60,6 +61,7 @@
             FreshnessGate gate,
             Contacts contacts,
             TeamUse teams,
+            LeaseEpochs leaseEpochs,
             PeerLink link,
             Supplier<List<WorkerRoom>> rooms,
             LongSupplier version,
@@ -70,6 +72,7 @@
         this.gate = gate;
         this.contacts = contacts;
         this.teams = teams;
+        this.leaseEpochs = leaseEpochs;
         this.link = link;
         this.rooms = rooms;
         this.version = version;
@@ -113,6 +116,7 @@
         if (from.equals(request.daemon())) {
             contacts.heard(from, request.position());
             teams.heard(from, request.teamUse());
+            leaseEpochs.heard(from, request.workers());
             log(peers.heard(report(request)));
         } else {
             Events.warn("heartbeat-ignored", "from", from, "daemon", request.daemon(), "reason", "other-sender");
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/HeldWorker.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/HeldWorker.java
@@ -9,5 +9,6 @@
  *
  * @param holder the daemon, which may be this one
  * @param free what is free there
+ * @param epoch epoch of the lease
  */
-record HeldWorker(Worker worker, DaemonId holder, Resources free) {}
+record HeldWorker(Worker worker, DaemonId holder, Resources free, long epoch) {}
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/JobRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/JobRunner.java
@@ -191,8 +191,10 @@
     }
 
     private void start(PlacementEffect.Start start) {
+        HeldWorker held = workers.get(start.worker());
         StartTask message = new StartTask(
                 start.worker(),
+                held == null ? 0 : held.epoch(),
                 start.task(),
                 start.workClass(),
                 start.shard(),
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseCommands.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseCommands.java
@@ -91,8 +91,9 @@
             reports.renewed(worker, grant, sentAt);
             return;
         }
-        accounts.open(worker, grant.epoch(), validUntil, grant.tasks(), grant.requestsInFlight(), requestTime);
+        // The attempts are known before the account is open, so that no start is judged without them.
         reports.taken(worker, grant, sentAt);
+        accounts.open(worker, grant.epoch(), validUntil, grant.tasks(), grant.requestsInFlight(), requestTime);
         Events.info(
                 "lease-taken",
                 "worker",
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogReceipts.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogReceipts.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Predicate;
 import org.chestnutbarrow.catalog.ApplyResult;
 import org.chestnutbarrow.model.LogRecord.Receipt;
 import org.chestnutbarrow.model.NotRunException;
@@ -16,9 +17,17 @@
     private static final String AGAIN = "send the request again with the same id";
 
     private final GroupWriter<Receipt> writer;
+    private final Predicate<String> known;
 
-    LogReceipts(GroupWriter<Receipt> writer) {
+    /** Creates it; {@code known} tells whether the log's state has a receipt. */
+    LogReceipts(GroupWriter<Receipt> writer, Predicate<String> known) {
         this.writer = writer;
+        this.known = known;
+    }
+
+    @Override
+    public boolean known(String requestId) {
+        return known.test(requestId);
     }
 
     @Override
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Receipts.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Receipts.java
@@ -5,6 +5,9 @@
 
 /** Makes receipts of non-idempotent requests durable. Implementations are safe for use by several threads. */
 interface Receipts {
+    /** Whether a receipt of this id is known to this daemon; known ones stay known while the log is away. */
+    boolean known(String requestId);
+
     /**
      * Makes a receipt, or finds out that there is one.
      *
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -165,7 +165,7 @@
     private Optional<HttpResponse> makeReceipt(String id) throws InvalidInputException {
         Instant taken = RequestIds.check(id, time.now());
         try {
-            if (receipts.make(id, taken)) {
+            if (!receipts.known(id) && receipts.make(id, taken)) {
                 log.receipt("made");
                 return Optional.empty();
             }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/ShardClaims.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/ShardClaims.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.daemon;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -33,6 +34,7 @@
  */
 final class ShardClaims {
     private static final int CLAIMS_IN_FLIGHT = 4;
+    private static final Duration CLAIM_PAUSE = Duration.ofSeconds(15);
 
     private final DaemonId self;
     private final TimeSource time;
@@ -48,6 +50,7 @@
     private final Map<Integer, Shard> shards = new ConcurrentHashMap<>();
     private final LapseRule lapse = new LapseRule();
     private final Map<WorkerId, Long> lastHeld = new ConcurrentHashMap<>();
+    private final Map<Integer, Long> lostAt = new ConcurrentHashMap<>();
     private final Set<Integer> claiming = ConcurrentHashMap.newKeySet();
 
     ShardClaims(
@@ -117,7 +120,7 @@
         for (int i = 0; i < Job.SHARDS; i++) {
             int shard = i;
             boolean mine = preferred(shard, daemons, self).equals(self);
-            if (mine && !shards.containsKey(shard) && claims.tryAcquire()) {
+            if (mine && !shards.containsKey(shard) && !lostLately(shard, now) && claims.tryAcquire()) {
                 if (claiming.add(shard)) {
                     executor.execute(() -> claim(shard));
                 } else {
@@ -132,11 +135,21 @@
     void claimed(int shard, long epoch) {
         Shard state = shards.get(shard);
         if (state != null && epoch > state.epoch && shards.remove(shard, state)) {
+            lostAt.put(shard, time.nanos());
             events.accept(new PlacementEvent.ShardLost(shard));
             Events.info("shard-lost", "shard", shard, "epoch", state.epoch, "newer", epoch);
         }
     }
 
+    /**
+     * Whether another daemon took the shard a short while ago. Two daemons that do not hear each other both believe to be
+     * preferred, and without this pause they would take their shards from each other at every tick.
+     */
+    private boolean lostLately(int shard, long now) {
+        Long lost = lostAt.get(shard);
+        return lost != null && now - lost < CLAIM_PAUSE.toNanos();
+    }
+
     private void claim(int shard) {
         try {
             long epoch = log.claim(shard).epoch() + 1;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/TaskReports.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/TaskReports.java
@@ -8,7 +8,7 @@
  * are the monotonic nanoseconds at which the lease was asked for.
  */
 interface TaskReports {
-    /** The lease was taken; called after the account of the worker was opened. */
+    /** The lease was taken; called before the account of the worker is opened. */
     void taken(Worker worker, WorkerControl.Grant grant, long askedAt);
 
     /** The lease was renewed. A new incarnation of the worker has lost the tasks of the one before. */
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
@@ -94,6 +94,10 @@
         if (attempts.settled(start.task(), start.attempt())) {
             return result(CommandResult.REFUSED, "the attempt was refused or forgotten before");
         }
+        if (room.get().epoch() != start.leaseEpoch()) {
+            // The attempt may run under an earlier lease, so only the worker can say what became of it.
+            return withdraw(start.worker(), start.task(), start.attempt(), room.get(), attempts);
+        }
         String closed = closed(start, room.get());
         if (!closed.isEmpty()) {
             return attempts.uncertain(start.task(), start.attempt())
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/HeartbeatsTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/HeartbeatsTest.java
@@ -49,7 +49,7 @@
             }
             assertEquals(gate.freshness().age(), Duration.ofSeconds(2));
             assertFalse(gate.freshness().allowsStarts());
-            assertEquals(link.sent.workers(), List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST)));
+            assertEquals(link.sent.workers(), List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST, 1)));
         }
     }
 
@@ -75,13 +75,23 @@
     }
 
     private Heartbeats heartbeats(FakeLink link) {
-        List<WorkerRoom> rooms = List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST));
+        List<WorkerRoom> rooms = List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST, 1));
         return new Heartbeats(
-                A, 1, peers, gate, contacts, new TeamUse(peers::alive), link.link(), () -> rooms, () -> 1, time);
+                A,
+                1,
+                peers,
+                gate,
+                contacts,
+                new TeamUse(peers::alive),
+                new LeaseEpochs(),
+                link.link(),
+                () -> rooms,
+                () -> 1,
+                time);
     }
 
     private static Heartbeat heartbeat(boolean leaving) {
-        List<WorkerRoom> rooms = List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST));
+        List<WorkerRoom> rooms = List.of(new WorkerRoom(WORKER, Resources.ONE_REQUEST, 1));
         return new Heartbeat(B, 1, leaving, 3, Optional.of(Duration.ofMillis(100)), true, 1, rooms, Set.of(), Map.of());
     }
 
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/WorkerTasksTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/WorkerTasksTest.java
@@ -116,7 +116,15 @@
     private static StartTask start(int index, long epoch) {
         TaskId task = new TaskId(new JobId("j"), index);
         Attempt attempt = new Attempt(epoch, index + 1L);
-        return new StartTask(WORKER.id(), task, "c", 0, attempt, DEMAND, Duration.ZERO, Optional.empty());
+        return new StartTask(WORKER.id(), 1, task, "c", 0, attempt, DEMAND, Duration.ZERO, Optional.empty());
+    }
+
+    /** Guards against a start that was on its way while the lease changed and its attempt was given up. */
+    @Test
+    public void doesNotStartUnderAnotherLeaseThanTheOwnerKnew() {
+        accounts.open(WORKER, 2, time.nanos() + Duration.ofHours(1).toNanos(), List.of(), 0, Duration.ZERO);
+        assertEquals(tasks.start(start(0, 1)).result(), CommandResult.REFUSED);
+        assertEquals(control.sent, 0);
     }
 
     @Test
--- a/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
@@ -47,8 +47,12 @@
         }
     }
 
-    /** What is free on a worker that the sender holds the lease of. */
-    record WorkerRoom(WorkerId worker, Resources free) {}
+    /**
+     * What is free on a worker that the sender holds the lease of.
+     *
+     * @param epoch epoch of that lease
+     */
+    record WorkerRoom(WorkerId worker, Resources free, long epoch) {}
 
     /**
      * Asks a peer to run an interactive request on one of its workers. It is not forwarded again.
@@ -78,9 +82,15 @@
     record ForwardResponse(String outcome, String reason, String worker, int status, List<String> headers, byte[] body)
             implements PeerMessage {}
 
-    /** Asks the holder of a worker's lease to start an attempt there. */
+    /**
+     * Asks the holder of a worker's lease to start an attempt there.
+     *
+     * @param leaseEpoch epoch of the holder's lease as the sender knows it; under another one the attempt is not started,
+     *     because the message may have been on its way for longer than the sender waits for an attempt to lapse
+     */
     record StartTask(
             WorkerId worker,
+            long leaseEpoch,
             TaskId task,
             String workClass,
             int shard,
--- a/peer/src/main/java/org/chestnutbarrow/peer/StateCodec.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/StateCodec.java
@@ -43,8 +43,10 @@
                 .number(message.version())
                 .list(
                         message.workers(),
-                        (writer, room) ->
-                                writer.array(2).text(room.worker().value()).resources(room.free()))
+                        (writer, room) -> writer.array(3)
+                                .text(room.worker().value())
+                                .resources(room.free())
+                                .number(room.epoch()))
                 .list(message.silent(), (writer, daemon) -> writer.text(daemon.value()))
                 .list(
                         message.teamUse().entrySet(),
@@ -76,8 +78,8 @@
     }
 
     private static WorkerRoom room(FieldReader from) throws FrameException {
-        from.array(2);
-        return new WorkerRoom(new WorkerId(from.text()), from.resources());
+        from.array(3);
+        return new WorkerRoom(new WorkerId(from.text()), from.resources(), from.number());
     }
 
     static void write(FieldWriter to, ForwardRequest message) {
--- a/peer/src/main/java/org/chestnutbarrow/peer/TaskCodec.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/TaskCodec.java
@@ -20,7 +20,7 @@
 
 /** Fields of the messages about tasks and job shards. Stateless. */
 final class TaskCodec {
-    static final int START_FIELDS = 8;
+    static final int START_FIELDS = 9;
     static final int CONTROL_FIELDS = 4;
     static final int RESULT_FIELDS = 3;
     static final int CHANGED_FIELDS = 2;
@@ -31,7 +31,8 @@
     private TaskCodec() {}
 
     static void write(FieldWriter to, StartTask message) {
-        to.text(message.worker().value()).text(message.task().toString()).text(message.workClass());
+        to.text(message.worker().value()).number(message.leaseEpoch());
+        to.text(message.task().toString()).text(message.workClass());
         to.number(message.shard());
         attempt(to, message.attempt());
         to.resources(message.demand()).duration(message.runTime());
@@ -41,6 +42,7 @@
     static StartTask startTask(FieldReader from) throws FrameException {
         return new StartTask(
                 worker(from),
+                from.number(),
                 TaskId.parse(from.text()),
                 from.text(),
                 from.smallNumber(),
--- a/peer/src/test/java/org/chestnutbarrow/peer/Messages.java
+++ b/peer/src/test/java/org/chestnutbarrow/peer/Messages.java
@@ -36,7 +36,7 @@
                     Optional.of(Duration.ofNanos(1)),
                     true,
                     9,
-                    List.of(new PeerMessage.WorkerRoom(WORKER, DEMAND)),
+                    List.of(new PeerMessage.WorkerRoom(WORKER, DEMAND, 7)),
                     Set.of(new DaemonId("b")),
                     Map.of("team", DEMAND)),
             new PeerMessage.Heartbeat(
@@ -61,8 +61,9 @@
                     BODY),
             new PeerMessage.ForwardResponse("ran", "", "worker-1", 200, List.of("A", "b"), BODY),
             new PeerMessage.ForwardResponse("not-run", "no room", "", 503, List.of(), new byte[0]),
-            new PeerMessage.StartTask(WORKER, TASK, "batch", 63, ATTEMPT, DEMAND, Duration.ZERO, CHECKPOINT),
-            new PeerMessage.StartTask(WORKER, TASK, "batch", 0, ATTEMPT, DEMAND, Duration.ofDays(30), Optional.empty()),
+            new PeerMessage.StartTask(WORKER, 7, TASK, "batch", 63, ATTEMPT, DEMAND, Duration.ZERO, CHECKPOINT),
+            new PeerMessage.StartTask(
+                    WORKER, 7, TASK, "batch", 0, ATTEMPT, DEMAND, Duration.ofDays(30), Optional.empty()),
             new PeerMessage.ControlTask(WORKER, TASK, ATTEMPT, PeerMessage.TaskAction.FORGET),
             new PeerMessage.TaskResult(PeerMessage.CommandResult.DONE, "", Optional.of(ENDED)),
             new PeerMessage.TaskResult(PeerMessage.CommandResult.NOT_HOLDER, "why", Optional.empty()),
