Keep an outcome unknown when a refused retry follows a lost try

Cause: PartitionTest found two requests that had run and were answered as not run. A forwarded request lost its answer, its retry was refused before anything was sent, and the refusal replaced the unknown outcome. A peer whose handler failed halfway was also taken for not run. Ruled out: not retrying after a lost answer, which idempotent requests may. Change: an unknown outcome stands unless a later try ran; a failed peer makes the outcome unknown, and a peer that refuses says so in its answer.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -93,7 +93,8 @@
         Optional<WorkClass> work =
                 configuration.get().workClass(ask.workClass()).filter(WorkClass::interactive);
         if (work.isEmpty()) {
-            return new PeerMessage.Failure("class " + ask.workClass() + " is not known here");
+            Exchange refused = Exchange.notRun("class " + ask.workClass() + " is not known at the peer");
+            return RequestRunner.response(refused);
         }
         long deadline = time.nanos() + ask.deadline().toNanos();
         return runner.runForwarded(
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
@@ -89,7 +89,10 @@
                 return last;
             }
             metrics.retry(request.work().name());
-            last = carryOut(request, message, decision, tried);
+            Exchange next = carryOut(request, message, decision, tried);
+            // An earlier try may have run, whatever became of this one.
+            boolean mayHaveRun = last.outcome() instanceof Outcome.Unknown;
+            last = mayHaveRun && next.isNotRun() ? last : next;
         }
         return last;
     }
@@ -216,7 +219,7 @@
         try {
             PeerMessage answer = peers.call(peer, ask, timeout);
             if (!(answer instanceof PeerMessage.ForwardResponse response)) {
-                return Exchange.notRun("peer " + peer + " refused");
+                return Exchange.unknown("", "", "peer " + peer + " failed while it ran the request");
             }
             HttpResponse http = new HttpResponse(response.status(), unflatten(response.headers()), response.body());
             return switch (response.outcome()) {
@@ -234,7 +237,11 @@
     /** Runs a request that a peer forwarded. */
     PeerMessage runForwarded(PeerMessage.ForwardRequest ask, RouteRequest request) throws InterruptedException {
         HttpRequest message = new HttpRequest(ask.method(), ask.target(), unflatten(ask.headers()), ask.body());
-        Exchange exchange = run(request, message);
+        return response(run(request, message));
+    }
+
+    /** An outcome as it is sent to the daemon that forwarded the request. */
+    static PeerMessage response(Exchange exchange) {
         HttpResponse response = exchange.response();
         return new PeerMessage.ForwardResponse(
                 exchange.outcome().label(),
--- /dev/null
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/RequestRunnerTest.java
@@ -0,0 +1,113 @@
+package org.chestnutbarrow.daemon;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.chestnutbarrow.capacity.Accounts;
+import org.chestnutbarrow.http.HttpClient;
+import org.chestnutbarrow.http.HttpRequest;
+import org.chestnutbarrow.model.Address;
+import org.chestnutbarrow.model.Configuration;
+import org.chestnutbarrow.model.DaemonId;
+import org.chestnutbarrow.model.Freshness;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.Outcome;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.Target;
+import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.WorkClass;
+import org.chestnutbarrow.peer.PeerLink;
+import org.chestnutbarrow.peer.PeerMessage;
+import org.chestnutbarrow.routing.PeerSlots;
+import org.chestnutbarrow.routing.RouteRequest;
+import org.chestnutbarrow.routing.Router;
+import org.testng.annotations.Test;
+
+/** Guards against an answer that says not run although an earlier try may have run. */
+public class RequestRunnerTest {
+    private static final DaemonId PEER = new DaemonId("peer");
+    private static final WorkClass WORK =
+            new WorkClass("desk", "team", new Target.TailLatency(0.99, Duration.ofMillis(200)), Resources.ONE_REQUEST);
+    private static final Freshness FRESH = new Freshness.Current(Duration.ZERO, true);
+
+    @Test
+    public void aRefusedRetryLeavesTheFirstTryUnknown() throws InterruptedException {
+        assertTrue(run(new Link(false)) instanceof Outcome.Unknown);
+    }
+
+    @Test
+    public void aPeerThatFailsHalfwayLeavesTheOutcomeUnknown() throws InterruptedException {
+        assertTrue(run(new Link(true)) instanceof Outcome.Unknown);
+    }
+
+    private static Outcome run(PeerLink link) throws InterruptedException {
+        TimeSource time = TimeSource.SYSTEM;
+        Accounts accounts = new Accounts(time);
+        List<PeerSlots> slots = List.of(new PeerSlots(PEER, 4));
+        Router router =
+                new Router(time, accounts, () -> Configuration.INITIAL, () -> FRESH, () -> slots, new Random(1));
+        try (HttpClient endpoints = new HttpClient(1024);
+                ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor()) {
+            RequestRunner runner = new RequestRunner(
+                    router,
+                    accounts,
+                    () -> Configuration.INITIAL,
+                    () -> FRESH,
+                    endpoints,
+                    link,
+                    time,
+                    timer,
+                    new Waiters(),
+                    new Metrics());
+            long deadline = time.nanos() + Duration.ofSeconds(30).toNanos();
+            RouteRequest request = new RouteRequest("r", WORK, true, deadline, false);
+            return runner.run(request, HttpRequest.get("/desk/1")).outcome();
+        }
+    }
+
+    /** Loses the answer of the first call, or fails it halfway; nothing is sent of later ones. */
+    private static final class Link implements PeerLink {
+        private final boolean fails;
+        private int calls;
+
+        Link(boolean fails) {
+            this.fails = fails;
+        }
+
+        @Override
+        public PeerMessage call(DaemonId peer, PeerMessage request, Duration timeout)
+                throws NotRunException, OutcomeUnknownException {
+            calls++;
+            if (calls > 1) {
+                throw new NotRunException("no connection", "try again");
+            }
+            if (fails) {
+                return new PeerMessage.Failure("the handler failed");
+            }
+            throw new OutcomeUnknownException("the answer was lost", "ask for the outcome");
+        }
+
+        @Override
+        public Address address() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void connect(DaemonId peer, Address address) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void send(DaemonId peer, PeerMessage message) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void close() {}
+    }
+}
