Let the placement simulation wait while all its daemons are stopped

Cause: InterleavingTest never ended in some orders. When every daemon of the model was stopped at once, the choice of the next owner searched for a running one without end (seen in a thread dump in Simulation.takeOver). Ruled out: a fault in placement; the code under test was not running. Change: the takeover is tried again after a second.

--- a/placement/src/test/java/org/chestnutbarrow/placement/ModelDaemons.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/ModelDaemons.java
@@ -58,6 +58,16 @@
         return pausedUntil[daemon] - time.nanos() <= 0;
     }
 
+    /** A daemon that runs, searched from the given one on; -1 if all are stopped. */
+    int runningFrom(int first) {
+        for (int i = 0; i < COUNT; i++) {
+            if (runs((first + i) % COUNT)) {
+                return (first + i) % COUNT;
+            }
+        }
+        return -1;
+    }
+
     boolean up(int from, int to) {
         return from == to || (!broken[from][to] && runs(to));
     }
--- a/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
+++ b/placement/src/test/java/org/chestnutbarrow/placement/Simulation.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.BiConsumer;
+import java.util.stream.IntStream;
 import org.chestnutbarrow.model.Attempt;
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.Job;
@@ -261,19 +262,18 @@
 
     /** A new owner claims all shards and fences them, while the old one may still be at work. */
     private void takeOver() {
+        int next = daemons.runningFrom(random.nextInt(ModelDaemons.COUNT));
+        if (next < 0) {
+            network.post(SECOND, this::takeOver);
+            return;
+        }
         epoch++;
         claimed = now();
-        int next = random.nextInt(ModelDaemons.COUNT);
-        while (!daemons.runs(next)) {
-            next = (next + 1) % ModelDaemons.COUNT;
-        }
-        owner = new Owner(next);
-        Owner mine = owner;
+        Owner mine = new Owner(next);
+        owner = mine;
         mine.apply(new PlacementEvent.ConfigurationChanged(ModelChecks.configuration(workers, out)));
         Map<Integer, List<LoggedJob>> byShard = new HashMap<>();
-        for (int shard = 0; shard < Job.SHARDS; shard++) {
-            byShard.put(shard, new ArrayList<>());
-        }
+        IntStream.range(0, Job.SHARDS).forEach(shard -> byShard.put(shard, new ArrayList<>()));
         for (Job job : jobs.values()) {
             List<TaskEnd> jobEnds = ends.values().stream()
                     .filter(end -> end.task().job().equals(job.id()))
