--- a/itest/src/test/java/org/chestnutbarrow/itest/EndpointFaultsTest.java
+++ b/itest/src/test/java/org/chestnutbarrow/itest/EndpointFaultsTest.java
@@ -67,6 +67,7 @@
     @Test
     public void idempotentRequestsAreRetriedOnAnotherWorker() throws IOException, InterruptedException {
         awaitServing();
+        awaitServing(workerIds().get(0));
         // The retry budget is a share of the requests served before.
         sendAll(60, i -> send(daemon(i), newId(), true, DEADLINE));
         fault(workerIds().get(0), "\"fault\":\"cut\",\"part\":\"HALF_BODY\"");
@@ -89,6 +90,20 @@
         assertTrue(saved > 0, "no request was saved by a retry: " + answers);
     }
 
+    /** Waits until a worker gets requests; earlier tests may have had it ejected for a while. */
+    private void awaitServing(String worker) throws IOException, InterruptedException {
+        long before = startsOn(worker);
+        long end = System.nanoTime() + Duration.ofSeconds(90).toNanos();
+        while (startsOn(worker) == before) {
+            assertTrue(System.nanoTime() - end < 0, worker + " gets no request");
+            sendAll(10, i -> send(daemon(i), newId(), true, DEADLINE));
+        }
+    }
+
+    private long startsOn(String worker) throws IOException {
+        return starts().stream().filter(start -> start.worker().equals(worker)).count();
+    }
+
     /** Guards against answers that come after the deadline: they must neither be passed on nor make a second run. */
     @Test
     public void lateAnswersAreNotPassedOn() throws IOException, InterruptedException {
