Use the second lease epoch in the stand-in's platform test

Cause: the test takes the lease twice, which now makes a second epoch, and its task command still named the first. Ruled out: the stand-in; it refused the older epoch as it should. Change: the command names the epoch that is held; all checks stay. Figures: PlatformTest failed with 409 before.

--- a/standin/src/test/java/org/chestnutbarrow/standin/PlatformTest.java
+++ b/standin/src/test/java/org/chestnutbarrow/standin/PlatformTest.java
@@ -167,7 +167,7 @@
                 fault(workers.address(), "{\"fault\":\"cut\",\"worker\":\"w0000\",\"part\":\"" + part + "\"}");
                 assertThrows(OutcomeUnknownException.class, () -> get(endpoint, "/x"));
             }
-            String start = "{\"epoch\":1,\"task\":\"j/0\",\"shard\":3,\"attempt\":{\"epoch\":1,\"sequence\":1},"
+            String start = "{\"epoch\":2,\"task\":\"j/0\",\"shard\":3,\"attempt\":{\"epoch\":1,\"sequence\":1},"
                     + "\"demand\":{\"slots\":0,\"connections\":0,\"milliCores\":1000,\"memoryMiB\":1,"
                     + "\"accelerators\":0},\"runMs\":30,\"leaseMs\":60000,\"resumeFrom\":null,"
                     + "\"workClass\":\"batch\",\"cpuShare\":100}";
