--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -0,0 +1,78 @@
+package org.chestnutbarrow.batch;
+
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+
+/** One job in memory. Guarded by the lock of its {@link Cell}. */
+final class JobEntry {
+    final JobSpec spec;
+    final long arrival;
+    final List<List<TaskEntry>> steps = new ArrayList<>();
+    JobState state = JobState.QUEUED;
+    Instant changed = Instant.EPOCH;
+    /** Whether the state in memory is newer than the stored one. */
+    boolean dirty;
+
+    private final int[] open;
+
+    JobEntry(JobSpec spec, long arrival) {
+        this.spec = spec;
+        this.arrival = arrival;
+        open = new int[spec.steps().size()];
+        for (int s = 0; s < spec.steps().size(); s++) {
+            Step step = spec.steps().get(s);
+            List<TaskEntry> tasks = new ArrayList<>(step.count());
+            for (int i = 0; i < step.count(); i++) {
+                tasks.add(new TaskEntry(this, new TaskName(spec.id(), s, i), step));
+            }
+            steps.add(tasks);
+            open[s] = step.count();
+        }
+    }
+
+    /** Whether all tasks of the steps before this one have finished. */
+    boolean ready(int step) {
+        for (int before : spec.steps().get(step).after()) {
+            if (open[before] > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void finish(TaskEntry task) {
+        if (!task.done) {
+            task.done = true;
+            open[task.name.step()]--;
+        }
+    }
+
+    boolean allDone() {
+        for (int left : open) {
+            if (left > 0) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void move(JobState to, Instant at) {
+        state = to;
+        changed = at;
+        dirty = true;
+    }
+
+    JobProgress progress() {
+        if (state.isFinal() && steps.stream().flatMap(List::stream).allMatch(t -> t.on == null)) {
+            return new JobProgress(spec.id(), state, changed, List.of());
+        }
+        return new JobProgress(
+                spec.id(),
+                state,
+                changed,
+                steps.stream()
+                        .map(tasks -> tasks.stream().map(TaskEntry::toRecord).toList())
+                        .toList());
+    }
+}
--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobState.java
@@ -0,0 +1,15 @@
+package org.chestnutbarrow.batch;
+
+/** Where a job stands. */
+public enum JobState {
+    QUEUED,
+    RUNNING,
+    COMPLETED,
+    FAILED,
+    CANCELLED;
+
+    /** Whether nothing of the job will run any more. */
+    public boolean isFinal() {
+        return this == COMPLETED || this == FAILED || this == CANCELLED;
+    }
+}
--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -0,0 +1,103 @@
+package org.chestnutbarrow.batch;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.WorkerId;
+
+/** One life of a worker with what is charged to it. Guarded by the lock of its {@link Cell}. */
+final class WorkerNode {
+    final WorkerEntry entry;
+    final Set<TaskEntry> tasks = new LinkedHashSet<>();
+    /** Whether this owner's token has reached the worker. */
+    boolean held;
+    /** Whether the worker is still listed. */
+    boolean listed = true;
+
+    boolean leaving;
+    /** Time of the last answer, ns. */
+    long heardAt;
+
+    long processed;
+    long acknowledged;
+    final Health health = new Health();
+    final Pacing pacing = new Pacing();
+
+    private Resources charged = Resources.NONE;
+    private long fillMilliCores;
+    private int serving;
+    private final Map<StepKey, Integer> perStep = new HashMap<>();
+
+    private record StepKey(JobId job, int step) {}
+
+    WorkerNode(WorkerEntry entry) {
+        this.entry = entry;
+        this.leaving = entry.leaving();
+    }
+
+    WorkerId id() {
+        return entry.id();
+    }
+
+    long born() {
+        return entry.born();
+    }
+
+    void add(TaskEntry task) {
+        if (!tasks.add(task)) {
+            return;
+        }
+        task.on = this;
+        charged = charged.plus(task.step.charge());
+        if (task.step.service().fills()) {
+            fillMilliCores += task.step.demand().milliCores();
+        }
+        if (task.step.service().targetMs() > 0) {
+            serving++;
+        }
+        perStep.merge(key(task), 1, Integer::sum);
+    }
+
+    void remove(TaskEntry task) {
+        if (!tasks.remove(task)) {
+            return;
+        }
+        charged = charged.minus(task.step.charge());
+        if (task.step.service().fills()) {
+            fillMilliCores -= task.step.demand().milliCores();
+        }
+        if (task.step.service().targetMs() > 0) {
+            serving--;
+        }
+        perStep.computeIfPresent(key(task), (_, n) -> n > 1 ? n - 1 : null);
+    }
+
+    boolean fits(Resources demand) {
+        return charged.plus(demand).fitsIn(entry.capacity());
+    }
+
+    int ofStep(TaskEntry task) {
+        return perStep.getOrDefault(key(task), 0);
+    }
+
+    /** Processor time that neither ordinary nor filling tasks have asked for; may be negative. */
+    long spareMilliCores() {
+        return (long) entry.capacity().milliCores() - charged.milliCores() - fillMilliCores;
+    }
+
+    /** Declared processor time that ordinary tasks have not asked for. */
+    long freeMilliCores() {
+        return (long) entry.capacity().milliCores() - charged.milliCores();
+    }
+
+    int serving() {
+        return serving;
+    }
+
+    private static StepKey key(TaskEntry task) {
+        return new StepKey(task.name.job(), task.name.step());
+    }
+}
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/CatalogEvents.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/CatalogEvents.java
@@ -4,6 +4,7 @@
 import org.chestnutbarrow.catalog.ApplyResult;
 import org.chestnutbarrow.catalog.Catalog;
 import org.chestnutbarrow.catalog.JobState;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.membership.FreshnessGate;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.Job;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/ConfigApi.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/ConfigApi.java
@@ -15,6 +15,7 @@
 import org.chestnutbarrow.format.Json;
 import org.chestnutbarrow.http.HttpRequest;
 import org.chestnutbarrow.http.HttpResponse;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.membership.Confirmation;
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.Checks;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/DaemonMetrics.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/DaemonMetrics.java
@@ -4,6 +4,7 @@
 import org.chestnutbarrow.catalog.Catalog;
 import org.chestnutbarrow.format.LogRecords;
 import org.chestnutbarrow.http.HttpClient;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.membership.FreshnessGate;
 import org.chestnutbarrow.membership.Peers;
 import org.chestnutbarrow.model.WorkClass;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/EndsWriter.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/EndsWriter.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.LogRecord.TaskEnd;
 import org.chestnutbarrow.model.SchedulerException;
 import org.chestnutbarrow.model.TimeSource;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Explanations.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Explanations.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Supplier;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.NotRunException;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Heartbeats.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Heartbeats.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.Executors;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.logging.Repeating;
 import org.chestnutbarrow.membership.Contacts;
 import org.chestnutbarrow.membership.FreshnessGate;
 import org.chestnutbarrow.membership.PeerChange;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/JobApi.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/JobApi.java
@@ -16,6 +16,7 @@
 import org.chestnutbarrow.format.Json;
 import org.chestnutbarrow.http.HttpRequest;
 import org.chestnutbarrow.http.HttpResponse;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.Job;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/JobRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/JobRunner.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.Attempt;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.DaemonId;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseCommands.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseCommands.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import org.chestnutbarrow.capacity.Accounts;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.membership.LeaseEvent;
 import org.chestnutbarrow.membership.WorkerLeases;
 import org.chestnutbarrow.model.DaemonId;
@@ -10,7 +11,7 @@
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.UnavailableException;
 import org.chestnutbarrow.model.Worker;
-import org.chestnutbarrow.platform.WorkerControl;
+import org.chestnutbarrow.ports.WorkerControl;
 
 /**
  * Sends the lease commands to workers and enters their results in the accounts. Calls block. Safe for use by several
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseKeeper.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseKeeper.java
@@ -15,6 +15,8 @@
 import java.util.function.Supplier;
 import org.chestnutbarrow.capacity.Accounts;
 import org.chestnutbarrow.capacity.Room;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.logging.Repeating;
 import org.chestnutbarrow.membership.LeaseEffect;
 import org.chestnutbarrow.membership.LeaseEvent;
 import org.chestnutbarrow.membership.LeaseView;
@@ -24,7 +26,7 @@
 import org.chestnutbarrow.model.UnavailableException;
 import org.chestnutbarrow.model.Worker;
 import org.chestnutbarrow.model.WorkerId;
-import org.chestnutbarrow.platform.HostList;
+import org.chestnutbarrow.ports.HostList;
 
 /**
  * Carries out the effects of {@link WorkerLeases}. Safe for use by several threads.
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseReports.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LeaseReports.java
@@ -2,7 +2,7 @@
 
 import org.chestnutbarrow.http.HttpClient;
 import org.chestnutbarrow.model.Worker;
-import org.chestnutbarrow.platform.WorkerControl;
+import org.chestnutbarrow.ports.WorkerControl;
 
 /** Passes what workers report with their leases to the parts concerned. Safe for use by several threads. */
 final class LeaseReports implements TaskReports {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogFollower.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogFollower.java
@@ -12,11 +12,12 @@
 import java.util.random.RandomGenerator;
 import org.chestnutbarrow.catalog.Catalog;
 import org.chestnutbarrow.format.LogRecords;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.LogRecord;
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.UnavailableException;
-import org.chestnutbarrow.platform.Log;
+import org.chestnutbarrow.ports.Log;
 
 /**
  * Reads the log on one thread and applies its records to the catalog in order. Safe for use by several threads.
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogWriter.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/LogWriter.java
@@ -11,11 +11,12 @@
 import java.util.concurrent.atomic.LongAdder;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.format.LogRecords;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.LogRecord;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
-import org.chestnutbarrow.platform.Log;
+import org.chestnutbarrow.ports.Log;
 
 /**
  * Appends records and waits until {@link LogFollower} has read them back, so that the result is the catalog's and not a
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Main.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Main.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.CountDownLatch;
 import org.chestnutbarrow.format.DaemonSettings;
 import org.chestnutbarrow.format.SettingsFile;
+import org.chestnutbarrow.logging.LogSetup;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.kohsuke.args4j.Argument;
 import org.kohsuke.args4j.CmdLineException;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/OwnerWatch.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/OwnerWatch.java
@@ -8,6 +8,8 @@
 import org.chestnutbarrow.capacity.Room;
 import org.chestnutbarrow.catalog.Catalog;
 import org.chestnutbarrow.catalog.ShardClaim;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.logging.Repeating;
 import org.chestnutbarrow.membership.Contacts;
 import org.chestnutbarrow.model.TaskStatus;
 import org.chestnutbarrow.model.TimeSource;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestFront.java
@@ -7,6 +7,7 @@
 import java.util.function.Supplier;
 import org.chestnutbarrow.http.HttpRequest;
 import org.chestnutbarrow.http.HttpResponse;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.InvalidInputException;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestLog.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestLog.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.daemon;
 
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.Outcome;
 import org.chestnutbarrow.routing.RouteRequest;
 
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/ShardClaims.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/ShardClaims.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.Hashing;
 import org.chestnutbarrow.model.Job;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Snapshots.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Snapshots.java
@@ -9,6 +9,7 @@
 import org.chestnutbarrow.catalog.ApplyResult;
 import org.chestnutbarrow.catalog.Catalog;
 import org.chestnutbarrow.format.LogRecords;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.TimeSource;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/TaskReports.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/TaskReports.java
@@ -1,7 +1,7 @@
 package org.chestnutbarrow.daemon;
 
 import org.chestnutbarrow.model.Worker;
-import org.chestnutbarrow.platform.WorkerControl;
+import org.chestnutbarrow.ports.WorkerControl;
 
 /**
  * Takes what workers report of their tasks. Implementations are safe for use by several threads and do not block. Times
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/UsageWatcher.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/UsageWatcher.java
@@ -18,6 +18,8 @@
 import org.chestnutbarrow.interference.Interference;
 import org.chestnutbarrow.interference.TaskLoad;
 import org.chestnutbarrow.interference.WorkerReport;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.logging.Repeating;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.SchedulerException;
 import org.chestnutbarrow.model.Target;
@@ -26,7 +28,7 @@
 import org.chestnutbarrow.model.UnavailableException;
 import org.chestnutbarrow.model.WorkClass;
 import org.chestnutbarrow.model.WorkerId;
-import org.chestnutbarrow.platform.WorkerControl;
+import org.chestnutbarrow.ports.WorkerControl;
 
 /** Fetches the late usage reports of held workers and carries out what {@link Interference} decides. */
 final class UsageWatcher implements AutoCloseable {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/WorkerTasks.java
@@ -11,6 +11,7 @@
 import java.util.function.Supplier;
 import org.chestnutbarrow.capacity.Accounts;
 import org.chestnutbarrow.capacity.Room;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.Attempt;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.Freshness;
@@ -30,9 +31,9 @@
 import org.chestnutbarrow.peer.PeerMessage.StartTask;
 import org.chestnutbarrow.peer.PeerMessage.TaskAction;
 import org.chestnutbarrow.peer.PeerMessage.TaskResult;
-import org.chestnutbarrow.platform.WorkerControl;
-import org.chestnutbarrow.platform.WorkerControl.StartCommand;
-import org.chestnutbarrow.platform.WorkerControl.TaskCommand;
+import org.chestnutbarrow.ports.WorkerControl;
+import org.chestnutbarrow.ports.WorkerControl.StartCommand;
+import org.chestnutbarrow.ports.WorkerControl.TaskCommand;
 
 /**
  * Carries out commands for the workers that this daemon holds the lease of. Safe for use by several threads: commands
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/FakeLog.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/FakeLog.java
@@ -10,7 +10,7 @@
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.UnavailableException;
-import org.chestnutbarrow.platform.Log;
+import org.chestnutbarrow.ports.Log;
 
 /** A log in memory that can fail, lose answers, lose records on their way, hold appends up and expire records. */
 final class FakeLog implements Log {
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/LogAtShutdownTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/LogAtShutdownTest.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.logging.LogSetup;
 import org.testng.annotations.Test;
 
 /** Guards against lines of the shutdown that are lost because the JDK closes its log handlers at the same time. */
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/LogLineCost.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/LogLineCost.java
@@ -3,6 +3,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Optional;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.logging.LogSetup;
 
 /**
  * Measures the line that is logged for each request, alone and with the handler that writes it to a file. Not a test: run
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/WorkerTasksTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/WorkerTasksTest.java
@@ -29,7 +29,7 @@
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.peer.PeerMessage.CommandResult;
 import org.chestnutbarrow.peer.PeerMessage.StartTask;
-import org.chestnutbarrow.platform.WorkerControl;
+import org.chestnutbarrow.ports.WorkerControl;
 import org.chestnutbarrow.testkit.ManualTime;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Events.java
+++ b/logging/src/main/java/org/chestnutbarrow/logging/Events.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.daemon;
+package org.chestnutbarrow.logging;
 
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
@@ -17,7 +17,7 @@
  * Events.info("lease-taken", "worker", worker.id(), "epoch", epoch);
  * }</pre>
  */
-final class Events {
+public final class Events {
     private static final Logger log = System.getLogger("chestnutbarrow");
     /** Event names are constants of the code, so the number of entries is bounded. */
     private static final Map<String, LongAdder> LINES = new ConcurrentHashMap<>();
@@ -25,17 +25,17 @@
     private Events() {}
 
     /** Logs an event of normal operation. */
-    static void info(String event, Object... pairs) {
+    public static void info(String event, Object... pairs) {
         write(Level.INFO, event, pairs);
     }
 
     /** Logs an event that an operator should know of. */
-    static void warn(String event, Object... pairs) {
+    public static void warn(String event, Object... pairs) {
         write(Level.WARNING, event, pairs);
     }
 
     /** Logs a line made by {@link #line} for this event at the level of normal operation. */
-    static void write(String event, String line) {
+    public static void write(String event, String line) {
         count(event);
         log.log(Level.INFO, line);
     }
@@ -52,12 +52,12 @@
     }
 
     /** Gives each event name seen so far with how often it was logged, whatever the level that is written. */
-    static void counts(ObjLongConsumer<String> into) {
+    public static void counts(ObjLongConsumer<String> into) {
         LINES.forEach((event, count) -> into.accept(event, count.sum()));
     }
 
     /** The line for an event; {@code pairs} alternates keys and values. */
-    static String line(String event, Object... pairs) {
+    public static String line(String event, Object... pairs) {
         Checks.require(pairs.length % 2 == 0, "keys and values must alternate");
         StringBuilder line = new StringBuilder(128).append("event=").append(event);
         for (int i = 0; i < pairs.length; i += 2) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LineHandler.java
+++ b/logging/src/main/java/org/chestnutbarrow/logging/LineHandler.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.daemon;
+package org.chestnutbarrow.logging;
 
 import java.io.OutputStream;
 import java.util.logging.Formatter;
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/LogSetup.java
+++ b/logging/src/main/java/org/chestnutbarrow/logging/LogSetup.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.daemon;
+package org.chestnutbarrow.logging;
 
 import java.io.FileDescriptor;
 import java.io.FileOutputStream;
@@ -18,8 +18,8 @@
 import java.util.logging.Logger;
 import org.chestnutbarrow.model.InvalidInputException;
 
-/** Sends what {@link System.Logger} is given to a file or to standard error, one line an event. Stateless. */
-final class LogSetup {
+/** Sends what {@link System.Logger} is given to a file or to standard output, one line an event. Stateless. */
+public final class LogSetup {
     /** A process that is killed loses the lines of normal operation of this time at most. */
     private static final Duration FLUSH_INTERVAL = Duration.ofMillis(100);
 
@@ -28,12 +28,12 @@
     private LogSetup() {}
 
     /** Chooses the log manager; must be called before anything is logged. */
-    static void install() {
+    public static void install() {
         System.setProperty("java.util.logging.manager", KeepingLogManager.class.getName());
     }
 
     /** Writes what is left and closes the destination; nothing is logged after it. */
-    static void close() {
+    public static void close() {
         closeFlusher(FLUSHER.getAndSet(null));
         for (Handler handler : Logger.getLogger("").getHandlers()) {
             handler.close();
@@ -45,13 +45,13 @@
      *
      * @throws InvalidInputException if the file cannot be written
      */
-    static void configure(System.Logger.Level level, Optional<Path> file) throws InvalidInputException {
+    public static void configure(System.Logger.Level level, Optional<Path> file) throws InvalidInputException {
         LogManager.getLogManager().reset();
         Handler handler;
         try {
             OutputStream to = file.isPresent()
                     ? Files.newOutputStream(file.get(), StandardOpenOption.CREATE, StandardOpenOption.APPEND)
-                    : new FileOutputStream(FileDescriptor.err);
+                    : new FileOutputStream(FileDescriptor.out);
             handler = new LineHandler(to, new LineFormatter());
         } catch (IOException e) {
             throw new InvalidInputException(
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Repeating.java
+++ b/logging/src/main/java/org/chestnutbarrow/logging/Repeating.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.daemon;
+package org.chestnutbarrow.logging;
 
 import java.time.Duration;
 import java.util.concurrent.Executors;
@@ -6,11 +6,11 @@
 import java.util.concurrent.TimeUnit;
 
 /** Runs an action at an interval on a thread of its own. A failure of one run is logged and does not end the others. */
-final class Repeating implements AutoCloseable {
+public final class Repeating implements AutoCloseable {
     private final ScheduledExecutorService executor;
 
     /** Starts at once; a run that takes longer than the interval delays the next one. */
-    Repeating(String name, Duration interval, Runnable action) {
+    public Repeating(String name, Duration interval, Runnable action) {
         executor = Executors.newSingleThreadScheduledExecutor(
                 Thread.ofPlatform().daemon().name(name).factory());
         Runnable guarded = () -> {
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/ControlTable.java
@@ -0,0 +1,62 @@
+package org.chestnutbarrow.node;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.chestnutbarrow.logging.Events;
+
+/** The declarations in force. Safe for use by several threads; guarded by the monitor of this object. */
+final class ControlTable implements TopicFollower.Listener {
+    private final RecordCodec codec;
+    private final Map<String, byte[]> records = new HashMap<>();
+    private volatile ControlState state = ControlState.NONE;
+    private volatile Consumer<ControlState> onChange = _ -> {};
+
+    ControlTable(RecordCodec codec) {
+        this.codec = codec;
+    }
+
+    void onChange(Consumer<ControlState> listener) {
+        onChange = listener;
+    }
+
+    ControlState state() {
+        return state;
+    }
+
+    @Override
+    public synchronized void replaced(StateStore.Snapshot snapshot) {
+        records.clear();
+        records.putAll(snapshot.values());
+    }
+
+    @Override
+    public synchronized void changed(StateStore.Stored stored) {
+        stored.entry()
+                .value()
+                .ifPresentOrElse(
+                        value -> records.put(stored.entry().key(), value),
+                        () -> records.remove(stored.entry().key()));
+    }
+
+    @Override
+    public void settled() {
+        ControlState now;
+        synchronized (this) {
+            now = codec.control(records, state);
+            if (now.equals(state)) {
+                return;
+            }
+            state = now;
+        }
+        Events.info(
+                "control-changed",
+                "version",
+                now.version(),
+                "queues",
+                now.queues().size(),
+                "out",
+                now.out());
+        onChange.accept(now);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -0,0 +1,221 @@
+package org.chestnutbarrow.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import org.chestnutbarrow.batch.JobProgress;
+import org.chestnutbarrow.batch.JobSpec;
+import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.InvalidInputException;
+import org.chestnutbarrow.model.JobId;
+
+/**
+ * This node's copy of all jobs and their progress. Safe for use by several threads: jobs lie in shards by their ids, each
+ * under its own lock.
+ */
+final class JobReplica {
+    /** Enough that two requests rarely wait for each other; a node has one core. */
+    private static final int SHARDS = 16;
+
+    private static final String JOB = "j/";
+    private static final String CANCEL = "c/";
+
+    /**
+     * All that is known of one job.
+     *
+     * @param spec the job
+     * @param cancelled whether its cancellation stands in the store
+     * @param progress the newest progress, if there is one
+     */
+    record Known(JobSpec spec, boolean cancelled, Optional<JobProgress> progress) {
+        JobState state() {
+            JobState stored = progress.map(JobProgress::state).orElse(JobState.QUEUED);
+            return cancelled && !stored.isFinal() ? JobState.CANCELLED : stored;
+        }
+    }
+
+    /** Jobs of one shard, guarded by its monitor. */
+    private static final class Shard {
+        final Map<JobId, JobSpec> specs = new HashMap<>();
+        final Set<JobId> cancelled = new HashSet<>();
+        final Map<JobId, JobProgress> progress = new HashMap<>();
+        final Map<JobId, Long> offsets = new HashMap<>();
+    }
+
+    private final List<Shard> shards = new ArrayList<>();
+    private volatile Consumer<JobId> onChange = _ -> {};
+
+    JobReplica() {
+        for (int i = 0; i < SHARDS; i++) {
+            shards.add(new Shard());
+        }
+    }
+
+    static StateStore.Entry jobEntry(JobSpec job) {
+        return new StateStore.Entry(JOB + job.id().value(), Optional.of(StateCodec.encode(job)));
+    }
+
+    static StateStore.Entry cancelEntry(JobId job) {
+        return new StateStore.Entry(CANCEL + job.value(), Optional.of(new byte[] {1}));
+    }
+
+    static StateStore.Entry progressEntry(JobProgress progress) {
+        return new StateStore.Entry(progress.id().value(), Optional.of(StateCodec.encode(progress)));
+    }
+
+    static List<StateStore.Entry> removal(JobId job) {
+        return List.of(
+                new StateStore.Entry(JOB + job.value(), Optional.empty()),
+                new StateStore.Entry(CANCEL + job.value(), Optional.empty()));
+    }
+
+    /** Is told of each job that was added or cancelled. */
+    void onChange(Consumer<JobId> listener) {
+        onChange = listener;
+    }
+
+    Optional<Known> find(JobId id) {
+        Shard shard = shard(id);
+        synchronized (shard) {
+            JobSpec spec = shard.specs.get(id);
+            if (spec == null) {
+                return Optional.empty();
+            }
+            return Optional.of(
+                    new Known(spec, shard.cancelled.contains(id), Optional.ofNullable(shard.progress.get(id))));
+        }
+    }
+
+    /** All jobs of which {@code which} holds. */
+    List<Known> all(Predicate<Known> which) {
+        List<Known> result = new ArrayList<>();
+        for (Shard shard : shards) {
+            synchronized (shard) {
+                for (JobSpec spec : shard.specs.values()) {
+                    Known known = new Known(
+                            spec,
+                            shard.cancelled.contains(spec.id()),
+                            Optional.ofNullable(shard.progress.get(spec.id())));
+                    if (which.test(known)) {
+                        result.add(known);
+                    }
+                }
+            }
+        }
+        return result;
+    }
+
+    /** Takes progress that this node has stored itself. */
+    void stored(JobProgress progress, long offset) {
+        Shard shard = shard(progress.id());
+        synchronized (shard) {
+            if (shard.offsets.getOrDefault(progress.id(), -1L) <= offset) {
+                shard.progress.put(progress.id(), progress);
+                shard.offsets.put(progress.id(), offset);
+            }
+        }
+    }
+
+    /** Takes a job that this node has stored itself. */
+    void accepted(JobSpec job) {
+        Shard shard = shard(job.id());
+        synchronized (shard) {
+            shard.specs.putIfAbsent(job.id(), job);
+        }
+        onChange.accept(job.id());
+    }
+
+    /** Takes a cancellation that this node has stored itself. */
+    void cancelled(JobId id) {
+        Shard shard = shard(id);
+        synchronized (shard) {
+            shard.cancelled.add(id);
+        }
+        onChange.accept(id);
+    }
+
+    /** Listens to the jobs topic. */
+    TopicFollower.Listener jobs() {
+        return new TopicFollower.Listener() {
+            @Override
+            public void replaced(StateStore.Snapshot snapshot) {
+                // Jobs are only removed long after their end, so what is known stays valid.
+                snapshot.values().forEach((key, value) -> job(key, Optional.of(value)));
+            }
+
+            @Override
+            public void changed(StateStore.Stored stored) {
+                job(stored.entry().key(), stored.entry().value());
+            }
+        };
+    }
+
+    /** Listens to the progress topic. */
+    TopicFollower.Listener progress() {
+        return new TopicFollower.Listener() {
+            @Override
+            public void replaced(StateStore.Snapshot snapshot) {
+                snapshot.values().forEach((key, value) -> progress(key, Optional.of(value), snapshot.next() - 1));
+            }
+
+            @Override
+            public void changed(StateStore.Stored stored) {
+                progress(stored.entry().key(), stored.entry().value(), stored.offset());
+            }
+        };
+    }
+
+    private void job(String key, Optional<byte[]> value) {
+        try {
+            JobId id = new JobId(key.substring(JOB.length()));
+            if (value.isEmpty()) {
+                forget(id, key.startsWith(JOB));
+            } else if (key.startsWith(CANCEL)) {
+                cancelled(id);
+            } else if (key.startsWith(JOB)) {
+                accepted(StateCodec.job(value.get()));
+            }
+        } catch (InvalidInputException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            Events.warn("record-unreadable", "topic", StateStore.Topic.JOBS, "key", key, "cause", e.getMessage());
+        }
+    }
+
+    private void forget(JobId id, boolean spec) {
+        Shard shard = shard(id);
+        synchronized (shard) {
+            if (spec) {
+                shard.specs.remove(id);
+            } else {
+                shard.cancelled.remove(id);
+            }
+        }
+    }
+
+    private void progress(String key, Optional<byte[]> value, long offset) {
+        try {
+            if (value.isPresent()) {
+                stored(StateCodec.progress(value.get()), offset);
+                return;
+            }
+            JobId id = new JobId(key);
+            Shard shard = shard(id);
+            synchronized (shard) {
+                shard.progress.remove(id);
+                shard.offsets.remove(id);
+            }
+        } catch (InvalidInputException | IllegalArgumentException e) {
+            Events.warn("record-unreadable", "topic", StateStore.Topic.PROGRESS, "key", key, "cause", e.getMessage());
+        }
+    }
+
+    private Shard shard(JobId id) {
+        return shards.get(Math.floorMod(id.hashCode(), SHARDS));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/JobService.java
@@ -0,0 +1,40 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.chestnutbarrow.batch.JobSpec;
+import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.model.JobId;
+
+/** What callers can ask of a node. Safe for use by several threads; calls block up to the time that they are given. */
+public interface JobService {
+    /** What became of a submission or a cancellation. */
+    enum Receipt {
+        /** Stored. */
+        STORED,
+        /** Not stored, and never will be. */
+        NOT_STORED,
+        /** May be stored. */
+        UNKNOWN,
+        /** There is no such job. */
+        NO_JOB
+    }
+
+    /** The declarations in force; {@link ControlState#NONE} before the first. */
+    ControlState control();
+
+    /** Stores a job; a job with an id that is known is not changed. */
+    Receipt submit(JobSpec job, Duration within);
+
+    /** Cancels a job. */
+    Receipt cancel(JobId id, Duration within);
+
+    /** Where a job stands; empty if there is no such job. */
+    Optional<JobState> state(JobId id) throws org.chestnutbarrow.model.NotRunException;
+
+    /** Number of accepted jobs of a queue that have not started. */
+    int pending(String queueKey);
+
+    /** Whether callers should be sent to this node. */
+    boolean ready();
+}
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -0,0 +1,258 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.chestnutbarrow.batch.JobSpec;
+import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.StaleEpochException;
+import org.chestnutbarrow.model.TimeSource;
+
+/**
+ * One node. Every node accepts jobs and answers for them; the one that the store makes the owner also places tasks. Safe
+ * for use by several threads.
+ *
+ * <pre>{@code
+ * Node node = Node.start(settings, store, workers, codec, TimeSource.SYSTEM);
+ * node.submit(job, Duration.ofSeconds(2));
+ * }</pre>
+ */
+public final class Node implements JobService, AutoCloseable {
+    /** Membership lasts this much longer than the shortest that the store allows, so that one lost call is borne. */
+    private static final double MEMBERSHIP_FACTOR = 1.5;
+    /** Calls to join within the time of a membership. */
+    private static final int JOINS = 4;
+    /** A node that has not read the store for this time is not the right one for callers. */
+    private static final Duration STALE = Duration.ofMillis(2500);
+    /** The part whose owner owns the workers. */
+    private static final int OWNING_PART = 0;
+
+    private static final TopicFollower.Pace LIVE = new TopicFollower.Pace(Duration.ofSeconds(1), Duration.ZERO);
+    private static final TopicFollower.Pace STANDBY = new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(500));
+    private static final TopicFollower.Pace OWN_WRITES = new TopicFollower.Pace(Duration.ZERO, Duration.ofSeconds(1));
+    private static final TopicFollower.Pace IDLE = new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(600));
+
+    private final NodeSettings settings;
+    private final StateStore store;
+    private final WorkerPort port;
+    private final TimeSource time;
+    private final JobReplica replica = new JobReplica();
+    private final ControlTable control;
+    private final WorkerTable workers;
+    private final JobWriter writer;
+    private final TopicFollower controlFeed;
+    private final TopicFollower jobFeed;
+    private final TopicFollower progressFeed;
+    private final String member;
+    private volatile Reign reign;
+    private volatile boolean leaving;
+
+    private Node(NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
+        this.settings = settings;
+        this.store = store;
+        this.port = port;
+        this.time = time;
+        this.member = settings.name() + "-" + time.now().toEpochMilli();
+        this.control = new ControlTable(codec);
+        this.workers = new WorkerTable(codec);
+        this.writer = new JobWriter(store, member);
+        this.controlFeed = new TopicFollower(store, StateStore.Topic.CONTROL, control, () -> LIVE, time);
+        this.jobFeed =
+                new TopicFollower(store, StateStore.Topic.JOBS, replica.jobs(), () -> owning() ? LIVE : STANDBY, time);
+        this.progressFeed = new TopicFollower(
+                store, StateStore.Topic.PROGRESS, replica.progress(), () -> owning() ? OWN_WRITES : STANDBY, time);
+    }
+
+    /** Starts a node. */
+    public static Node start(
+            NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
+        Node node = new Node(settings, store, port, codec, time);
+        node.begin();
+        return node;
+    }
+
+    private void begin() {
+        control.onChange(state -> {
+            Reign current = reign;
+            if (current != null) {
+                current.control(state);
+            }
+        });
+        thread("control", controlFeed::run);
+        thread("jobs", jobFeed::run);
+        thread("progress", progressFeed::run);
+        thread("writer", writer::run);
+        thread("membership", this::membership);
+    }
+
+    private static void thread(String name, Runnable body) {
+        Thread.ofVirtual().name(name).start(body);
+    }
+
+    private boolean owning() {
+        Reign current = reign;
+        return current != null && current.active();
+    }
+
+    private void membership() {
+        Duration ttl = Duration.ofMillis((long) (settings.membership().toMillis() * MEMBERSHIP_FACTOR));
+        Duration pause = ttl.dividedBy(JOINS);
+        long generation = 0;
+        boolean lost = false;
+        while (!leaving) {
+            if (!controlFeed.loaded() || !jobFeed.loaded() || !progressFeed.loaded()) {
+                Pauses.sleep(Duration.ofMillis(50));
+                continue;
+            }
+            try {
+                long sent = time.nanos();
+                StateStore.Membership now = store.join(member, ttl, generation);
+                generation = now.generation();
+                lost = false;
+                judge(now, sent);
+            } catch (NotRunException e) {
+                if (!lost) {
+                    lost = true;
+                    Events.warn("membership-unconfirmed", "generation", generation, "cause", e.getMessage());
+                }
+            }
+            Pauses.sleep(pause);
+        }
+    }
+
+    private void judge(StateStore.Membership now, long sent) {
+        boolean mine = now.parts().contains(OWNING_PART);
+        Reign current = reign;
+        if (current != null && !current.active()) {
+            reign = null;
+            current = null;
+        }
+        if (mine && current == null) {
+            takeOver(now.generation(), sent);
+        } else if (mine) {
+            current.confirmed(sent);
+        } else if (current != null) {
+            Events.info("ownership-given-up", "token", current.token(), "generation", now.generation());
+            current.end();
+            reign = null;
+        }
+    }
+
+    private void takeOver(long token, long sent) {
+        Reign next = new Reign(token, store, port, replica, time, settings.longestLease());
+        try {
+            next.fenceEarlier();
+            progressFeed.catchUp();
+            jobFeed.catchUp();
+            TopicFollower workerFeed = new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> IDLE, time);
+            workers.onChange(_ -> {});
+            workerFeed.catchUp();
+            reign = next;
+            next.begin(control.state(), workers.all());
+            workers.onChange(next::workers);
+            thread("workers", () -> follow(workerFeed, next));
+            Events.info(
+                    "ownership-taken",
+                    "token",
+                    token,
+                    "tookMs",
+                    Duration.ofNanos(time.nanos() - sent).toMillis(),
+                    "workers",
+                    workers.all().size());
+        } catch (NotRunException | OutcomeUnknownException | StaleEpochException e) {
+            next.end();
+            Events.warn("takeover-failed", "token", token, "cause", e.getMessage());
+        }
+    }
+
+    private static void follow(TopicFollower feed, Reign reign) {
+        feed.run(reign::active);
+    }
+
+    @Override
+    public ControlState control() {
+        return control.state();
+    }
+
+    @Override
+    public Receipt submit(JobSpec job, Duration within) {
+        if (replica.find(job.id()).isPresent()) {
+            Events.info("job-known", "job", job.id());
+            return Receipt.STORED;
+        }
+        Receipt receipt = writer.append(JobReplica.jobEntry(job), within);
+        if (receipt == Receipt.STORED) {
+            replica.accepted(job);
+        }
+        Events.info("job-submitted", "job", job.id(), "queue", job.queue().key(), "receipt", receipt);
+        return receipt;
+    }
+
+    @Override
+    public Receipt cancel(JobId id, Duration within) {
+        try {
+            if (known(id).isEmpty()) {
+                return Receipt.NO_JOB;
+            }
+        } catch (NotRunException e) {
+            Events.warn("cancel-refused", "job", id, "cause", e.getMessage());
+            return Receipt.NOT_STORED;
+        }
+        Receipt receipt = writer.append(JobReplica.cancelEntry(id), within);
+        if (receipt == Receipt.STORED) {
+            replica.cancelled(id);
+        }
+        Events.info("job-cancelled", "job", id, "receipt", receipt);
+        return receipt;
+    }
+
+    @Override
+    public Optional<JobState> state(JobId id) throws NotRunException {
+        return known(id).map(JobReplica.Known::state);
+    }
+
+    /** A job that is not known here may have been accepted elsewhere a moment ago, so the store is asked. */
+    private Optional<JobReplica.Known> known(JobId id) throws NotRunException {
+        Optional<JobReplica.Known> known = replica.find(id);
+        if (known.isPresent()) {
+            return known;
+        }
+        jobFeed.catchUp();
+        return replica.find(id);
+    }
+
+    @Override
+    public int pending(String queueKey) {
+        return replica.all(k ->
+                        k.state() == JobState.QUEUED && k.spec().queue().key().equals(queueKey))
+                .size();
+    }
+
+    @Override
+    public boolean ready() {
+        return !leaving
+                && control.state().version() >= 0
+                && jobFeed.loaded()
+                && progressFeed.loaded()
+                && jobFeed.age().compareTo(STALE) < 0;
+    }
+
+    /** Gives up ownership and membership, so that another node takes over at once. */
+    @Override
+    public void close() {
+        leaving = true;
+        Reign current = reign;
+        if (current != null) {
+            current.end();
+        }
+        try {
+            store.leave(member);
+        } catch (NotRunException e) {
+            Events.warn("leave-failed", "cause", e.getMessage());
+        }
+        Events.info("node-left", "member", member);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -0,0 +1,316 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import org.chestnutbarrow.batch.Cell;
+import org.chestnutbarrow.batch.JobProgress;
+import org.chestnutbarrow.batch.Order;
+import org.chestnutbarrow.batch.Plan;
+import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.batch.WorkerEntry;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.StaleEpochException;
+import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.WorkerId;
+
+/**
+ * One time of ownership: from the moment at which earlier owners can no longer store progress until a newer owner does.
+ * Safe for use by several threads; the links are guarded by the monitor of their map.
+ *
+ * <p>Invariant: nothing is ordered or acknowledged before the progress that describes it is stored under this epoch.
+ */
+final class Reign implements Owner {
+    /** Name of the owners as writers of progress; their epochs are their tokens. */
+    private static final String WRITER = "owner";
+    /** Longest time between two plans, so that waiting tasks are placed when a worker becomes usable again. */
+    private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
+    /** An owner that has not reached the store for this time stops extending leases; outages of 9 s are expected. */
+    static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(12);
+
+    private final long token;
+    private final long since;
+    private final StateStore store;
+    private final WorkerPort port;
+    private final JobReplica replica;
+    private final TimeSource time;
+    private final Duration longestLease;
+    private final Cell cell;
+    private final SequencedWriter writer;
+    private final Map<WorkerId, WorkerLink> links = new HashMap<>();
+    private final List<Thread> threads = new ArrayList<>();
+    private final Semaphore signal = new Semaphore(0);
+    private volatile boolean active = true;
+    private volatile long storeSeenAt;
+
+    Reign(long token, StateStore store, WorkerPort port, JobReplica replica, TimeSource time, Duration longestLease) {
+        this.token = token;
+        this.store = store;
+        this.port = port;
+        this.replica = replica;
+        this.time = time;
+        this.longestLease = longestLease;
+        this.since = time.nanos();
+        this.storeSeenAt = since;
+        this.cell = new Cell(time);
+        this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
+    }
+
+    @Override
+    public long token() {
+        return token;
+    }
+
+    @Override
+    public long since() {
+        return since;
+    }
+
+    @Override
+    public boolean active() {
+        return active;
+    }
+
+    @Override
+    public boolean extending() {
+        return active && time.nanos() - storeSeenAt < EXTEND_WITHOUT_STORE.toNanos();
+    }
+
+    @Override
+    public void fenced(String by) {
+        if (active) {
+            Events.warn("ownership-lost", "token", token, "by", by);
+        }
+        end();
+    }
+
+    /** The store has confirmed this ownership with a call sent at that time. */
+    void confirmed(long sentAt) {
+        storeSeenAt = Math.max(storeSeenAt, sentAt);
+    }
+
+    /** Keeps earlier owners from storing progress. */
+    void fenceEarlier() throws NotRunException, OutcomeUnknownException, StaleEpochException {
+        store.append(
+                StateStore.Topic.PROGRESS, List.of(), new StateStore.Writer(WRITER, token, 0), Duration.ofMillis(900));
+    }
+
+    /** Starts to hold workers and to place tasks. */
+    void begin(ControlState control, Collection<WorkerEntry> workers) {
+        cell.configure(control.queues());
+        cell.zonesOut(control.out());
+        workers(workers);
+        for (JobReplica.Known known : replica.all(k -> true)) {
+            add(known);
+        }
+        replica.onChange(this::changed);
+        for (TaskRecord.Location life : cell.unlisted()) {
+            expireLater(life);
+        }
+        thread("plans", this::planLoop);
+    }
+
+    /** Runs that an earlier owner placed on a life that is gone are over once its last possible lease is. */
+    private void expireLater(TaskRecord.Location life) {
+        Duration wait =
+                EXTEND_WITHOUT_STORE.plus(longestLease).multipliedBy(102).dividedBy(100);
+        thread("expiry", () -> {
+            Pauses.sleep(wait);
+            if (active) {
+                cell.expired(life);
+                wake();
+            }
+        });
+    }
+
+    private void changed(JobId id) {
+        if (active) {
+            replica.find(id).ifPresent(this::add);
+            wake();
+        }
+    }
+
+    private void add(JobReplica.Known known) {
+        cell.addJob(known.spec(), known.progress());
+        if (known.cancelled()) {
+            cell.cancelJob(known.spec().id());
+        }
+    }
+
+    /** Takes new declarations. */
+    void control(ControlState control) {
+        cell.configure(control.queues());
+        cell.zonesOut(control.out());
+        wake();
+    }
+
+    /** Takes the current list of workers. */
+    void workers(Collection<WorkerEntry> entries) {
+        cell.updateWorkers(entries);
+        synchronized (links) {
+            for (WorkerEntry entry : entries) {
+                WorkerLink known = links.get(entry.id());
+                if (known != null && known.worker().born() == entry.born()) {
+                    continue;
+                }
+                if (known != null) {
+                    known.close();
+                }
+                links.put(entry.id(), link(entry));
+            }
+        }
+        wake();
+    }
+
+    private WorkerLink link(WorkerEntry entry) {
+        WorkerLink link = new WorkerLink(entry, port, cell, this, time, longestLease, EXTEND_WITHOUT_STORE);
+        thread("hold", link::hold);
+        thread("orders", link::sendOrders);
+        return link;
+    }
+
+    private void thread(String name, Runnable body) {
+        Thread thread = Thread.ofVirtual().name(name).unstarted(body);
+        synchronized (threads) {
+            threads.removeIf(t -> !t.isAlive());
+            thread.start();
+            threads.add(thread);
+        }
+    }
+
+    @Override
+    public void wake() {
+        if (signal.availablePermits() == 0) {
+            signal.release();
+        }
+    }
+
+    private void planLoop() {
+        while (active) {
+            try {
+                if (signal.tryAcquire(PLAN_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)) {
+                    signal.drainPermits();
+                }
+                carryOut(cell.plan());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            } catch (RuntimeException e) {
+                Events.warn("plan-failed", "token", token, "cause", e);
+                end();
+            }
+        }
+    }
+
+    private void carryOut(Plan plan) {
+        if (!plan.changes().isEmpty() && !persist(plan.changes())) {
+            return;
+        }
+        synchronized (links) {
+            plan.acknowledge().forEach((worker, number) -> {
+                WorkerLink link = links.get(worker);
+                if (link != null) {
+                    link.acknowledge(number);
+                }
+            });
+            for (Order order : plan.orders()) {
+                dispatch(order);
+            }
+        }
+    }
+
+    private void dispatch(Order order) {
+        WorkerLink link = links.get(order.worker());
+        if (link == null || link.worker().born() != order.born()) {
+            return;
+        }
+        log(order);
+        link.send(order);
+    }
+
+    private static void log(Order order) {
+        String task = order.task().step() + "/" + order.task().index();
+        switch (order) {
+            case Order.Start start ->
+                Events.info(
+                        "task-start",
+                        "job",
+                        start.task().job(),
+                        "task",
+                        task,
+                        "run",
+                        start.run(),
+                        "worker",
+                        start.worker());
+            case Order.Stop stop ->
+                Events.info(
+                        "task-stop",
+                        "job",
+                        stop.task().job(),
+                        "task",
+                        task,
+                        "run",
+                        stop.run(),
+                        "worker",
+                        stop.worker(),
+                        "reason",
+                        stop.reason());
+            case Order.Pace pace ->
+                Events.info(
+                        "task-pace",
+                        "job",
+                        pace.task().job(),
+                        "task",
+                        task,
+                        "run",
+                        pace.run(),
+                        "worker",
+                        pace.worker(),
+                        "percent",
+                        pace.percent());
+        }
+    }
+
+    /** Stores changes, repeating the call until the store has answered or a newer owner exists. */
+    private boolean persist(List<JobProgress> changes) {
+        List<StateStore.Entry> entries =
+                changes.stream().map(JobReplica::progressEntry).toList();
+        while (active) {
+            try {
+                long sent = time.nanos();
+                long offset = writer.append(entries, () -> active);
+                confirmed(sent);
+                for (int i = 0; i < changes.size(); i++) {
+                    replica.stored(changes.get(i), offset + i);
+                }
+                return true;
+            } catch (NotRunException e) {
+                Events.warn("progress-delayed", "jobs", changes.size(), "cause", e.getMessage());
+                Pauses.sleep(Duration.ofMillis(100));
+            } catch (OutcomeUnknownException e) {
+                Events.warn("progress-unknown", "jobs", changes.size(), "cause", e.getMessage());
+            } catch (StaleEpochException e) {
+                fenced("store: " + e.getMessage());
+            }
+        }
+        return false;
+    }
+
+    /** Ends this ownership; nothing is ordered any more. */
+    void end() {
+        active = false;
+        replica.onChange(_ -> {});
+        synchronized (links) {
+            links.values().forEach(WorkerLink::close);
+        }
+        wake();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -0,0 +1,182 @@
+package org.chestnutbarrow.node;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chestnutbarrow.batch.JobProgress;
+import org.chestnutbarrow.batch.JobSpec;
+import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.batch.Queue;
+import org.chestnutbarrow.batch.Step;
+import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.model.InvalidInputException;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.WorkerId;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Encodes jobs and their progress as MessagePack, fields in a fixed order after a format number. Stateless. */
+final class StateCodec {
+    private static final int FORMAT = 1;
+    private static final String REMEDY = "upgrade this node: another version of the program wrote the record";
+
+    private StateCodec() {}
+
+    private interface Fields {
+        void write(MessageBufferPacker to) throws IOException;
+    }
+
+    private interface Parser<T> {
+        T read(MessageUnpacker from) throws IOException;
+    }
+
+    static byte[] encode(JobSpec job) {
+        return pack(to -> {
+            to.packString(job.id().value()).packString(job.payload());
+            Queue queue = job.queue();
+            to.packString(queue.host()).packString(queue.prefix()).packString(queue.service());
+            to.packInt(queue.priority()).packInt(queue.maxAttempts());
+            to.packArrayHeader(job.steps().size());
+            for (Step step : job.steps()) {
+                write(to, step);
+            }
+        });
+    }
+
+    private static void write(MessageBufferPacker to, Step step) throws IOException {
+        to.packInt(step.count()).packInt(step.demand().milliCores());
+        to.packLong(step.demand().memoryMiB()).packInt(step.demand().accelerators());
+        to.packLong(step.estimate().toMillis());
+        to.packArrayHeader(step.after().size());
+        for (int before : step.after()) {
+            to.packInt(before);
+        }
+        to.packString(step.placement().label().orElse(""));
+        to.packString(step.placement().rack().orElse(""));
+        to.packInt(step.placement().perWorker());
+        Step.Behaviour service = step.service();
+        to.packBoolean(service.checkpoints()).packBoolean(service.lasting()).packBoolean(service.fills());
+        to.packInt(service.targetMs()).packInt(service.maxUnavailable());
+    }
+
+    static JobSpec job(byte[] bytes) throws InvalidInputException {
+        return parse(bytes, from -> {
+            JobId id = new JobId(from.unpackString());
+            String payload = from.unpackString();
+            Queue queue = new Queue(
+                    from.unpackString(), from.unpackString(), from.unpackString(), from.unpackInt(), from.unpackInt());
+            List<Step> steps = new ArrayList<>();
+            int count = from.unpackArrayHeader();
+            for (int i = 0; i < count; i++) {
+                steps.add(step(from));
+            }
+            return new JobSpec(id, queue, payload, steps);
+        });
+    }
+
+    private static Step step(MessageUnpacker from) throws IOException {
+        int count = from.unpackInt();
+        Resources demand = new Resources(0, 0, from.unpackInt(), from.unpackLong(), from.unpackInt());
+        Duration estimate = Duration.ofMillis(from.unpackLong());
+        List<Integer> after = new ArrayList<>();
+        int edges = from.unpackArrayHeader();
+        for (int i = 0; i < edges; i++) {
+            after.add(from.unpackInt());
+        }
+        Step.Constraints placement =
+                new Step.Constraints(text(from.unpackString()), text(from.unpackString()), from.unpackInt());
+        Step.Behaviour service = new Step.Behaviour(
+                from.unpackBoolean(), from.unpackBoolean(), from.unpackBoolean(), from.unpackInt(), from.unpackInt());
+        return new Step(count, demand, estimate, after, placement, service);
+    }
+
+    static byte[] encode(JobProgress progress) {
+        return pack(to -> {
+            to.packString(progress.id().value());
+            to.packString(progress.state().name());
+            to.packLong(progress.changed().toEpochMilli());
+            to.packArrayHeader(progress.steps().size());
+            for (List<TaskRecord> tasks : progress.steps()) {
+                to.packArrayHeader(tasks.size());
+                for (TaskRecord task : tasks) {
+                    write(to, task);
+                }
+            }
+        });
+    }
+
+    private static void write(MessageBufferPacker to, TaskRecord task) throws IOException {
+        to.packBoolean(task.done()).packInt(task.run()).packInt(task.failures());
+        to.packString(task.checkpoint());
+        if (task.at().isPresent()) {
+            to.packString(task.at().get().worker().value())
+                    .packLong(task.at().get().born());
+        } else {
+            to.packNil();
+        }
+    }
+
+    static JobProgress progress(byte[] bytes) throws InvalidInputException {
+        return parse(bytes, from -> {
+            JobId id = new JobId(from.unpackString());
+            JobState state = JobState.valueOf(from.unpackString());
+            Instant changed = Instant.ofEpochMilli(from.unpackLong());
+            List<List<TaskRecord>> steps = new ArrayList<>();
+            int count = from.unpackArrayHeader();
+            for (int s = 0; s < count; s++) {
+                List<TaskRecord> tasks = new ArrayList<>();
+                int width = from.unpackArrayHeader();
+                for (int i = 0; i < width; i++) {
+                    tasks.add(task(from));
+                }
+                steps.add(tasks);
+            }
+            return new JobProgress(id, state, changed, steps);
+        });
+    }
+
+    private static TaskRecord task(MessageUnpacker from) throws IOException {
+        boolean done = from.unpackBoolean();
+        int run = from.unpackInt();
+        int failures = from.unpackInt();
+        String checkpoint = from.unpackString();
+        Optional<TaskRecord.Location> at = Optional.empty();
+        if (!from.tryUnpackNil()) {
+            at = Optional.of(new TaskRecord.Location(new WorkerId(from.unpackString()), from.unpackLong()));
+        }
+        return new TaskRecord(done, run, failures, checkpoint, at);
+    }
+
+    private static Optional<String> text(String value) {
+        return value.isEmpty() ? Optional.empty() : Optional.of(value);
+    }
+
+    private static byte[] pack(Fields fields) {
+        try (MessageBufferPacker to = MessagePack.newDefaultBufferPacker()) {
+            to.packInt(FORMAT);
+            fields.write(to);
+            return to.toByteArray();
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+    }
+
+    private static <T> T parse(byte[] bytes, Parser<T> parser) throws InvalidInputException {
+        try (MessageUnpacker from = MessagePack.newDefaultUnpacker(bytes)) {
+            int format = from.unpackInt();
+            if (format != FORMAT) {
+                throw new InvalidInputException("stored record has format " + format, REMEDY);
+            }
+            return parser.read(from);
+        } catch (IOException | MessagePackException | IllegalArgumentException | IndexOutOfBoundsException e) {
+            throw new InvalidInputException("stored record cannot be read: " + e.getMessage(), REMEDY, e);
+        }
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -0,0 +1,284 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.chestnutbarrow.batch.Cell;
+import org.chestnutbarrow.batch.Order;
+import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.batch.WorkerEntry;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.TimeSource;
+
+/**
+ * Orders to one life of a worker, one at a time, and the repeated hold that extends its leases and brings its ends. Safe
+ * for use by several threads.
+ */
+final class WorkerLink {
+    /** Lease of what runs on a worker: longer than a change of the owner takes, about 2.5 s. */
+    private static final Duration LEASE = Duration.ofSeconds(4);
+    /** A hold waits this long for an end, so that tails and progress are seen at least twice a second. */
+    private static final Duration HOLD_WAIT = Duration.ofMillis(500);
+    /** A healthy worker answers within a few ms. */
+    private static final Duration ANSWER = Duration.ofMillis(250);
+    /** Pause after a hold that failed. */
+    private static final Duration RETRY = Duration.ofMillis(100);
+    /** After this time without an answer the leases are no longer extended, so that the tasks can run elsewhere. */
+    private static final Duration SILENCE = Duration.ofMillis(800);
+    /** Time after which the loop for orders notices that the link was closed. */
+    private static final Duration IDLE = Duration.ofSeconds(1);
+    /** A worker's clock may be 2% slow. */
+    private static final double CLOCK_RATE = 1.02;
+    /** Added to each computed expiry for transit and timers. */
+    private static final Duration MARGIN = Duration.ofMillis(300);
+
+    private final WorkerEntry worker;
+    private final WorkerPort port;
+    private final Cell cell;
+    private final Owner owner;
+    private final TimeSource time;
+    private final Duration lease;
+    private final Duration longestEarlierLease;
+    private final BlockingQueue<Order> orders = new LinkedBlockingQueue<>();
+    private volatile boolean closed;
+    private volatile long acknowledge;
+    private volatile long clockMs = -1;
+    private volatile long clockAt;
+    private volatile long extendedUntil;
+    private volatile long heardAt;
+    private boolean unreachable;
+    private boolean expired;
+
+    /**
+     * Creates a link.
+     *
+     * @param longestLease longest lease that a worker grants
+     * @param ownerGrace how long an earlier owner may have gone on extending leases after this ownership began
+     */
+    WorkerLink(
+            WorkerEntry worker,
+            WorkerPort port,
+            Cell cell,
+            Owner owner,
+            TimeSource time,
+            Duration longestLease,
+            Duration ownerGrace) {
+        this.worker = worker;
+        this.port = port;
+        this.cell = cell;
+        this.owner = owner;
+        this.time = time;
+        this.lease = LEASE.compareTo(longestLease) < 0 ? LEASE : longestLease;
+        this.longestEarlierLease = ownerGrace.plus(lease);
+        this.heardAt = time.nanos();
+        this.extendedUntil = owner.since() + (long) (longestEarlierLease.toNanos() * CLOCK_RATE) + MARGIN.toNanos();
+    }
+
+    WorkerEntry worker() {
+        return worker;
+    }
+
+    /** Ends both loops, the one for orders within {@link #IDLE}. */
+    void close() {
+        closed = true;
+    }
+
+    /** Sends an order after those that wait. */
+    void send(Order order) {
+        orders.add(order);
+    }
+
+    /** Lets the worker forget its ends up to a number with the next hold. */
+    void acknowledge(long number) {
+        acknowledge = Math.max(acknowledge, number);
+    }
+
+    private boolean open() {
+        return !closed && owner.active();
+    }
+
+    /** Sends orders until the link is closed. */
+    void sendOrders() {
+        while (open()) {
+            Order order;
+            try {
+                order = orders.poll(IDLE.toMillis(), TimeUnit.MILLISECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            if (order != null) {
+                deliver(order);
+            }
+        }
+    }
+
+    /** Repeats an order without an answer until its lease is over; a repeat has no second effect. */
+    private void deliver(Order order) {
+        long until = time.nanos() + lease.toNanos();
+        long leaseUntil = extend();
+        boolean unknown = false;
+        while (open() && time.nanos() - until < 0) {
+            try {
+                WorkerPort.Answer answer = port.send(worker, order, owner.token(), leaseUntil, ANSWER);
+                if (settle(order, answer, unknown)) {
+                    return;
+                }
+            } catch (OutcomeUnknownException e) {
+                if (!unknown) {
+                    Events.warn("order-unanswered", "task", name(order), "run", order.run(), "worker", worker.id());
+                }
+                unknown = true;
+            } catch (NotRunException e) {
+                Events.warn("order-unsent", "task", name(order), "run", order.run(), "worker", worker.id());
+            }
+            if (order instanceof Order.Pace) {
+                return;
+            }
+            Pauses.sleep(RETRY);
+        }
+        if (open()) {
+            cell.abandoned(order.task(), order.run());
+            owner.wake();
+        }
+    }
+
+    private boolean settle(Order order, WorkerPort.Answer answer, boolean unknown) {
+        switch (answer) {
+            case WorkerPort.Done done -> {
+                clock(done.clockMs());
+                if (order instanceof Order.Start) {
+                    cell.started(order.task(), order.run());
+                } else if (order instanceof Order.Stop) {
+                    cell.abandoned(order.task(), order.run());
+                }
+                return true;
+            }
+            case WorkerPort.Refused refused -> {
+                return refused(order, refused.why(), unknown);
+            }
+            case WorkerPort.Listed _ -> {
+                return true;
+            }
+        }
+    }
+
+    private boolean refused(Order order, WorkerPort.Refusal why, boolean unknown) {
+        Events.info("order-refused", "task", name(order), "run", order.run(), "worker", worker.id(), "why", why);
+        switch (why) {
+            case FENCED -> owner.fenced("worker " + worker.id().value());
+            case OLD_RUN -> cell.abandoned(order.task(), order.run());
+            case LATE, REJECTED, OTHER_LIFE -> {
+                if (order instanceof Order.Start) {
+                    cell.refused(order.task(), order.run(), false);
+                } else {
+                    cell.abandoned(order.task(), order.run());
+                }
+                owner.wake();
+            }
+            case UNHEALTHY -> {
+                if (unknown || !(order instanceof Order.Start)) {
+                    return false;
+                }
+                cell.refused(order.task(), order.run(), true);
+                owner.wake();
+            }
+        }
+        return true;
+    }
+
+    /** Holds the worker until the link is closed. */
+    void hold() {
+        boolean first = true;
+        while (open()) {
+            if (first ? holdOnce(Duration.ZERO) : holdOnce(HOLD_WAIT)) {
+                first = false;
+            } else if (open()) {
+                afterFailure();
+                Pauses.sleep(RETRY);
+            }
+        }
+    }
+
+    private boolean holdOnce(Duration wait) {
+        long sent = time.nanos();
+        long leaseUntil = reachable() ? extend() : -1;
+        try {
+            WorkerPort.Answer answer =
+                    port.hold(worker, owner.token(), leaseUntil, acknowledge, wait, wait.plus(ANSWER));
+            return held(answer, sent);
+        } catch (OutcomeUnknownException | NotRunException e) {
+            if (!unreachable && !reachable()) {
+                unreachable = true;
+                Events.warn("worker-lost", "worker", worker.id(), "cause", e.getMessage());
+            }
+            return false;
+        }
+    }
+
+    private boolean held(WorkerPort.Answer answer, long sent) {
+        switch (answer) {
+            case WorkerPort.Listed listed -> {
+                heardAt = time.nanos();
+                clock(listed.clockMs());
+                if (unreachable) {
+                    unreachable = false;
+                    Events.info("worker-regained", "worker", worker.id());
+                }
+                expired = false;
+                cell.report(listed.report(), sent);
+                owner.wake();
+                return true;
+            }
+            case WorkerPort.Refused refused -> {
+                if (refused.why() == WorkerPort.Refusal.FENCED) {
+                    owner.fenced("worker " + worker.id().value());
+                }
+                return false;
+            }
+            case WorkerPort.Done _ -> {
+                return false;
+            }
+        }
+    }
+
+    private void afterFailure() {
+        if (!expired && time.nanos() - extendedUntil > 0) {
+            expired = true;
+            Events.warn("leases-expired", "worker", worker.id(), "born", worker.born());
+            cell.expired(new TaskRecord.Location(worker.id(), worker.born()));
+            owner.wake();
+        }
+    }
+
+    private boolean reachable() {
+        return time.nanos() - heardAt < SILENCE.plus(HOLD_WAIT).toNanos();
+    }
+
+    private void clock(long ms) {
+        if (ms >= 0) {
+            clockMs = ms;
+            clockAt = time.nanos();
+        }
+    }
+
+    /** The end of a lease that begins now, on the worker's clock; negative while that clock is not known. */
+    private long extend() {
+        long clock = clockMs;
+        if (clock < 0 || !owner.extending()) {
+            return -1;
+        }
+        long now = time.nanos();
+        long until = now + (long) (lease.toNanos() * CLOCK_RATE) + MARGIN.toNanos();
+        extendedUntil = Math.max(extendedUntil, until);
+        return clock + Duration.ofNanos(now - clockAt).toMillis() + lease.toMillis();
+    }
+
+    private static String name(Order order) {
+        return order.task().job().value() + "/" + order.task().step() + "/"
+                + order.task().index();
+    }
+}
--- a/platform/src/main/java/org/chestnutbarrow/platform/HttpLog.java
+++ b/ports/src/main/java/org/chestnutbarrow/ports/HttpLog.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.platform;
+package org.chestnutbarrow.ports;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.URLEncoder;
--- a/platform/src/main/java/org/chestnutbarrow/platform/Log.java
+++ b/ports/src/main/java/org/chestnutbarrow/ports/Log.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.platform;
+package org.chestnutbarrow.ports;
 
 import java.time.Duration;
 import java.util.List;
--- a/platform/src/main/java/org/chestnutbarrow/platform/WorkerJson.java
+++ b/ports/src/main/java/org/chestnutbarrow/ports/WorkerJson.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.platform;
+package org.chestnutbarrow.ports;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -10,10 +10,10 @@
 import org.chestnutbarrow.model.TaskId;
 import org.chestnutbarrow.model.TaskState;
 import org.chestnutbarrow.model.TaskStatus;
-import org.chestnutbarrow.platform.WorkerControl.Grant;
-import org.chestnutbarrow.platform.WorkerControl.StartCommand;
-import org.chestnutbarrow.platform.WorkerControl.TaskUsage;
-import org.chestnutbarrow.platform.WorkerControl.Usage;
+import org.chestnutbarrow.ports.WorkerControl.Grant;
+import org.chestnutbarrow.ports.WorkerControl.StartCommand;
+import org.chestnutbarrow.ports.WorkerControl.TaskUsage;
+import org.chestnutbarrow.ports.WorkerControl.Usage;
 
 /** The bodies of the worker control interface. Stateless. */
 final class WorkerJson {
--- a/platform/src/test/java/org/chestnutbarrow/platform/HttpLogTest.java
+++ b/ports/src/test/java/org/chestnutbarrow/ports/HttpLogTest.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.platform;
+package org.chestnutbarrow.ports;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
--- a/platform/src/test/java/org/chestnutbarrow/platform/HttpWorkerControlTest.java
+++ b/ports/src/test/java/org/chestnutbarrow/ports/HttpWorkerControlTest.java
@@ -1,4 +1,4 @@
-package org.chestnutbarrow.platform;
+package org.chestnutbarrow.ports;
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
@@ -28,8 +28,8 @@
 import org.chestnutbarrow.model.UnavailableException;
 import org.chestnutbarrow.model.Worker;
 import org.chestnutbarrow.model.WorkerId;
-import org.chestnutbarrow.platform.WorkerControl.StartCommand;
-import org.chestnutbarrow.platform.WorkerControl.TaskCommand;
+import org.chestnutbarrow.ports.WorkerControl.StartCommand;
+import org.chestnutbarrow.ports.WorkerControl.TaskCommand;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
