Keep a quarter of the workers for filling tasks; learn which images disturb

Change: weights by image from reported tails, a reserved quarter of the workers by a hash of their ids, jobs that can still be in time first.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.batch;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -34,17 +35,22 @@
 
     /** A stop takes up to 0.9 s; a run that is not listed this long after its last order is over. */
     private static final Duration SETTLE = Duration.ofMillis(1200);
+
+    private static final int FULL = 100;
+    /** Filling tasks whose image has less than this part of the highest weight on the worker are not slowed down. */
+    private static final double PACED_PART = 0.4;
     /** A worker lists at most this many ends at a time. */
     private static final int FULL_LIST = 500;
 
     private final TimeSource time;
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
     private final Fleet fleet = new Fleet();
+    private final Disturbance disturbance = new Disturbance();
+    private final Chooser chooser = new Chooser(disturbance);
     private final Set<JobEntry> dirty = new LinkedHashSet<>();
     private final List<Order> orders = new ArrayList<>();
     private Map<String, Queue> queues = Map.of();
     private Set<AvailabilityZone> out = Set.of();
-    private long arrivals;
 
     /** Creates a cell without jobs and workers. */
     public Cell(TimeSource time) {
@@ -71,7 +77,7 @@
                 && stored.get().steps().isEmpty()) {
             return;
         }
-        JobEntry job = new JobEntry(spec, arrivals++);
+        JobEntry job = new JobEntry(spec);
         jobs.put(spec.id(), job);
         stored.ifPresent(progress -> restore(job, progress));
     }
@@ -274,9 +280,14 @@
     }
 
     private void pace(WorkerNode node, long now, double worst) {
+        if (node.serving() > 0) {
+            disturbance.observe(node, worst);
+        }
         node.pacing.observe(now, worst);
-        int percent = node.pacing.percent();
+        double share = node.pacing.percent() < FULL ? disturbance.highest(node) * PACED_PART : 0;
         for (TaskEntry task : node.tasks) {
+            boolean heavy = disturbance.weight(task.step.service().image()) >= share;
+            int percent = heavy ? node.pacing.percent() : FULL;
             if (task.step.service().fills() && task.seen && task.pace != percent) {
                 task.pace = percent;
                 orders.add(new Order.Pace(task.name, task.run, node.id(), node.born(), percent));
@@ -358,8 +369,11 @@
                 waiting.add(job);
             }
         }
-        waiting.sort(
-                Comparator.<JobEntry>comparingInt(job -> queue(job).priority()).thenComparingLong(job -> job.arrival));
+        Instant at = time.now();
+        waiting.forEach(job -> job.due = job.spec.due(queue(job)));
+        waiting.sort(Comparator.<JobEntry>comparingInt(job -> queue(job).priority())
+                .thenComparing(job -> job.due.isBefore(at))
+                .thenComparing(job -> job.due));
         for (JobEntry job : waiting) {
             for (int s = 0; s < job.steps.size(); s++) {
                 if (job.ready(s)) {
@@ -375,7 +389,7 @@
             if (!task.waiting()) {
                 continue;
             }
-            WorkerNode node = Chooser.choose(task, service, fleet.all(), out, now);
+            WorkerNode node = chooser.choose(task, service, fleet.all(), out, now);
             if (node == null) {
                 return;
             }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
@@ -6,15 +6,26 @@
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.Resources;
 
-/** Chooses the worker for a task. Stateless; the caller holds the lock of the {@link Cell}. */
+/** Chooses the worker for a task. Guarded by the lock of its {@link Cell}. */
 final class Chooser {
     /** A worker that has not answered for this time gets nothing new; holds are answered at least every 600 ms. */
     private static final Duration SILENT = Duration.ofMillis(1500);
 
-    private Chooser() {}
+    /** Part of its demand that must be left for a filling task, so that it is not much slower than declared. */
+    private static final double SPARE_PART = 0.7;
+    /** Highest ratio of tail to target that may be expected; serving tasks change their load by half meanwhile. */
+    private static final double MOST_EXPECTED = 0.85;
+
+    private static final int FULL = 100;
+
+    private final Disturbance disturbance;
+
+    Chooser(Disturbance disturbance) {
+        this.disturbance = disturbance;
+    }
 
     /** The best worker, or null if none fits. */
-    static WorkerNode choose(
+    WorkerNode choose(
             TaskEntry task, String service, Collection<WorkerNode> workers, Set<AvailabilityZone> out, long now) {
         WorkerNode best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
@@ -42,24 +53,43 @@
                 && worker.health.usable(now);
     }
 
-    private static boolean allowed(TaskEntry task, WorkerNode worker) {
+    private boolean allowed(TaskEntry task, WorkerNode worker) {
         Step.Constraints placement = task.step.placement();
         if (placement.label().isPresent()
                 && !worker.entry.labels().contains(placement.label().get())) {
             return false;
         }
-        if (task.step.service().fills() && worker.pacing.percent() < 100) {
+        if (task.step.service().targetMs() > 0 && worker.serving() == 0 && worker.reserved) {
+            return false;
+        }
+        if (task.step.service().fills() && !roomToFill(task, worker)) {
             return false;
         }
         return placement.perWorker() == 0 || worker.ofStep(task) < placement.perWorker();
     }
 
-    private static double score(TaskEntry task, WorkerNode worker) {
+    /** Filling tasks only get what others leave, and press on the tasks that serve in proportion to their share. */
+    private boolean roomToFill(TaskEntry task, WorkerNode worker) {
+        if (worker.pacing.percent() < FULL
+                || worker.spareMilliCores() < SPARE_PART * task.step.demand().milliCores()) {
+            return false;
+        }
+        return worker.serving() == 0 || expected(task, worker) <= MOST_EXPECTED;
+    }
+
+    private double expected(TaskEntry task, WorkerNode worker) {
+        double part = (double) task.step.demand().milliCores()
+                / Math.max(1, worker.entry.capacity().milliCores());
+        return disturbance.expected(worker)
+                + part * disturbance.weight(task.step.service().image());
+    }
+
+    private double score(TaskEntry task, WorkerNode worker) {
         double capacity = Math.max(1, worker.entry.capacity().milliCores());
         double score;
         if (task.step.service().fills()) {
             // Filling tasks run at the speed of what is left and disturb the tasks that serve.
-            score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? 1 : 0);
+            score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? expected(task, worker) : 0);
         } else if (task.step.lasting()) {
             // Serving tasks are kept together, so that filling tasks find workers without them.
             score = (worker.serving() > 0 ? 1 : 0) - worker.freeMilliCores() / capacity - worker.ofStep(task);
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -7,18 +7,18 @@
 /** One job in memory. Guarded by the lock of its {@link Cell}. */
 final class JobEntry {
     final JobSpec spec;
-    final long arrival;
     final List<List<TaskEntry>> steps = new ArrayList<>();
     JobState state = JobState.QUEUED;
     Instant changed = Instant.EPOCH;
+    /** When it should be complete under the policy in force. */
+    Instant due = Instant.MAX;
     /** Whether the state in memory is newer than the stored one. */
     boolean dirty;
 
     private final int[] open;
 
-    JobEntry(JobSpec spec, long arrival) {
+    JobEntry(JobSpec spec) {
         this.spec = spec;
-        this.arrival = arrival;
         open = new int[spec.steps().size()];
         for (int s = 0; s < spec.steps().size(); s++) {
             Step step = spec.steps().get(s);
--- a/batch/src/main/java/org/chestnutbarrow/batch/Queue.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Queue.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
 import org.chestnutbarrow.model.Checks;
 
 /**
@@ -10,10 +11,14 @@
  * @param service service whose workers run the tasks
  * @param priority 0 is the most urgent
  * @param maxAttempts runs of a task that may fail before its job fails
+ * @param stretch part of the objective that grows with a job's longest chain of tasks
+ * @param allowance part of the objective that is the same for all jobs
  */
-public record Queue(String host, String prefix, String service, int priority, int maxAttempts) {
+public record Queue(
+        String host, String prefix, String service, int priority, int maxAttempts, double stretch, Duration allowance) {
     public Queue {
         Checks.require(host != null && prefix != null && service != null, "a queue needs host, prefix and service");
+        Checks.require(stretch >= 0 && allowance != null, "a queue needs an objective");
     }
 
     /** Identity of the queue across configurations. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/Step.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Step.java
@@ -39,15 +39,17 @@
     /**
      * How the tasks of a step behave.
      *
+     * @param image what the tasks run; tasks of one image behave alike
      * @param checkpoints whether a stopped task can resume
      * @param lasting whether the tasks run until the job is cancelled
      * @param fills whether the tasks use only the processor time that others leave
      * @param targetMs bound of the tail latency of the users that the task serves, in ms; 0 if it serves none
      * @param maxUnavailable most tasks of the step that the scheduler may take away at a time; 0 if not declared
      */
-    public record Behaviour(boolean checkpoints, boolean lasting, boolean fills, int targetMs, int maxUnavailable) {
+    public record Behaviour(
+            String image, boolean checkpoints, boolean lasting, boolean fills, int targetMs, int maxUnavailable) {
         /** A task that ends by itself and starts anew after a stop. */
-        public static final Behaviour PLAIN = new Behaviour(false, false, false, 0, 0);
+        public static final Behaviour PLAIN = new Behaviour("", false, false, false, 0, 0);
     }
 
     /** Whether the tasks run until the job is cancelled. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -10,6 +10,9 @@
 
 /** One life of a worker with what is charged to it. Guarded by the lock of its {@link Cell}. */
 final class WorkerNode {
+    /** Tasks that serve users use about half of the processor time that they ask for. */
+    private static final double IDLE_PART = 0.5;
+
     final WorkerEntry entry;
     final Set<TaskEntry> tasks = new LinkedHashSet<>();
     /** Whether this owner's token has reached the worker. */
@@ -18,6 +21,8 @@
     boolean listed = true;
 
     boolean leaving;
+    /** Whether tasks that serve are kept away, for the filling tasks that would disturb them. */
+    boolean reserved;
     /** Time of the last answer, ns. */
     long heardAt;
 
@@ -25,10 +30,13 @@
     long acknowledged;
     final Health health = new Health();
     final Pacing pacing = new Pacing();
+    /** Worst ratio of tail to target without filling tasks; a calm serving task reports about 0.4 of its target. */
+    double quietRatio = 0.4;
 
     private Resources charged = Resources.NONE;
     private long fillMilliCores;
     private int serving;
+    private long servingMilliCores;
     private final Map<StepKey, Integer> perStep = new HashMap<>();
 
     private record StepKey(JobId job, int step) {}
@@ -57,6 +65,7 @@
         }
         if (task.step.service().targetMs() > 0) {
             serving++;
+            servingMilliCores += task.step.demand().milliCores();
         }
         perStep.merge(key(task), 1, Integer::sum);
     }
@@ -71,6 +80,7 @@
         }
         if (task.step.service().targetMs() > 0) {
             serving--;
+            servingMilliCores -= task.step.demand().milliCores();
         }
         perStep.computeIfPresent(key(task), (_, n) -> n > 1 ? n - 1 : null);
     }
@@ -83,9 +93,12 @@
         return perStep.getOrDefault(key(task), 0);
     }
 
-    /** Processor time that neither ordinary nor filling tasks have asked for; may be negative. */
+    /** Processor time that ordinary tasks are expected to leave and filling tasks have not asked for. */
     long spareMilliCores() {
-        return (long) entry.capacity().milliCores() - charged.milliCores() - fillMilliCores;
+        return (long) entry.capacity().milliCores()
+                - charged.milliCores()
+                + (long) (IDLE_PART * servingMilliCores)
+                - fillMilliCores;
     }
 
     /** Declared processor time that ordinary tasks have not asked for. */
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -39,10 +39,13 @@
 
     static byte[] encode(JobSpec job) {
         return pack(to -> {
-            to.packString(job.id().value()).packString(job.payload());
+            to.packString(job.id().value())
+                    .packLong(job.submitted().toEpochMilli())
+                    .packString(job.payload());
             Queue queue = job.queue();
             to.packString(queue.host()).packString(queue.prefix()).packString(queue.service());
             to.packInt(queue.priority()).packInt(queue.maxAttempts());
+            to.packDouble(queue.stretch()).packLong(queue.allowance().toMillis());
             to.packArrayHeader(job.steps().size());
             for (Step step : job.steps()) {
                 write(to, step);
@@ -62,6 +65,7 @@
         to.packString(step.placement().rack().orElse(""));
         to.packInt(step.placement().perWorker());
         Step.Behaviour service = step.service();
+        to.packString(service.image());
         to.packBoolean(service.checkpoints()).packBoolean(service.lasting()).packBoolean(service.fills());
         to.packInt(service.targetMs()).packInt(service.maxUnavailable());
     }
@@ -69,15 +73,22 @@
     static JobSpec job(byte[] bytes) throws InvalidInputException {
         return parse(bytes, from -> {
             JobId id = new JobId(from.unpackString());
+            Instant submitted = Instant.ofEpochMilli(from.unpackLong());
             String payload = from.unpackString();
             Queue queue = new Queue(
-                    from.unpackString(), from.unpackString(), from.unpackString(), from.unpackInt(), from.unpackInt());
+                    from.unpackString(),
+                    from.unpackString(),
+                    from.unpackString(),
+                    from.unpackInt(),
+                    from.unpackInt(),
+                    from.unpackDouble(),
+                    Duration.ofMillis(from.unpackLong()));
             List<Step> steps = new ArrayList<>();
             int count = from.unpackArrayHeader();
             for (int i = 0; i < count; i++) {
                 steps.add(step(from));
             }
-            return new JobSpec(id, queue, payload, steps);
+            return new JobSpec(id, queue, submitted, payload, steps);
         });
     }
 
@@ -93,7 +104,12 @@
         Step.Constraints placement =
                 new Step.Constraints(text(from.unpackString()), text(from.unpackString()), from.unpackInt());
         Step.Behaviour service = new Step.Behaviour(
-                from.unpackBoolean(), from.unpackBoolean(), from.unpackBoolean(), from.unpackInt(), from.unpackInt());
+                from.unpackString(),
+                from.unpackBoolean(),
+                from.unpackBoolean(),
+                from.unpackBoolean(),
+                from.unpackInt(),
+                from.unpackInt());
         return new Step(count, demand, estimate, after, placement, service);
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -8,6 +8,7 @@
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.batch.WorkerEntry;
+import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
@@ -44,7 +45,9 @@
     private final Duration longestEarlierLease;
     private final BlockingQueue<Order> orders = new LinkedBlockingQueue<>();
     private volatile boolean closed;
+    private final Object acknowledging = new Object();
     private volatile long acknowledge;
+    private long lastEnd;
     private volatile long clockMs = -1;
     private volatile long clockAt;
     private volatile long extendedUntil;
@@ -93,7 +96,27 @@
 
     /** Lets the worker forget its ends up to a number with the next hold. */
     void acknowledge(long number) {
-        acknowledge = Math.max(acknowledge, number);
+        synchronized (acknowledging) {
+            acknowledge = Math.max(acknowledge, number);
+            acknowledging.notifyAll();
+        }
+    }
+
+    /** Waits until the listed ends may be acknowledged, because a hold before that would list them again at once. */
+    private void awaitAcknowledge() {
+        long until = time.nanos() + HOLD_WAIT.toNanos();
+        synchronized (acknowledging) {
+            long left = HOLD_WAIT.toMillis();
+            while (open() && acknowledge < lastEnd && left > 0) {
+                try {
+                    acknowledging.wait(left);
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+                left = Duration.ofNanos(until - time.nanos()).toMillis();
+            }
+        }
     }
 
     private boolean open() {
@@ -147,46 +170,37 @@
     }
 
     private boolean settle(Order order, WorkerPort.Answer answer, boolean unknown) {
-        switch (answer) {
-            case WorkerPort.Done done -> {
-                clock(done.clockMs());
-                if (order instanceof Order.Start) {
-                    cell.started(order.task(), order.run());
-                } else if (order instanceof Order.Stop) {
-                    cell.abandoned(order.task(), order.run());
-                }
-                return true;
-            }
-            case WorkerPort.Refused refused -> {
-                return refused(order, refused.why(), unknown);
-            }
-            case WorkerPort.Listed _ -> {
-                return true;
-            }
+        return switch (answer) {
+            case WorkerPort.Done done -> confirmed(order, done);
+            case WorkerPort.Refused refused -> refused(order, refused.why(), unknown);
+            case WorkerPort.Listed _ -> true;
+        };
+    }
+
+    private boolean confirmed(Order order, WorkerPort.Done done) {
+        clock(done.clockMs());
+        if (order instanceof Order.Start) {
+            cell.started(order.task(), order.run());
+        } else if (order instanceof Order.Stop) {
+            cell.abandoned(order.task(), order.run());
         }
+        return true;
     }
 
     private boolean refused(Order order, WorkerPort.Refusal why, boolean unknown) {
         Events.info("order-refused", "task", name(order), "run", order.run(), "worker", worker.id(), "why", why);
-        switch (why) {
-            case FENCED -> owner.fenced("worker " + worker.id().value());
-            case OLD_RUN -> cell.abandoned(order.task(), order.run());
-            case LATE, REJECTED, OTHER_LIFE -> {
-                if (order instanceof Order.Start) {
-                    cell.refused(order.task(), order.run(), false);
-                } else {
-                    cell.abandoned(order.task(), order.run());
-                }
-                owner.wake();
-            }
-            case UNHEALTHY -> {
-                if (unknown || !(order instanceof Order.Start)) {
-                    return false;
-                }
-                cell.refused(order.task(), order.run(), true);
-                owner.wake();
-            }
+        boolean start = order instanceof Order.Start;
+        if (why == WorkerPort.Refusal.UNHEALTHY && (unknown || !start)) {
+            return false;
         }
+        if (why == WorkerPort.Refusal.FENCED) {
+            owner.fenced("worker " + worker.id().value());
+        } else if (start && why != WorkerPort.Refusal.OLD_RUN) {
+            cell.refused(order.task(), order.run(), why == WorkerPort.Refusal.UNHEALTHY);
+        } else {
+            cell.abandoned(order.task(), order.run());
+        }
+        owner.wake();
         return true;
     }
 
@@ -220,29 +234,26 @@
     }
 
     private boolean held(WorkerPort.Answer answer, long sent) {
-        switch (answer) {
-            case WorkerPort.Listed listed -> {
-                heardAt = time.nanos();
-                clock(listed.clockMs());
-                if (unreachable) {
-                    unreachable = false;
-                    Events.info("worker-regained", "worker", worker.id());
-                }
-                expired = false;
-                cell.report(listed.report(), sent);
-                owner.wake();
-                return true;
-            }
-            case WorkerPort.Refused refused -> {
-                if (refused.why() == WorkerPort.Refusal.FENCED) {
-                    owner.fenced("worker " + worker.id().value());
-                }
-                return false;
-            }
-            case WorkerPort.Done _ -> {
-                return false;
-            }
+        if (answer instanceof WorkerPort.Refused refused && refused.why() == WorkerPort.Refusal.FENCED) {
+            owner.fenced("worker " + worker.id().value());
+        }
+        if (!(answer instanceof WorkerPort.Listed listed)) {
+            return false;
+        }
+        heardAt = time.nanos();
+        clock(listed.clockMs());
+        if (unreachable) {
+            unreachable = false;
+            Events.info("worker-regained", "worker", worker.id());
         }
+        expired = false;
+        cell.report(listed.report(), sent);
+        owner.wake();
+        for (WorkerReport.Ended end : listed.report().ended()) {
+            lastEnd = Math.max(lastEnd, end.number());
+        }
+        awaitAcknowledge();
+        return true;
     }
 
     private void afterFailure() {
