Let lasting tasks use reserved workers when nothing else fits

Ruled out: a longer search on other workers; they were full. Change: reserved workers come last for lasting tasks, one after the other.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
@@ -17,6 +17,8 @@
     private static final double MOST_EXPECTED = 0.85;
 
     private static final int FULL = 100;
+    /** More than all other parts of a score together. */
+    private static final double LAST_RESORT = 1000;
 
     private final Disturbance disturbance;
 
@@ -59,9 +61,6 @@
                 && !worker.entry.labels().contains(placement.label().get())) {
             return false;
         }
-        if (task.step.service().targetMs() > 0 && worker.serving() == 0 && worker.reserved) {
-            return false;
-        }
         if (task.step.service().fills() && !roomToFill(task, worker)) {
             return false;
         }
@@ -92,7 +91,11 @@
             score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? expected(task, worker) : 0);
         } else if (task.step.lasting()) {
             // Serving tasks are kept together, so that filling tasks find workers without them.
-            score = (worker.serving() > 0 ? 1 : 0) - worker.freeMilliCores() / capacity - worker.ofStep(task);
+            // The reserved workers come last, one after the other.
+            score = (worker.serving() > 0 ? 1 : 0)
+                    - worker.freeMilliCores() / capacity
+                    - worker.ofStep(task)
+                    - (worker.reserved && worker.serving() == 0 ? LAST_RESORT : 0);
         } else {
             score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? 0.5 : 0);
         }
