Learn disturbance for pairs of images and group serving tasks by image

Change: one weight for each pair, learned from each serving task; serving tasks are grouped by image; the reserve is gone.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -153,7 +153,7 @@
                 listed.add(task);
                 int target = task.step.service().targetMs();
                 if (target > 0) {
-                    worst = Math.max(worst, (double) run.load() / target);
+                    worst = Math.max(worst, task.tailRatio());
                 }
             }
         }
@@ -281,12 +281,12 @@
 
     private void pace(WorkerNode node, long now, double worst) {
         if (node.serving() > 0) {
-            disturbance.observe(node, worst);
+            disturbance.observe(node);
         }
         node.pacing.observe(now, worst);
         double share = node.pacing.percent() < FULL ? disturbance.highest(node) * PACED_PART : 0;
         for (TaskEntry task : node.tasks) {
-            boolean heavy = disturbance.weight(task.step.service().image()) >= share;
+            boolean heavy = disturbance.weight(node, task) >= share;
             int percent = heavy ? node.pacing.percent() : FULL;
             if (task.step.service().fills() && task.seen && task.pace != percent) {
                 task.pace = percent;
--- a/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
@@ -17,8 +17,8 @@
     private static final double MOST_EXPECTED = 0.85;
 
     private static final int FULL = 100;
-    /** More than all other parts of a score together. */
-    private static final double LAST_RESORT = 1000;
+    /** Weight of equal images against the other parts of a score, which are at most about 1. */
+    private static final double IMAGE_WEIGHT = 2;
 
     private final Disturbance disturbance;
 
@@ -73,14 +73,16 @@
                 || worker.spareMilliCores() < SPARE_PART * task.step.demand().milliCores()) {
             return false;
         }
-        return worker.serving() == 0 || expected(task, worker) <= MOST_EXPECTED;
+        return worker.serving() == 0 || disturbance.expected(worker, task) <= MOST_EXPECTED;
     }
 
-    private double expected(TaskEntry task, WorkerNode worker) {
-        double part = (double) task.step.demand().milliCores()
-                / Math.max(1, worker.entry.capacity().milliCores());
-        return disturbance.expected(worker)
-                + part * disturbance.weight(task.step.service().image());
+    /** From -2 if all serving tasks of the worker run other images to 2 if all run the same; 0 for an empty worker. */
+    private static double sameImage(TaskEntry task, WorkerNode worker) {
+        if (worker.serving() == 0) {
+            return 0;
+        }
+        double same = worker.serving(task.step.service().image());
+        return IMAGE_WEIGHT * (2 * same / worker.serving() - 1);
     }
 
     private double score(TaskEntry task, WorkerNode worker) {
@@ -88,16 +90,12 @@
         double score;
         if (task.step.service().fills()) {
             // Filling tasks run at the speed of what is left and disturb the tasks that serve.
-            score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? expected(task, worker) : 0);
+            score = worker.spareMilliCores() / capacity - disturbance.expected(worker, task);
         } else if (task.step.lasting()) {
-            // Serving tasks are kept together, so that filling tasks find workers without them.
-            // The reserved workers come last, one after the other.
-            score = (worker.serving() > 0 ? 1 : 0)
-                    - worker.freeMilliCores() / capacity
-                    - worker.ofStep(task)
-                    - (worker.reserved && worker.serving() == 0 ? LAST_RESORT : 0);
+            // Workers whose serving tasks run one image suit more of the filling images.
+            score = sameImage(task, worker) - worker.freeMilliCores() / capacity - worker.ofStep(task);
         } else {
-            score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? 0.5 : 0);
+            score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? 0.1 : 0);
         }
         boolean near = task.step
                 .placement()
--- a/batch/src/main/java/org/chestnutbarrow/batch/Disturbance.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Disturbance.java
@@ -4,13 +4,13 @@
 import java.util.Map;
 
 /**
- * Learns how strongly filling tasks of each image lengthen the tails of the serving tasks beside them. The ratio of the
- * worst tail to its target is taken as linear in the parts of the worker that each image uses; the weights follow the
- * reports by normalized least mean squares. Guarded by the lock of its {@link Cell}.
+ * Learns how strongly filling tasks of each image lengthen the tails of serving tasks of each image beside them. The
+ * ratio of a tail to its target is taken as linear in the parts of the worker that the filling images use; the weights
+ * follow the reports by normalized least mean squares. Guarded by the lock of its {@link Cell}.
  */
 final class Disturbance {
-    /** Weight of an image that was not seen yet. */
-    private static final double UNKNOWN = 3;
+    /** Weight of a pair that was not seen yet: low enough that one task is tried, high enough that few are. */
+    private static final double UNKNOWN = 2;
     /** Part of each error that is corrected at once; reports are averages over half a second and noisy. */
     private static final double RATE = 0.15;
     /** Usage below this part of a worker says nothing about an image. */
@@ -19,70 +19,88 @@
     private static final double DAMPING = 0.02;
     /** Ratios above this say no more than that it is far too much. */
     private static final double HIGHEST_RATIO = 4;
-    /** Weight of a new report in a worker's ratio without filling tasks. */
-    private static final double QUIET_RATE = 0.2;
+    /** Ratio of a serving task without filling tasks beside it; calm tasks report 0.2 to 0.6 of their targets. */
+    private static final double QUIET = 0.45;
 
-    private final Map<String, Double> weights = new HashMap<>();
+    private record Pair(String filling, String serving) {}
 
-    double weight(String image) {
-        return weights.getOrDefault(image, UNKNOWN);
+    private final Map<Pair, Double> weights = new HashMap<>();
+
+    private double weight(String filling, String serving) {
+        return weights.getOrDefault(new Pair(filling, serving), UNKNOWN);
     }
 
-    /** The highest weight of the images that fill the worker. */
-    double highest(WorkerNode node) {
-        double highest = 0;
+    /** Takes what the tasks on a worker report. */
+    void observe(WorkerNode node) {
+        Map<String, Double> use = use(node);
+        double total = use.values().stream().mapToDouble(Double::doubleValue).sum();
+        if (total < LEAST_USE) {
+            return;
+        }
         for (TaskEntry task : node.tasks) {
-            if (task.step.service().fills()) {
-                highest = Math.max(highest, weight(task.step.service().image()));
+            if (task.seen && task.load > 0 && task.step.service().targetMs() > 0) {
+                learn(task.step.service().image(), use, task.tailRatio());
             }
         }
-        return highest;
+    }
+
+    private void learn(String serving, Map<String, Double> use, double ratio) {
+        double predicted = QUIET;
+        double norm = DAMPING;
+        for (Map.Entry<String, Double> part : use.entrySet()) {
+            predicted += weight(part.getKey(), serving) * part.getValue();
+            norm += part.getValue() * part.getValue();
+        }
+        double error = Math.min(ratio, HIGHEST_RATIO) - predicted;
+        for (Map.Entry<String, Double> part : use.entrySet()) {
+            double next = weight(part.getKey(), serving) + RATE * error * part.getValue() / norm;
+            weights.put(new Pair(part.getKey(), serving), Math.max(0, next));
+        }
     }
 
     /** Parts of the worker in use by each image, as reported. */
-    static Map<String, Double> use(WorkerNode node) {
+    private static Map<String, Double> use(WorkerNode node) {
         Map<String, Double> use = new HashMap<>();
-        double capacity = Math.max(1, node.entry.capacity().milliCores());
         for (TaskEntry task : node.tasks) {
             if (task.step.service().fills()) {
-                use.merge(task.step.service().image(), task.load / capacity, Double::sum);
+                use.merge(task.step.service().image(), node.part(task.load), Double::sum);
             }
         }
         return use;
     }
 
-    /** Takes the worst ratio of tail to target that the serving tasks of a worker report. */
-    void observe(WorkerNode node, double ratio) {
-        double seen = Math.min(ratio, HIGHEST_RATIO);
-        Map<String, Double> use = use(node);
-        double total = use.values().stream().mapToDouble(Double::doubleValue).sum();
-        if (total < LEAST_USE) {
-            node.quietRatio += QUIET_RATE * (Math.min(seen, 1) - node.quietRatio);
-            return;
-        }
-        double predicted = node.quietRatio;
-        double norm = DAMPING;
-        for (Map.Entry<String, Double> part : use.entrySet()) {
-            predicted += weight(part.getKey()) * part.getValue();
-            norm += part.getValue() * part.getValue();
+    /** The highest ratio that is expected on a worker if it runs one more task and all use what they asked for. */
+    double expected(WorkerNode node, TaskEntry more) {
+        double highest = 0;
+        for (String serving : node.servingImages()) {
+            double ratio = QUIET
+                    + weight(more.step.service().image(), serving)
+                            * node.part(more.step.demand().milliCores());
+            for (Map.Entry<String, Long> filling : node.fillingImages().entrySet()) {
+                ratio += weight(filling.getKey(), serving) * node.part(filling.getValue());
+            }
+            highest = Math.max(highest, ratio);
         }
-        double error = seen - predicted;
-        for (Map.Entry<String, Double> part : use.entrySet()) {
-            double next = weight(part.getKey()) + RATE * error * part.getValue() / norm;
-            weights.put(part.getKey(), Math.max(0, next));
+        return highest;
+    }
+
+    /** How strongly a filling task disturbs the serving tasks of a worker that are worst off by it. */
+    double weight(WorkerNode node, TaskEntry filling) {
+        double highest = 0;
+        for (String serving : node.servingImages()) {
+            highest = Math.max(highest, weight(filling.step.service().image(), serving));
         }
+        return highest;
     }
 
-    /** The ratio that is expected on a worker when all its filling tasks use what they asked for. */
-    double expected(WorkerNode node) {
-        double capacity = Math.max(1, node.entry.capacity().milliCores());
-        double ratio = node.quietRatio;
+    /** The highest weight of the filling tasks on a worker. */
+    double highest(WorkerNode node) {
+        double highest = 0;
         for (TaskEntry task : node.tasks) {
             if (task.step.service().fills()) {
-                ratio +=
-                        weight(task.step.service().image()) * task.step.demand().milliCores() / capacity;
+                highest = Math.max(highest, weight(node, task));
             }
         }
-        return ratio;
+        return highest;
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -54,6 +54,11 @@
         load = 0;
     }
 
+    /** The reported tail as a part of its target. */
+    double tailRatio() {
+        return (double) load / step.service().targetMs();
+    }
+
     TaskRecord toRecord() {
         return new TaskRecord(
                 done,
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -21,8 +21,6 @@
     boolean listed = true;
 
     boolean leaving;
-    /** Whether tasks that serve are kept away, for the filling tasks that would disturb them. */
-    boolean reserved;
     /** Time of the last answer, ns. */
     long heardAt;
 
@@ -30,12 +28,12 @@
     long acknowledged;
     final Health health = new Health();
     final Pacing pacing = new Pacing();
-    /** Worst ratio of tail to target without filling tasks; a calm serving task reports about 0.4 of its target. */
-    double quietRatio = 0.4;
 
     private Resources charged = Resources.NONE;
     private long fillMilliCores;
     private int serving;
+    private final Map<String, Long> fillingImages = new HashMap<>();
+    private final Map<String, Integer> servingImages = new HashMap<>();
     private long servingMilliCores;
     private final Map<StepKey, Integer> perStep = new HashMap<>();
 
@@ -62,9 +60,12 @@
         charged = charged.plus(task.step.charge());
         if (task.step.service().fills()) {
             fillMilliCores += task.step.demand().milliCores();
+            fillingImages.merge(
+                    task.step.service().image(), (long) task.step.demand().milliCores(), Long::sum);
         }
         if (task.step.service().targetMs() > 0) {
             serving++;
+            servingImages.merge(task.step.service().image(), 1, Integer::sum);
             servingMilliCores += task.step.demand().milliCores();
         }
         perStep.merge(key(task), 1, Integer::sum);
@@ -77,9 +78,12 @@
         charged = charged.minus(task.step.charge());
         if (task.step.service().fills()) {
             fillMilliCores -= task.step.demand().milliCores();
+            long less = task.step.demand().milliCores();
+            fillingImages.computeIfPresent(task.step.service().image(), (_, n) -> n > less ? n - less : null);
         }
         if (task.step.service().targetMs() > 0) {
             serving--;
+            servingImages.computeIfPresent(task.step.service().image(), (_, n) -> n > 1 ? n - 1 : null);
             servingMilliCores -= task.step.demand().milliCores();
         }
         perStep.computeIfPresent(key(task), (_, n) -> n > 1 ? n - 1 : null);
@@ -106,6 +110,26 @@
         return (long) entry.capacity().milliCores() - charged.milliCores();
     }
 
+    /** Images of the serving tasks here. */
+    Set<String> servingImages() {
+        return servingImages.keySet();
+    }
+
+    /** Processor time that the filling tasks of each image have asked for, in thousandths of a core. */
+    Map<String, Long> fillingImages() {
+        return fillingImages;
+    }
+
+    /** How many of the serving tasks here run an image. */
+    int serving(String image) {
+        return servingImages.getOrDefault(image, 0);
+    }
+
+    /** Processor time as a part of the worker's capacity. */
+    double part(long milliCores) {
+        return (double) milliCores / Math.max(1, entry.capacity().milliCores());
+    }
+
     int serving() {
         return serving;
     }
