--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -17,6 +17,6 @@
     /** Something changed that may allow new placements. */
     void wake();
 
-    /** When this ownership began, ns. */
-    long since();
+    /** Whether all leases that earlier owners have extended are over. */
+    boolean earlierLeasesOver();
 }
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.chestnutbarrow.batch.Cell;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.Order;
@@ -34,10 +35,16 @@
     /** Longest time between two plans, so that waiting tasks are placed when a worker becomes usable again. */
     private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
     /** An owner that has not reached the store for this time stops extending leases; outages of 9 s are expected. */
-    static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(12);
+    private static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(12);
+    /**
+     * An owner without the store extends leases only while it hears more than half of the workers within this time. A
+     * newer owner that holds more than half of them is therefore heard of by one of them at the latest.
+     */
+    private static final Duration HEARD = Duration.ofMillis(1500);
+    /** Allows for an earlier owner that stood still for less than a lease and then extended once more. */
+    private static final Duration STANDSTILL = Duration.ofMillis(1200);
 
     private final long token;
-    private final long since;
     private final StateStore store;
     private final WorkerPort port;
     private final JobReplica replica;
@@ -50,6 +57,10 @@
     private final Semaphore signal = new Semaphore(0);
     private volatile boolean active = true;
     private volatile long storeSeenAt;
+    /** When more than half of the workers had answered under this token, ns; 0 before. */
+    private volatile long mostHeldAt;
+    /** Lives that may run something for an earlier owner and were not listed when this ownership began. */
+    private List<TaskRecord.Location> gone = List.of();
 
     Reign(long token, StateStore store, WorkerPort port, JobReplica replica, TimeSource time, Duration longestLease) {
         this.token = token;
@@ -58,8 +69,7 @@
         this.replica = replica;
         this.time = time;
         this.longestLease = longestLease;
-        this.since = time.nanos();
-        this.storeSeenAt = since;
+        this.storeSeenAt = time.nanos();
         this.cell = new Cell(time);
         this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
     }
@@ -69,11 +79,6 @@
         return token;
     }
 
-    @Override
-    public long since() {
-        return since;
-    }
-
     @Override
     public boolean active() {
         return active;
@@ -81,7 +86,39 @@
 
     @Override
     public boolean extending() {
-        return active && time.nanos() - storeSeenAt < EXTEND_WITHOUT_STORE.toNanos();
+        long silent = time.nanos() - storeSeenAt;
+        return active
+                && silent < EXTEND_WITHOUT_STORE.toNanos()
+                && (silent < HEARD.toNanos() || mostWorkers(link -> link.heardWithin(HEARD)));
+    }
+
+    private boolean mostWorkers(Predicate<WorkerLink> which) {
+        synchronized (links) {
+            long count = links.values().stream().filter(which).count();
+            return 2 * count > links.size();
+        }
+    }
+
+    @Override
+    public boolean earlierLeasesOver() {
+        return mostHeldAt != 0
+                && time.nanos() - mostHeldAt
+                        > HEARD.plus(STANDSTILL)
+                                .plus(WorkerLink.longest(WorkerLink.lease(longestLease)))
+                                .toNanos();
+    }
+
+    /** Settles runs on lives that were gone before this ownership began, once no lease of them can be left. */
+    private void settleEarlier() {
+        if (mostHeldAt == 0 && mostWorkers(WorkerLink::heard)) {
+            mostHeldAt = Math.max(1, time.nanos());
+            Events.info("most-workers-held", "token", token);
+        }
+        if (!gone.isEmpty() && earlierLeasesOver()) {
+            gone.forEach(cell::expired);
+            Events.info("earlier-leases-over", "token", token, "lives", gone.size());
+            gone = List.of();
+        }
     }
 
     @Override
@@ -112,25 +149,10 @@
             add(known);
         }
         replica.onChange(this::changed);
-        for (TaskRecord.Location life : cell.unlisted()) {
-            expireLater(life);
-        }
+        gone = cell.unlisted();
         thread("plans", this::planLoop);
     }
 
-    /** Runs that an earlier owner placed on a life that is gone are over once its last possible lease is. */
-    private void expireLater(TaskRecord.Location life) {
-        Duration wait =
-                EXTEND_WITHOUT_STORE.plus(longestLease).multipliedBy(102).dividedBy(100);
-        thread("expiry", () -> {
-            Pauses.sleep(wait);
-            if (active) {
-                cell.expired(life);
-                wake();
-            }
-        });
-    }
-
     private void changed(JobId id) {
         if (active) {
             replica.find(id).ifPresent(this::add);
@@ -171,7 +193,7 @@
     }
 
     private WorkerLink link(WorkerEntry entry) {
-        WorkerLink link = new WorkerLink(entry, port, cell, this, time, longestLease, EXTEND_WITHOUT_STORE);
+        WorkerLink link = new WorkerLink(entry, port, cell, this, time, longestLease);
         thread("hold", link::hold);
         thread("orders", link::sendOrders);
         return link;
@@ -199,6 +221,7 @@
                 if (signal.tryAcquire(PLAN_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)) {
                     signal.drainPermits();
                 }
+                settleEarlier();
                 carryOut(cell.plan());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -42,7 +42,6 @@
     private final Owner owner;
     private final TimeSource time;
     private final Duration lease;
-    private final Duration longestEarlierLease;
     private final BlockingQueue<Order> orders = new LinkedBlockingQueue<>();
     private volatile boolean closed;
     private final Object acknowledging = new Object();
@@ -52,32 +51,39 @@
     private volatile long clockAt;
     private volatile long extendedUntil;
     private volatile long heardAt;
+    private volatile boolean heard;
     private boolean unreachable;
     private boolean expired;
 
-    /**
-     * Creates a link.
-     *
-     * @param longestLease longest lease that a worker grants
-     * @param ownerGrace how long an earlier owner may have gone on extending leases after this ownership began
-     */
-    WorkerLink(
-            WorkerEntry worker,
-            WorkerPort port,
-            Cell cell,
-            Owner owner,
-            TimeSource time,
-            Duration longestLease,
-            Duration ownerGrace) {
+    /** Creates a link; {@code longestLease} is the longest lease that a worker grants. */
+    WorkerLink(WorkerEntry worker, WorkerPort port, Cell cell, Owner owner, TimeSource time, Duration longestLease) {
         this.worker = worker;
         this.port = port;
         this.cell = cell;
         this.owner = owner;
         this.time = time;
-        this.lease = LEASE.compareTo(longestLease) < 0 ? LEASE : longestLease;
-        this.longestEarlierLease = ownerGrace.plus(lease);
+        this.lease = lease(longestLease);
         this.heardAt = time.nanos();
-        this.extendedUntil = owner.since() + (long) (longestEarlierLease.toNanos() * CLOCK_RATE) + MARGIN.toNanos();
+    }
+
+    /** The lease that owners give. */
+    static Duration lease(Duration longest) {
+        return LEASE.compareTo(longest) < 0 ? LEASE : longest;
+    }
+
+    /** The longest time that a lease which begins now can last, by any clock. */
+    static Duration longest(Duration lease) {
+        return Duration.ofNanos((long) (lease.toNanos() * CLOCK_RATE)).plus(MARGIN);
+    }
+
+    /** Whether the worker has answered under this owner's token within a time. */
+    boolean heardWithin(Duration span) {
+        return heard && time.nanos() - heardAt < span.toNanos();
+    }
+
+    /** Whether the worker has answered under this owner's token. */
+    boolean heard() {
+        return heard;
     }
 
     WorkerEntry worker() {
@@ -241,6 +247,7 @@
             return false;
         }
         heardAt = time.nanos();
+        heard = true;
         clock(listed.clockMs());
         if (unreachable) {
             unreachable = false;
@@ -257,7 +264,9 @@
     }
 
     private void afterFailure() {
-        if (!expired && time.nanos() - extendedUntil > 0) {
+        boolean known = heard || clockMs >= 0;
+        boolean over = known ? time.nanos() - extendedUntil > 0 : owner.earlierLeasesOver();
+        if (!expired && over) {
             expired = true;
             Events.warn("leases-expired", "worker", worker.id(), "born", worker.born());
             cell.expired(new TaskRecord.Location(worker.id(), worker.born()));
@@ -283,7 +292,7 @@
             return -1;
         }
         long now = time.nanos();
-        long until = now + (long) (lease.toNanos() * CLOCK_RATE) + MARGIN.toNanos();
+        long until = now + longest(lease).toNanos();
         extendedUntil = Math.max(extendedUntil, until);
         return clock + Duration.ofNanos(now - clockAt).toMillis() + lease.toMillis();
     }
