--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -37,6 +37,8 @@
     private static final Duration SETTLE = Duration.ofMillis(1200);
 
     private static final int FULL = 100;
+    /** Filling tasks that would be slowed to this share are moved, if they can resume. */
+    private static final int EVICTED_PERCENT = 20;
     /** Filling tasks whose image has less than this part of the highest weight on the worker are not slowed down. */
     private static final double PACED_PART = 0.4;
     /** A worker lists at most this many ends at a time. */
@@ -288,7 +290,11 @@
         for (TaskEntry task : node.tasks) {
             boolean heavy = disturbance.weight(node, task) >= share;
             int percent = heavy ? node.pacing.percent() : FULL;
-            if (task.step.service().fills() && task.seen && task.pace != percent) {
+            if (percent <= EVICTED_PERCENT
+                    && task.step.service().fills()
+                    && task.step.service().checkpoints()) {
+                stop(task, "disturbs-serving");
+            } else if (task.step.service().fills() && task.seen && task.pace != percent) {
                 task.pace = percent;
                 orders.add(new Order.Pace(task.name, task.run, node.id(), node.born(), percent));
             }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
@@ -17,6 +17,8 @@
     private static final double MOST_EXPECTED = 0.85;
 
     private static final int FULL = 100;
+    /** More than all other parts of a score together. */
+    private static final double LAST_RESORT = 1000;
     /** Weight of equal images against the other parts of a score, which are at most about 1. */
     private static final double IMAGE_WEIGHT = 2;
 
@@ -33,7 +35,7 @@
         double bestScore = Double.NEGATIVE_INFINITY;
         Resources charge = task.step.charge();
         for (WorkerNode worker : workers) {
-            if (!usable(worker, service, out, now) || !allowed(task, worker) || !worker.fits(charge)) {
+            if (!usable(worker, service, out, now) || !worker.fits(charge) || !allowed(task, worker, charge)) {
                 continue;
             }
             double score = score(task, worker);
@@ -55,12 +57,16 @@
                 && worker.health.usable(now);
     }
 
-    private boolean allowed(TaskEntry task, WorkerNode worker) {
+    private boolean allowed(TaskEntry task, WorkerNode worker, Resources charge) {
         Step.Constraints placement = task.step.placement();
         if (placement.label().isPresent()
                 && !worker.entry.labels().contains(placement.label().get())) {
             return false;
         }
+        if (task.step.lasting() && task.run == 0 && (worker.reserved || !worker.fits(charge.plus(charge)))) {
+            // Room for one more is left to short tasks; a lasting task that ran before is restarted wherever it fits.
+            return false;
+        }
         if (task.step.service().fills() && !roomToFill(task, worker)) {
             return false;
         }
@@ -93,7 +99,10 @@
             score = worker.spareMilliCores() / capacity - disturbance.expected(worker, task);
         } else if (task.step.lasting()) {
             // Workers whose serving tasks run one image suit more of the filling images.
-            score = sameImage(task, worker) - worker.freeMilliCores() / capacity - worker.ofStep(task);
+            score = sameImage(task, worker)
+                    - worker.freeMilliCores() / capacity
+                    - worker.ofStep(task)
+                    - (worker.reserved ? LAST_RESORT : 0);
         } else {
             score = worker.spareMilliCores() / capacity - (worker.serving() > 0 ? 0.1 : 0);
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -21,6 +21,8 @@
     boolean listed = true;
 
     boolean leaving;
+    /** Whether new serving tasks are kept away, for the filling tasks that would disturb them. */
+    boolean reserved;
     /** Time of the last answer, ns. */
     long heardAt;
 
