--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -376,9 +376,12 @@
             }
         }
         Instant at = time.now();
-        waiting.forEach(job -> job.due = job.spec.due(queue(job)));
+        for (JobEntry job : waiting) {
+            job.due = job.spec.due(queue(job));
+            job.late = job.due.isBefore(at);
+        }
         waiting.sort(Comparator.<JobEntry>comparingInt(job -> queue(job).priority())
-                .thenComparing(job -> job.due.isBefore(at))
+                .thenComparing(job -> job.late)
                 .thenComparing(job -> job.due));
         for (JobEntry job : waiting) {
             for (int s = 0; s < job.steps.size(); s++) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
@@ -63,8 +63,7 @@
                 && !worker.entry.labels().contains(placement.label().get())) {
             return false;
         }
-        if (task.step.lasting() && task.run == 0 && (worker.reserved || !worker.fits(charge.plus(charge)))) {
-            // Room for one more is left to short tasks; a lasting task that ran before is restarted wherever it fits.
+        if (task.step.lasting() && task.run == 0 && !roomToLast(task, worker, charge)) {
             return false;
         }
         if (task.step.service().fills() && !roomToFill(task, worker)) {
@@ -73,6 +72,14 @@
         return placement.perWorker() == 0 || worker.ofStep(task) < placement.perWorker();
     }
 
+    /**
+     * A first run of a lasting task leaves room for one more to short tasks until its job is late, and the reserved
+     * workers to filling tasks. A lasting task that ran before is restarted wherever it fits.
+     */
+    private static boolean roomToLast(TaskEntry task, WorkerNode worker, Resources charge) {
+        return !worker.reserved && (task.job.late || worker.fits(charge.plus(charge)));
+    }
+
     /** Filling tasks only get what others leave, and press on the tasks that serve in proportion to their share. */
     private boolean roomToFill(TaskEntry task, WorkerNode worker) {
         if (worker.pacing.percent() < FULL
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -12,6 +12,8 @@
     Instant changed = Instant.EPOCH;
     /** When it should be complete under the policy in force. */
     Instant due = Instant.MAX;
+    /** Whether that time had passed when tasks were placed last. */
+    boolean late;
     /** Whether the state in memory is newer than the stored one. */
     boolean dirty;
 
--- /dev/null
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -0,0 +1,116 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.StaleEpochException;
+
+/** A store in memory that can refuse calls, lose answers and forget history. Safe for use by several threads. */
+final class FakeStore implements StateStore {
+    /** What happens to appends. */
+    enum Fault {
+        NONE,
+        REFUSES,
+        /** Appends are done and not answered. */
+        LOSES_ANSWERS
+    }
+
+    private final Map<Topic, List<Entry>> topics = new EnumMap<>(Topic.class);
+    private final Map<String, Writer> writers = new HashMap<>();
+    private final Map<Writer, Long> answers = new HashMap<>();
+    private final Set<String> members = new LinkedHashSet<>();
+    private long generation;
+    private long firstKept;
+    private Fault fault = Fault.NONE;
+
+    synchronized void fault(Fault next) {
+        fault = next;
+    }
+
+    synchronized void forgetHistory() {
+        firstKept = Long.MAX_VALUE;
+    }
+
+    synchronized List<Entry> records(Topic topic) {
+        return List.copyOf(topics.computeIfAbsent(topic, _ -> new ArrayList<>()));
+    }
+
+    synchronized void put(Topic topic, Entry entry) {
+        topics.computeIfAbsent(topic, _ -> new ArrayList<>()).add(entry);
+    }
+
+    @Override
+    public synchronized long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
+            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+        if (fault == Fault.REFUSES) {
+            throw new NotRunException("refused", "try again");
+        }
+        Writer last = writers.get(writer.name());
+        if (last != null && last.epoch() > writer.epoch()) {
+            throw new StaleEpochException("writer", last.epoch());
+        }
+        Long answer = answers.get(writer);
+        if (answer == null) {
+            List<Entry> records = topics.computeIfAbsent(topic, _ -> new ArrayList<>());
+            answer = (long) records.size();
+            records.addAll(entries);
+            answers.put(writer, answer);
+            writers.put(writer.name(), writer);
+        }
+        if (fault == Fault.LOSES_ANSWERS) {
+            throw new OutcomeUnknownException("no answer", "repeat it");
+        }
+        return answer;
+    }
+
+    @Override
+    public synchronized Page read(Topic topic, long from, Duration wait) throws NotRunException, HistoryLostException {
+        if (fault == Fault.REFUSES) {
+            throw new NotRunException("refused", "try again");
+        }
+        List<Entry> records = records(topic);
+        if (from < Math.min(firstKept, records.size())) {
+            throw new HistoryLostException(from);
+        }
+        List<Stored> page = new ArrayList<>();
+        for (int i = (int) from; i < records.size(); i++) {
+            page.add(new Stored(i, records.get(i)));
+        }
+        return new Page(page, records.size(), records.size());
+    }
+
+    @Override
+    public synchronized Snapshot newest(Topic topic) throws NotRunException {
+        if (fault == Fault.REFUSES) {
+            throw new NotRunException("refused", "try again");
+        }
+        Map<String, byte[]> values = new HashMap<>();
+        for (Entry entry : records(topic)) {
+            entry.value().ifPresentOrElse(v -> values.put(entry.key(), v), () -> values.remove(entry.key()));
+        }
+        return new Snapshot(values, records(topic).size());
+    }
+
+    @Override
+    public synchronized Membership join(String member, Duration ttl, long known) {
+        if (members.add(member)) {
+            generation++;
+        }
+        boolean first = members.iterator().next().equals(member);
+        return new Membership(generation, first ? Set.of(0) : Set.of(1));
+    }
+
+    @Override
+    public synchronized void leave(String member) {
+        if (members.remove(member)) {
+            generation++;
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
@@ -0,0 +1,75 @@
+package org.chestnutbarrow.node;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.chestnutbarrow.batch.JobProgress;
+import org.chestnutbarrow.batch.JobSpec;
+import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.batch.Queue;
+import org.chestnutbarrow.batch.Step;
+import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.model.InvalidInputException;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.WorkerId;
+import org.testng.annotations.Test;
+
+/** Guards stored records against loss and against bytes that cannot be read. */
+public class StateCodecTest {
+    private static final JobSpec JOB = new JobSpec(
+            new JobId("a"),
+            new Queue("host", "/q/", "service", 2, 3, 1.5, Duration.ofMillis(250)),
+            Instant.ofEpochMilli(7),
+            "payload",
+            List.of(
+                    new Step(
+                            2,
+                            new Resources(0, 0, 1, 2, 3),
+                            Duration.ofMillis(4),
+                            List.of(),
+                            new Step.Constraints(Optional.of("label"), Optional.empty(), 5),
+                            new Step.Behaviour("image", true, false, true, 6, 7)),
+                    new Step(
+                            1,
+                            Resources.NONE,
+                            Duration.ZERO,
+                            List.of(0),
+                            Step.Constraints.NONE,
+                            Step.Behaviour.PLAIN)));
+    private static final JobProgress PROGRESS = new JobProgress(
+            new JobId("a"),
+            JobState.RUNNING,
+            Instant.ofEpochMilli(8),
+            List.of(List.of(
+                    TaskRecord.NEW,
+                    new TaskRecord(true, 2, 1, "saved", Optional.of(new TaskRecord.Location(new WorkerId("w"), 9))))));
+
+    @Test
+    public void recordsAreReadAsWritten() throws InvalidInputException {
+        assertEquals(StateCodec.job(StateCodec.encode(JOB)), JOB);
+        assertEquals(StateCodec.progress(StateCodec.encode(PROGRESS)), PROGRESS);
+    }
+
+    /** Guards against a crash by bytes of others: each damage is reported or reads as some record. */
+    @Test
+    public void damagedRecordsAreReported() {
+        Random random = new Random(1);
+        byte[] whole = StateCodec.encode(JOB);
+        for (int i = 0; i < 2000; i++) {
+            byte[] damaged = whole.clone();
+            damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+            try {
+                StateCodec.job(damaged);
+            } catch (InvalidInputException e) {
+                assertEquals(e.getMessage().contains("stored record"), true, e.getMessage());
+            }
+        }
+        assertThrows(InvalidInputException.class, () -> StateCodec.job(new byte[0]));
+    }
+}
