Log the end of each run and of each job

Cause: an engineer could see where a task was started and not how it ended, so a failed or late job could not be traced from its id. Ruled out: logging in the decision library, which has no logs of its own. Change: one line for each listed end and one for each finished job.

--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -312,7 +312,11 @@
                 long offset = writer.append(entries, () -> active);
                 confirmed(sent);
                 for (int i = 0; i < changes.size(); i++) {
-                    replica.stored(changes.get(i), offset + i);
+                    JobProgress change = changes.get(i);
+                    replica.stored(change, offset + i);
+                    if (change.state().isFinal() && change.steps().isEmpty()) {
+                        Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
+                    }
                 }
                 return true;
             } catch (NotRunException e) {
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -257,7 +257,23 @@
         cell.report(listed.report(), sent);
         owner.wake();
         for (WorkerReport.Ended end : listed.report().ended()) {
-            lastEnd = Math.max(lastEnd, end.number());
+            if (end.number() > lastEnd) {
+                lastEnd = end.number();
+                Events.info(
+                        "task-ended",
+                        "job",
+                        end.task().job(),
+                        "task",
+                        end.task().step() + "/" + end.task().index(),
+                        "run",
+                        end.run(),
+                        "worker",
+                        worker.id(),
+                        "how",
+                        end.how(),
+                        "number",
+                        end.number());
+            }
         }
         awaitAcknowledge();
         return true;
