--- a/batch/src/main/java/org/chestnutbarrow/batch/Health.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Health.java
@@ -36,7 +36,7 @@
         }
         Set<JobId> jobs = new HashSet<>();
         failures.forEach(f -> jobs.add(f.job()));
-        if (jobs.size() < JOBS || usable(now) == false) {
+        if (jobs.size() < JOBS || !usable(now)) {
             return false;
         }
         avoided = true;
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -70,12 +70,6 @@
         return new StateStore.Entry(progress.id().value(), Optional.of(StateCodec.encode(progress)));
     }
 
-    static List<StateStore.Entry> removal(JobId job) {
-        return List.of(
-                new StateStore.Entry(JOB + job.value(), Optional.empty()),
-                new StateStore.Entry(CANCEL + job.value(), Optional.empty()));
-    }
-
     /** Is told of each job that was added or cancelled. */
     void onChange(Consumer<JobId> listener) {
         onChange = listener;
--- a/node/src/main/java/org/chestnutbarrow/node/JobService.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobService.java
@@ -5,6 +5,7 @@
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.NotRunException;
 
 /** What callers can ask of a node. Safe for use by several threads; calls block up to the time that they are given. */
 public interface JobService {
@@ -30,7 +31,7 @@
     Receipt cancel(JobId id, Duration within);
 
     /** Where a job stands; empty if there is no such job. */
-    Optional<JobState> state(JobId id) throws org.chestnutbarrow.model.NotRunException;
+    Optional<JobState> state(JobId id) throws NotRunException;
 
     /** Number of accepted jobs of a queue that have not started. */
     int pending(String queueKey);
