Predict the tails of serving tasks from the use of filling images

Tails follow 1 / (1 - load - use), so the headroom (target / tail) is linear in the use of each image.

Change: weights by pair of images with their covariance and the calm headroom of each task follow the reports by a Kalman filter; placement, pace and moves follow from the expected headroom.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Disturbance.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Disturbance.java
@@ -1,106 +1,123 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
- * Learns how strongly filling tasks of each image lengthen the tails of serving tasks of each image beside them. The
- * ratio of a tail to its target is taken as linear in the parts of the worker that the filling images use; the weights
- * follow the reports by normalized least mean squares. Guarded by the lock of its {@link Cell}.
+ * Learns how strongly filling tasks of each image disturb serving tasks of each image beside them. Guarded by the lock of
+ * its {@link Cell}.
+ *
+ * <p>Headroom is the target of a serving task divided by its reported tail; below 1 the task misses its target. The tail
+ * of a queue grows with the reciprocal of the free part of its server, so headroom falls linearly in the load of the task
+ * and in the processor time that each filling image uses: {@code headroom = calm - sum(weight * use)}. The calm part of
+ * each task and the weights of the pairs of images follow the reports by a Kalman filter.
  */
 final class Disturbance {
-    /** Weight of a pair that was not seen yet: low enough that one task is tried, high enough that few are. */
-    private static final double UNKNOWN = 2;
-    /** Part of each error that is corrected at once; reports are averages over half a second and noisy. */
-    private static final double RATE = 0.15;
-    /** Usage below this part of a worker says nothing about an image. */
-    private static final double LEAST_USE = 0.02;
-    /** Keeps single reports with small usage from moving a weight far. */
-    private static final double DAMPING = 0.02;
-    /** Ratios above this say no more than that it is far too much. */
-    private static final double HIGHEST_RATIO = 4;
-    /** Ratio of a serving task without filling tasks beside it; calm tasks report 0.2 to 0.6 of their targets. */
-    private static final double QUIET = 0.45;
+    /** Variance of the headroom in one report, an average over half a second. */
+    private static final double NOISE = 0.3;
+    /** Reports closer together than this overlap in most of what they average. */
+    private static final Duration APART = Duration.ofMillis(300);
+    /** Tails that are much shorter than the target carry no more information. */
+    private static final double MOST_HEADROOM = 6;
+    /** Disturbance swings for seconds at a time, so more is allowed for than the mean of what a new task takes. */
+    private static final double CAUTION = 1.6;
+    /** A filling task that takes less headroom than this takes none that can be measured. */
+    private static final double LEAST_TAKEN = 0.02;
+    /** Headroom before the first report: half loaded, with a target of five times the tail without load. */
+    private static final double FIRST_TYPICAL = 2.75;
+    /** Part of the distance by which the typical headroom follows one report of a task without filling tasks. */
+    private static final double TYPICAL_RATE = 0.01;
 
-    private record Pair(String filling, String serving) {}
+    /** Weights by the image of the serving tasks. */
+    private final Map<String, Weights> weights = new HashMap<>();
 
-    private final Map<Pair, Double> weights = new HashMap<>();
+    private double typical = FIRST_TYPICAL;
 
     private double weight(String filling, String serving) {
-        return weights.getOrDefault(new Pair(filling, serving), UNKNOWN);
+        Weights known = weights.get(serving);
+        return known == null ? Weights.UNKNOWN : known.of(filling);
     }
 
-    /** Takes what the tasks on a worker report. */
-    void observe(WorkerNode node) {
-        Map<String, Double> use = use(node);
-        double total = use.values().stream().mapToDouble(Double::doubleValue).sum();
-        if (total < LEAST_USE) {
-            return;
-        }
-        for (TaskEntry task : node.tasks) {
-            if (task.seen && task.load > 0 && task.step.service().targetMs() > 0) {
-                learn(task.step.service().image(), use, task.tailRatio());
-            }
-        }
+    /** What was learned so far. */
+    List<Sensitivity> learned() {
+        List<Sensitivity> result = new ArrayList<>();
+        weights.forEach((serving, known) -> result.addAll(known.learned(serving)));
+        return result;
     }
 
-    private void learn(String serving, Map<String, Double> use, double ratio) {
-        double predicted = QUIET;
-        double norm = DAMPING;
-        for (Map.Entry<String, Double> part : use.entrySet()) {
-            predicted += weight(part.getKey(), serving) * part.getValue();
-            norm += part.getValue() * part.getValue();
-        }
-        double error = Math.min(ratio, HIGHEST_RATIO) - predicted;
-        for (Map.Entry<String, Double> part : use.entrySet()) {
-            double next = weight(part.getKey(), serving) + RATE * error * part.getValue() / norm;
-            weights.put(new Pair(part.getKey(), serving), Math.max(0, next));
+    /** Goes on from what an earlier owner learned. */
+    void restore(List<Sensitivity> learned) {
+        for (Sensitivity one : learned) {
+            weights.computeIfAbsent(one.serving(), _ -> new Weights()).restore(one);
         }
     }
 
-    /** Parts of the worker in use by each image, as reported. */
-    private static Map<String, Double> use(WorkerNode node) {
-        Map<String, Double> use = new HashMap<>();
+    /** Takes what the tasks on a worker report. */
+    void observe(WorkerNode node, long now) {
+        if (now - node.observedAt < APART.toNanos()) {
+            return;
+        }
+        double seconds = Math.min(2, (now - node.observedAt) / 1e9);
+        node.observedAt = now;
+        Map<String, Double> use = node.use();
         for (TaskEntry task : node.tasks) {
-            if (task.step.service().fills()) {
-                use.merge(task.step.service().image(), node.part(task.load), Double::sum);
+            if (task.seen && task.load > 0 && task.serves() && task.percent >= 100) {
+                learn(task, use, seconds);
             }
         }
-        return use;
     }
 
-    /** The highest ratio that is expected on a worker if it runs one more task and all use what they asked for. */
-    double expected(WorkerNode node, TaskEntry more) {
-        double highest = 0;
-        for (String serving : node.servingImages()) {
-            double ratio = QUIET
-                    + weight(more.step.service().image(), serving)
-                            * node.part(more.step.demand().milliCores());
-            for (Map.Entry<String, Long> filling : node.fillingImages().entrySet()) {
-                ratio += weight(filling.getKey(), serving) * node.part(filling.getValue());
-            }
-            highest = Math.max(highest, ratio);
+    private void learn(TaskEntry task, Map<String, Double> use, double seconds) {
+        Calm calm = task.calm;
+        calm.advance(seconds, typical);
+        double headroom = Math.min(MOST_HEADROOM, task.headroom());
+        if (use.isEmpty()) {
+            typical += TYPICAL_RATE * (headroom - typical);
         }
-        return highest;
+        Weights known = weights.computeIfAbsent(task.step.service().image(), _ -> new Weights());
+        double[] parts = known.parts(use);
+        known.drift(parts, seconds);
+        // Single reports deviate widely, so an error counts up to one standard deviation.
+        double variance = known.variance(parts) + calm.variance() + NOISE;
+        double deviation = Math.sqrt(variance);
+        double error =
+                Math.clamp(headroom - Math.max(0, calm.level(typical) - known.taken(parts)), -deviation, deviation);
+        known.correct(parts, error, variance);
+        calm.correct(error, variance);
+    }
+
+    /** Headroom that a filling task takes from a serving task on the same worker, at full speed. */
+    double taken(WorkerNode node, TaskEntry filling, TaskEntry serving) {
+        return weight(filling.step.service().image(), serving.step.service().image())
+                * node.part(filling.step.demand().milliCores());
     }
 
-    /** How strongly a filling task disturbs the serving tasks of a worker that are worst off by it. */
-    double weight(WorkerNode node, TaskEntry filling) {
-        double highest = 0;
-        for (String serving : node.servingImages()) {
-            highest = Math.max(highest, weight(filling.step.service().image(), serving));
+    /**
+     * Headroom that a serving task is expected to keep.
+     *
+     * @param filling processor time of the filling tasks by image, as parts of the worker
+     */
+    double expected(TaskEntry serving, Map<String, Double> filling) {
+        double headroom = serving.calm.level(typical);
+        for (Map.Entry<String, Double> part : filling.entrySet()) {
+            headroom -= weight(part.getKey(), serving.step.service().image()) * part.getValue();
         }
-        return highest;
+        return headroom;
     }
 
-    /** The highest weight of the filling tasks on a worker. */
-    double highest(WorkerNode node) {
-        double highest = 0;
+    /** The share of its speed, up to 1, at which one more filling task leaves all serving tasks a headroom. */
+    double share(WorkerNode node, TaskEntry more, double headroom) {
+        Map<String, Double> filling = node.demanded();
+        double share = 1;
         for (TaskEntry task : node.tasks) {
-            if (task.step.service().fills()) {
-                highest = Math.max(highest, weight(node, task));
+            if (task.serves()) {
+                double spare = expected(task, filling) - headroom;
+                share = Math.min(share, spare / Math.max(LEAST_TAKEN, CAUTION * taken(node, more, task)));
             }
         }
-        return highest;
+        return share;
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Fleet.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Fleet.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,7 +10,6 @@
 import java.util.Set;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.AvailabilityZone;
-import org.chestnutbarrow.model.Hashing;
 import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.WorkerId;
 
@@ -20,11 +18,6 @@
  * the jobs whose state changed.
  */
 final class Fleet {
-    /**
-     * Part of the workers without new serving tasks. About half of the filling images disturb about half of the serving
-     * images, and run best beside none.
-     */
-    private static final double RESERVED_PART = 0.12;
     /** A worker counts as never heard of until its first answer. */
     private static final Duration NEVER = Duration.ofHours(1);
 
@@ -86,25 +79,9 @@
             adopt(node, touched);
         }
         workers.values().forEach(node -> node.listed = present.contains(node.id()));
-        reserve();
         return touched;
     }
 
-    /** Reserves a part of each service's workers, the same ones under each owner. */
-    private void reserve() {
-        Map<String, List<WorkerNode>> services = new HashMap<>();
-        for (WorkerNode node : workers.values()) {
-            services.computeIfAbsent(node.entry.service(), _ -> new ArrayList<>())
-                    .add(node);
-        }
-        for (List<WorkerNode> nodes : services.values()) {
-            nodes.sort(Comparator.comparingLong(node -> Hashing.hash(node.id().value())));
-            for (int i = 0; i < nodes.size(); i++) {
-                nodes.get(i).reserved = i < RESERVED_PART * nodes.size();
-            }
-        }
-    }
-
     /** Takes over the runs of this life and frees those of earlier ones. */
     private void adopt(WorkerNode node, Set<JobEntry> touched) {
         for (WorkerNode old : List.copyOf(lost)) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -14,8 +14,6 @@
     Instant due = Instant.MAX;
     /** Whether that time had passed when tasks were placed last. */
     boolean late;
-    /** Whether the state in memory is newer than the stored one. */
-    boolean dirty;
 
     private final int[] open;
 
@@ -43,6 +41,16 @@
         return true;
     }
 
+    /** Whether a task could be placed now. */
+    boolean waits() {
+        for (int s = 0; s < steps.size(); s++) {
+            if (ready(s) && steps.get(s).stream().anyMatch(TaskEntry::waiting)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     void finish(TaskEntry task) {
         if (!task.done) {
             task.done = true;
@@ -62,7 +70,6 @@
     void move(JobState to, Instant at) {
         state = to;
         changed = at;
-        dirty = true;
     }
 
     JobProgress progress() {
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -4,6 +4,8 @@
 
 /** One task in memory. Guarded by the lock of its {@link Cell}. */
 final class TaskEntry {
+    private static final int FULL = 100;
+
     final JobEntry job;
     final TaskName name;
     final Step step;
@@ -26,8 +28,14 @@
 
     int percent;
     int load;
+    /** Headroom of the latest run if it serves users. */
+    Calm calm = new Calm();
+
     long progressedAt;
-    int pace = 100;
+    /** Since when the reported tail is above its target, ns; 0 while it is not. */
+    long overSince;
+    /** Share of its processor time that the latest run may use, in percent. */
+    int pace = FULL;
 
     TaskEntry(JobEntry job, TaskName name, Step step) {
         this.job = job;
@@ -49,14 +57,26 @@
         seen = false;
         inherited = false;
         settledAt = 0;
-        pace = 100;
+        pace = FULL;
         percent = 0;
         load = 0;
+        overSince = 0;
+        calm = new Calm();
+    }
+
+    /** Whether the task has users of its own, with a target for the tail of their latency. */
+    boolean serves() {
+        return step.service().targetMs() > 0;
+    }
+
+    /** Processor time that the task may use at its pace, in thousandths of a core. */
+    long demandedMilliCores() {
+        return (long) step.demand().milliCores() * pace / FULL;
     }
 
-    /** The reported tail as a part of its target. */
-    double tailRatio() {
-        return (double) load / step.service().targetMs();
+    /** The target as a multiple of the reported tail. */
+    double headroom() {
+        return (double) step.service().targetMs() / load;
     }
 
     TaskRecord toRecord() {
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -21,15 +21,16 @@
     boolean listed = true;
 
     boolean leaving;
-    /** Whether new serving tasks are kept away, for the filling tasks that would disturb them. */
-    boolean reserved;
     /** Time of the last answer, ns. */
     long heardAt;
 
     long processed;
     long acknowledged;
     final Health health = new Health();
-    final Pacing pacing = new Pacing();
+    /** When disturbance was observed last, ns. */
+    long observedAt;
+    /** When filling tasks were last allowed to go faster, ns. */
+    long raisedAt;
 
     private Resources charged = Resources.NONE;
     private long fillMilliCores;
@@ -61,11 +62,9 @@
         task.on = this;
         charged = charged.plus(task.step.charge());
         if (task.step.service().fills()) {
-            fillMilliCores += task.step.demand().milliCores();
-            fillingImages.merge(
-                    task.step.service().image(), (long) task.step.demand().milliCores(), Long::sum);
+            demandMore(task, task.demandedMilliCores());
         }
-        if (task.step.service().targetMs() > 0) {
+        if (task.serves()) {
             serving++;
             servingImages.merge(task.step.service().image(), 1, Integer::sum);
             servingMilliCores += task.step.demand().milliCores();
@@ -79,11 +78,9 @@
         }
         charged = charged.minus(task.step.charge());
         if (task.step.service().fills()) {
-            fillMilliCores -= task.step.demand().milliCores();
-            long less = task.step.demand().milliCores();
-            fillingImages.computeIfPresent(task.step.service().image(), (_, n) -> n > less ? n - less : null);
+            demandMore(task, -task.demandedMilliCores());
         }
-        if (task.step.service().targetMs() > 0) {
+        if (task.serves()) {
             serving--;
             servingImages.computeIfPresent(task.step.service().image(), (_, n) -> n > 1 ? n - 1 : null);
             servingMilliCores -= task.step.demand().milliCores();
@@ -91,6 +88,18 @@
         perStep.computeIfPresent(key(task), (_, n) -> n > 1 ? n - 1 : null);
     }
 
+    /** Sets the share of its processor time that a filling task here may use, in percent. */
+    void pace(TaskEntry task, int percent) {
+        demandMore(task, -task.demandedMilliCores());
+        task.pace = percent;
+        demandMore(task, task.demandedMilliCores());
+    }
+
+    private void demandMore(TaskEntry task, long milliCores) {
+        fillMilliCores += milliCores;
+        fillingImages.merge(task.step.service().image(), milliCores, Long::sum);
+    }
+
     boolean fits(Resources demand) {
         return charged.plus(demand).fitsIn(entry.capacity());
     }
@@ -112,14 +121,26 @@
         return (long) entry.capacity().milliCores() - charged.milliCores();
     }
 
-    /** Images of the serving tasks here. */
-    Set<String> servingImages() {
-        return servingImages.keySet();
+    /** What the filling tasks of each image may use, as parts of the worker. */
+    Map<String, Double> demanded() {
+        Map<String, Double> parts = new HashMap<>();
+        fillingImages.forEach((image, milliCores) -> {
+            if (milliCores > 0) {
+                parts.put(image, part(milliCores));
+            }
+        });
+        return parts;
     }
 
-    /** Processor time that the filling tasks of each image have asked for, in thousandths of a core. */
-    Map<String, Long> fillingImages() {
-        return fillingImages;
+    /** What the filling tasks of each image use as reported, as parts of the worker. */
+    Map<String, Double> use() {
+        Map<String, Double> parts = new HashMap<>();
+        for (TaskEntry task : tasks) {
+            if (task.step.service().fills()) {
+                parts.merge(task.step.service().image(), part(task.load), Double::sum);
+            }
+        }
+        return parts;
     }
 
     /** How many of the serving tasks here run an image. */
