--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -12,6 +12,7 @@
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.JobId;
@@ -26,6 +27,8 @@
 
     private static final String JOB = "j/";
     private static final String CANCEL = "c/";
+    /** Key of what owners have learned about disturbance; no job has it as its id. */
+    private static final String LEARNED = "learned/";
 
     /**
      * All that is known of one job.
@@ -51,6 +54,7 @@
 
     private final List<Shard> shards = new ArrayList<>();
     private volatile Consumer<JobId> onChange = _ -> {};
+    private volatile List<Sensitivity> learned = List.of();
 
     JobReplica() {
         for (int i = 0; i < SHARDS; i++) {
@@ -70,6 +74,15 @@
         return new StateStore.Entry(progress.id().value(), Optional.of(StateCodec.encode(progress)));
     }
 
+    static StateStore.Entry learnedEntry(List<Sensitivity> learned) {
+        return new StateStore.Entry(LEARNED, Optional.of(StateCodec.encode(learned)));
+    }
+
+    /** What the latest owner has learned about disturbance. */
+    List<Sensitivity> learned() {
+        return learned;
+    }
+
     /** Is told of each job that was added or cancelled. */
     void onChange(Consumer<JobId> listener) {
         onChange = listener;
@@ -194,6 +207,10 @@
 
     private void progress(String key, Optional<byte[]> value, long offset) {
         try {
+            if (key.equals(LEARNED)) {
+                learned = value.isPresent() ? StateCodec.learned(value.get()) : List.of();
+                return;
+            }
             if (value.isPresent()) {
                 stored(StateCodec.progress(value.get()), offset);
                 return;
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -44,6 +44,9 @@
     /** Allows for an earlier owner that stood still for less than a lease and then extended once more. */
     private static final Duration STANDSTILL = Duration.ofMillis(1200);
 
+    /** Time between two records of what was learned; a new owner needs some seconds to learn that much. */
+    private static final Duration LEARNED_INTERVAL = Duration.ofSeconds(2);
+
     private final long token;
     private final StateStore store;
     private final WorkerPort port;
@@ -56,6 +59,9 @@
     private final List<Thread> threads = new ArrayList<>();
     private final Semaphore signal = new Semaphore(0);
     private volatile boolean active = true;
+    /** When what was learned was stored last, ns; used by the thread of the plans only. */
+    private long learnedAt;
+
     private volatile long storeSeenAt;
     /** When more than half of the workers had answered under this token, ns; 0 before. */
     private volatile long mostHeldAt;
@@ -144,6 +150,7 @@
     void begin(ControlState control, Collection<WorkerEntry> workers) {
         cell.configure(control.queues());
         cell.zonesOut(control.out());
+        cell.restore(replica.learned());
         workers(workers);
         for (JobReplica.Known known : replica.all(k -> true)) {
             add(known);
@@ -234,7 +241,14 @@
     }
 
     private void carryOut(Plan plan) {
-        if (!plan.changes().isEmpty() && !persist(plan.changes())) {
+        List<StateStore.Entry> entries = new ArrayList<>();
+        plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
+        long now = time.nanos();
+        if (!entries.isEmpty() && now - learnedAt > LEARNED_INTERVAL.toNanos()) {
+            learnedAt = now;
+            entries.add(JobReplica.learnedEntry(cell.learned()));
+        }
+        if (!entries.isEmpty() && !persist(entries, plan.changes())) {
             return;
         }
         synchronized (links) {
@@ -302,10 +316,8 @@
         }
     }
 
-    /** Stores changes, repeating the call until the store has answered or a newer owner exists. */
-    private boolean persist(List<JobProgress> changes) {
-        List<StateStore.Entry> entries =
-                changes.stream().map(JobReplica::progressEntry).toList();
+    /** Stores entries, the changes first among them, repeating the call until the store has answered or a newer owner exists. */
+    private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
         while (active) {
             try {
                 long sent = time.nanos();
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -11,6 +11,7 @@
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Queue;
+import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.Step;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.InvalidInputException;
@@ -158,6 +159,28 @@
         });
     }
 
+    static byte[] encode(List<Sensitivity> learned) {
+        return pack(to -> {
+            to.packArrayHeader(learned.size());
+            for (Sensitivity one : learned) {
+                to.packString(one.filling()).packString(one.serving());
+                to.packDouble(one.weight()).packDouble(one.variance());
+            }
+        });
+    }
+
+    static List<Sensitivity> learned(byte[] bytes) throws InvalidInputException {
+        return parse(bytes, from -> {
+            List<Sensitivity> learned = new ArrayList<>();
+            int count = from.unpackArrayHeader();
+            for (int i = 0; i < count; i++) {
+                learned.add(new Sensitivity(
+                        from.unpackString(), from.unpackString(), from.unpackDouble(), from.unpackDouble()));
+            }
+            return learned;
+        });
+    }
+
     private static TaskRecord task(MessageUnpacker from) throws IOException {
         boolean done = from.unpackBoolean();
         int run = from.unpackInt();
--- a/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
@@ -12,6 +12,7 @@
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Queue;
+import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.Step;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.InvalidInputException;
@@ -54,6 +55,8 @@
     public void recordsAreReadAsWritten() throws InvalidInputException {
         assertEquals(StateCodec.job(StateCodec.encode(JOB)), JOB);
         assertEquals(StateCodec.progress(StateCodec.encode(PROGRESS)), PROGRESS);
+        List<Sensitivity> learned = List.of(new Sensitivity("a", "b", 1.5, 0.25));
+        assertEquals(StateCodec.learned(StateCodec.encode(learned)), learned);
     }
 
     /** Guards against a crash by bytes of others: each damage is reported or reads as some record. */
