Carry the wait for silent workers over changes of the owner

Cause: each new owner waited 7 s from the time that it held most workers until it settled runs on lives that did not answer.

Change: SilentLives stores for how long a life has been silent; the next owner goes on from there. A life whose silence is stored is extended again only after the record is taken back, so no owner counts while another extends.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -116,9 +116,9 @@
         fleet.expired(life).forEach(ledger::touch);
     }
 
-    /** Lives that may run something and were not listed when the jobs were added. */
-    public synchronized List<TaskRecord.Location> unlisted() {
-        return fleet.unlisted();
+    /** Lives that may run something for an earlier owner, because they have not answered since. */
+    public synchronized Set<TaskRecord.Location> inherited() {
+        return fleet.inherited();
     }
 
     /** Takes a worker's answer; {@code sentAt} is the time before the call was sent, ns. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/Fleet.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Fleet.java
@@ -8,6 +8,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.Resources;
@@ -118,10 +120,11 @@
         return touched;
     }
 
-    List<TaskRecord.Location> unlisted() {
-        return lost.stream()
+    Set<TaskRecord.Location> inherited() {
+        return Stream.concat(workers.values().stream(), lost.stream())
+                .filter(node -> node.tasks.stream().anyMatch(task -> task.inherited))
                 .map(node -> new TaskRecord.Location(node.id(), node.born()))
-                .toList();
+                .collect(Collectors.toSet());
     }
 
     private static void free(WorkerNode node, Set<JobEntry> touched) {
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.node;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -13,6 +14,7 @@
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Sensitivity;
+import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.JobId;
@@ -27,6 +29,8 @@
 
     private static final String JOB = "j/";
     private static final String CANCEL = "c/";
+    /** Key of the lives that have not answered the owner; no job has it as its id. */
+    private static final String SILENT = "silent/";
     /** Key of what owners have learned about disturbance; no job has it as its id. */
     private static final String LEARNED = "learned/";
 
@@ -55,6 +59,7 @@
     private final List<Shard> shards = new ArrayList<>();
     private volatile Consumer<JobId> onChange = _ -> {};
     private volatile List<Sensitivity> learned = List.of();
+    private volatile Map<TaskRecord.Location, Duration> silent = Map.of();
 
     JobReplica() {
         for (int i = 0; i < SHARDS; i++) {
@@ -83,6 +88,15 @@
         return learned;
     }
 
+    static StateStore.Entry silentEntry(Map<TaskRecord.Location, Duration> silent) {
+        return new StateStore.Entry(SILENT, Optional.of(StateCodec.encode(silent)));
+    }
+
+    /** For how long lives have not answered earlier owners. */
+    Map<TaskRecord.Location, Duration> silent() {
+        return silent;
+    }
+
     /** Is told of each job that was added or cancelled. */
     void onChange(Consumer<JobId> listener) {
         onChange = listener;
@@ -207,6 +221,10 @@
 
     private void progress(String key, Optional<byte[]> value, long offset) {
         try {
+            if (key.equals(SILENT)) {
+                silent = value.isPresent() ? StateCodec.silent(value.get()) : Map.of();
+                return;
+            }
             if (key.equals(LEARNED)) {
                 learned = value.isPresent() ? StateCodec.learned(value.get()) : List.of();
                 return;
--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -1,12 +1,17 @@
 package org.chestnutbarrow.node;
 
+import org.chestnutbarrow.batch.TaskRecord;
+
 /** Where the ownership of the workers stands, for a worker link. Safe for use by several threads. */
 interface Owner {
     /** The token of this ownership. */
     long token();
 
-    /** Whether leases may still be extended. */
-    boolean extending();
+    /** Whether leases of a life may be extended. */
+    boolean extending(TaskRecord.Location life);
+
+    /** A life has answered under this token. */
+    void heard(TaskRecord.Location life);
 
     /** Whether this ownership has not ended. */
     boolean active();
@@ -16,7 +21,4 @@
 
     /** Something changed that may allow new placements. */
     void wake();
-
-    /** Whether all leases that earlier owners have extended are over. */
-    boolean earlierLeasesOver();
 }
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
@@ -53,6 +54,7 @@
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration longestLease;
+    private final SilentLives silentLives;
     private final Cell cell;
     private final SequencedWriter writer;
     private final Map<WorkerId, WorkerLink> links = new HashMap<>();
@@ -63,10 +65,8 @@
     private long learnedAt;
 
     private volatile long storeSeenAt;
-    /** When more than half of the workers had answered under this token, ns; 0 before. */
-    private volatile long mostHeldAt;
-    /** Lives that may run something for an earlier owner and were not listed when this ownership began. */
-    private List<TaskRecord.Location> gone = List.of();
+    /** Whether more than half of the workers have answered under this token; used by the thread of the plans only. */
+    private boolean mostHeld;
 
     Reign(long token, StateStore store, WorkerPort port, JobReplica replica, TimeSource time, Duration longestLease) {
         this.token = token;
@@ -77,6 +77,8 @@
         this.longestLease = longestLease;
         this.storeSeenAt = time.nanos();
         this.cell = new Cell(time);
+        Duration longest = HEARD.plus(STANDSTILL).plus(WorkerLink.longest(WorkerLink.lease(longestLease)));
+        this.silentLives = new SilentLives(time, longest);
         this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
     }
 
@@ -91,9 +93,10 @@
     }
 
     @Override
-    public boolean extending() {
+    public boolean extending(TaskRecord.Location life) {
         long silent = time.nanos() - storeSeenAt;
         return active
+                && silentLives.mayExtend(life)
                 && silent < EXTEND_WITHOUT_STORE.toNanos()
                 && (silent < HEARD.toNanos() || mostWorkers(link -> link.heardWithin(HEARD)));
     }
@@ -106,24 +109,21 @@
     }
 
     @Override
-    public boolean earlierLeasesOver() {
-        return mostHeldAt != 0
-                && time.nanos() - mostHeldAt
-                        > HEARD.plus(STANDSTILL)
-                                .plus(WorkerLink.longest(WorkerLink.lease(longestLease)))
-                                .toNanos();
+    public void heard(TaskRecord.Location life) {
+        silentLives.heard(life);
     }
 
-    /** Settles runs on lives that were gone before this ownership began, once no lease of them can be left. */
-    private void settleEarlier() {
-        if (mostHeldAt == 0 && mostWorkers(WorkerLink::heard)) {
-            mostHeldAt = Math.max(1, time.nanos());
+    /** Settles runs on lives that have not answered, once no lease of them can be left. */
+    private void settleSilent() {
+        if (!mostHeld && mostWorkers(WorkerLink::heard)) {
+            mostHeld = true;
+            silentLives.count();
             Events.info("most-workers-held", "token", token);
         }
-        if (!gone.isEmpty() && earlierLeasesOver()) {
-            gone.forEach(cell::expired);
-            Events.info("earlier-leases-over", "token", token, "lives", gone.size());
-            gone = List.of();
+        List<TaskRecord.Location> ended = silentLives.takeEnded();
+        if (!ended.isEmpty()) {
+            ended.forEach(cell::expired);
+            Events.info("earlier-leases-over", "token", token, "lives", ended.size());
         }
     }
 
@@ -151,12 +151,14 @@
         cell.configure(control.queues());
         cell.zonesOut(control.out());
         cell.restore(replica.learned());
-        workers(workers);
+        // Workers are asked only after all jobs are known: what a worker lists and no job explains is stopped.
+        cell.updateWorkers(workers);
         for (JobReplica.Known known : replica.all(k -> true)) {
             add(known);
         }
         replica.onChange(this::changed);
-        gone = cell.unlisted();
+        silentLives.begin(replica.silent(), cell.inherited());
+        workers(workers);
         thread("plans", this::planLoop);
     }
 
@@ -228,7 +230,7 @@
                 if (signal.tryAcquire(PLAN_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)) {
                     signal.drainPermits();
                 }
-                settleEarlier();
+                settleSilent();
                 carryOut(cell.plan());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
@@ -248,9 +250,12 @@
             learnedAt = now;
             entries.add(JobReplica.learnedEntry(cell.learned()));
         }
+        Optional<Map<TaskRecord.Location, Duration>> silent = silentLives.due();
+        silent.ifPresent(record -> entries.add(JobReplica.silentEntry(record)));
         if (!entries.isEmpty() && !persist(entries, plan.changes())) {
             return;
         }
+        silent.ifPresent(silentLives::stored);
         synchronized (links) {
             plan.acknowledge().forEach((worker, number) -> {
                 WorkerLink link = links.get(worker);
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -5,7 +5,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
@@ -181,6 +183,30 @@
         });
     }
 
+    static byte[] encode(Map<TaskRecord.Location, Duration> silent) {
+        return pack(to -> {
+            to.packArrayHeader(silent.size());
+            for (Map.Entry<TaskRecord.Location, Duration> one : silent.entrySet()) {
+                to.packString(one.getKey().worker().value())
+                        .packLong(one.getKey().born())
+                        .packLong(one.getValue().toMillis());
+            }
+        });
+    }
+
+    static Map<TaskRecord.Location, Duration> silent(byte[] bytes) throws InvalidInputException {
+        return parse(bytes, from -> {
+            Map<TaskRecord.Location, Duration> silent = new HashMap<>();
+            int count = from.unpackArrayHeader();
+            for (int i = 0; i < count; i++) {
+                TaskRecord.Location life =
+                        new TaskRecord.Location(new WorkerId(from.unpackString()), from.unpackLong());
+                silent.put(life, Duration.ofMillis(from.unpackLong()));
+            }
+            return silent;
+        });
+    }
+
     private static TaskRecord task(MessageUnpacker from) throws IOException {
         boolean done = from.unpackBoolean();
         int run = from.unpackInt();
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -37,6 +37,7 @@
     private static final Duration MARGIN = Duration.ofMillis(300);
 
     private final WorkerEntry worker;
+    private final TaskRecord.Location life;
     private final WorkerPort port;
     private final Cell cell;
     private final Owner owner;
@@ -58,6 +59,7 @@
     /** Creates a link; {@code longestLease} is the longest lease that a worker grants. */
     WorkerLink(WorkerEntry worker, WorkerPort port, Cell cell, Owner owner, TimeSource time, Duration longestLease) {
         this.worker = worker;
+        this.life = new TaskRecord.Location(worker.id(), worker.born());
         this.port = port;
         this.cell = cell;
         this.owner = owner;
@@ -247,7 +249,12 @@
             return false;
         }
         heardAt = time.nanos();
-        heard = true;
+        if (!heard) {
+            // An earlier owner may have extended leases until this answer.
+            extendedUntil = Math.max(extendedUntil, heardAt + longest(lease).toNanos());
+            heard = true;
+            owner.heard(life);
+        }
         clock(listed.clockMs());
         if (unreachable) {
             unreachable = false;
@@ -280,12 +287,10 @@
     }
 
     private void afterFailure() {
-        boolean known = heard || clockMs >= 0;
-        boolean over = known ? time.nanos() - extendedUntil > 0 : owner.earlierLeasesOver();
-        if (!expired && over) {
+        if (heard && !expired && time.nanos() - extendedUntil > 0) {
             expired = true;
             Events.warn("leases-expired", "worker", worker.id(), "born", worker.born());
-            cell.expired(new TaskRecord.Location(worker.id(), worker.born()));
+            cell.expired(life);
             owner.wake();
         }
     }
@@ -304,7 +309,7 @@
     /** The end of a lease that begins now, on the worker's clock; negative while that clock is not known. */
     private long extend() {
         long clock = clockMs;
-        if (clock < 0 || !owner.extending()) {
+        if (clock < 0 || !owner.extending(life)) {
             return -1;
         }
         long now = time.nanos();
--- a/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import org.chestnutbarrow.batch.JobProgress;
@@ -57,6 +58,9 @@
         assertEquals(StateCodec.progress(StateCodec.encode(PROGRESS)), PROGRESS);
         List<Sensitivity> learned = List.of(new Sensitivity("a", "b", 1.5, 0.25));
         assertEquals(StateCodec.learned(StateCodec.encode(learned)), learned);
+        Map<TaskRecord.Location, Duration> silent =
+                Map.of(new TaskRecord.Location(new WorkerId("w"), 9), Duration.ofMillis(5));
+        assertEquals(StateCodec.silent(StateCodec.encode(silent)), silent);
     }
 
     /** Guards against a crash by bytes of others: each damage is reported or reads as some record. */
