Keep the owner of the workers while it is a member of the group

Cause: ownership followed the part that the store's group dealt to a node, and the group deals anew whenever a node joins or leaves.

Change: the owner stands in the store with its token. The node that holds the part takes over only if the recorded owner is no member any more; an owner that ends goes on as another member. An owner that reads of a newer one ends, and counts the store as reached only by complete reads of the progress or by its own appends.

Ruled out: a longer membership (it delays each takeover after a failure).

Test: NodeTest.theOwnerStaysWhenTheGroupDealsAnew, red with ownership that follows the group. Each test now has a store of its own, since members of one test were alive in the next.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -29,6 +29,8 @@
 
     private static final String JOB = "j/";
     private static final String CANCEL = "c/";
+    /** Key of the member that owns the workers; no job has it as its id. */
+    private static final String OWNER = "owner/";
     /** Key of the lives that have not answered the owner; no job has it as its id. */
     private static final String SILENT = "silent/";
     /** Key of what owners have learned about disturbance; no job has it as its id. */
@@ -58,6 +60,7 @@
 
     private final List<Shard> shards = new ArrayList<>();
     private volatile Consumer<JobId> onChange = _ -> {};
+    private volatile Optional<OwnerRecord> owner = Optional.empty();
     private volatile List<Sensitivity> learned = List.of();
     private volatile Map<TaskRecord.Location, Duration> silent = Map.of();
 
@@ -88,6 +91,15 @@
         return learned;
     }
 
+    static StateStore.Entry ownerEntry(OwnerRecord owner) {
+        return new StateStore.Entry(OWNER, Optional.of(StateCodec.encode(owner)));
+    }
+
+    /** The member that took ownership last. */
+    Optional<OwnerRecord> owner() {
+        return owner;
+    }
+
     static StateStore.Entry silentEntry(Map<TaskRecord.Location, Duration> silent) {
         return new StateStore.Entry(SILENT, Optional.of(StateCodec.encode(silent)));
     }
@@ -221,6 +233,10 @@
 
     private void progress(String key, Optional<byte[]> value, long offset) {
         try {
+            if (key.equals(OWNER)) {
+                owner = value.isPresent() ? Optional.of(StateCodec.owner(value.get())) : Optional.empty();
+                return;
+            }
             if (key.equals(SILENT)) {
                 silent = value.isPresent() ? StateCodec.silent(value.get()) : Map.of();
                 return;
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -24,7 +24,7 @@
     /** Membership lasts this much longer than the shortest that the store allows, so that one lost call is borne. */
     private static final double MEMBERSHIP_FACTOR = 1.5;
     /** Calls to join within the time of a membership. */
-    private static final int JOINS = 4;
+    private static final int JOINS = 6;
     /** A node that has not read the store for this time is not the right one for callers. */
     private static final Duration STALE = Duration.ofMillis(2500);
     /** The part whose owner owns the workers. */
@@ -46,16 +46,18 @@
     private final TopicFollower controlFeed;
     private final TopicFollower jobFeed;
     private final TopicFollower progressFeed;
-    private final String member;
+    private volatile String member;
     private volatile Reign reign;
     private volatile boolean leaving;
+    /** Generation of the group in which the owner was last seen alive; used by the thread of the membership only. */
+    private long judged = -1;
 
     private Node(NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
         this.settings = settings;
         this.store = store;
         this.port = port;
         this.time = time;
-        this.member = settings.name() + "-" + time.now().toEpochMilli();
+        this.member = newMember();
         this.control = new ControlTable(codec);
         this.workers = new WorkerTable(codec);
         this.writer = new JobWriter(store, member);
@@ -108,6 +110,7 @@
                 continue;
             }
             try {
+                renewMember();
                 long sent = time.nanos();
                 StateStore.Membership now = store.join(member, ttl, generation);
                 generation = now.generation();
@@ -123,28 +126,64 @@
         }
     }
 
-    private void judge(StateStore.Membership now, long sent) {
-        boolean mine = now.parts().contains(OWNING_PART);
+    /** After an ownership this node goes on as another member, so that the ended one is not taken for alive. */
+    private void renewMember() throws NotRunException {
+        Reign ended = reign;
+        if (ended == null || ended.active()) {
+            return;
+        }
+        store.leave(member);
+        member = newMember();
+        reign = null;
+    }
+
+    private String newMember() {
+        return settings.name() + "-" + time.now().toEpochMilli();
+    }
+
+    /**
+     * Takes over if the owner is no member any more and the group names this node. The owner goes on whatever the group
+     * deals out, because each change of the owner stops all placement for a moment.
+     */
+    private void judge(StateStore.Membership now, long sent) throws NotRunException {
         Reign current = reign;
-        if (current != null && !current.active()) {
-            reign = null;
-            current = null;
+        if (current != null) {
+            supervise(current);
+            return;
+        }
+        if (!now.parts().contains(OWNING_PART) || now.generation() == judged) {
+            return;
+        }
+        if (!ownerLives()) {
+            progressFeed.catchUp();
         }
-        if (mine && current == null) {
+        // Generations rise with each change of the members, so one above the last token is new and fences that owner.
+        boolean vacant = !ownerLives();
+        if (vacant && now.generation() > replica.owner().map(OwnerRecord::token).orElse(-1L)) {
             takeOver(now.generation(), sent);
-        } else if (mine) {
-            current.confirmed(sent);
-        } else if (current != null) {
-            Events.info("ownership-given-up", "token", current.token(), "generation", now.generation());
-            current.end();
-            reign = null;
         }
+        if (!vacant) {
+            judged = now.generation();
+        }
+    }
+
+    private void supervise(Reign current) {
+        current.confirmed(progressFeed.freshAt());
+        Optional<OwnerRecord> owner = replica.owner();
+        if (owner.isPresent() && owner.get().token() > current.token()) {
+            current.fenced("member " + owner.get().member());
+        }
+    }
+
+    private boolean ownerLives() throws NotRunException {
+        Optional<OwnerRecord> owner = replica.owner();
+        return owner.isPresent() && store.members().contains(owner.get().member());
     }
 
     private void takeOver(long token, long sent) {
         Reign next = new Reign(token, store, port, replica, time, settings.longestLease());
         try {
-            next.fenceEarlier();
+            next.fenceEarlier(member);
             progressFeed.catchUp();
             jobFeed.catchUp();
             TopicFollower workerFeed = new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> IDLE, time);
@@ -164,6 +203,8 @@
                     workers.all().size());
         } catch (NotRunException | OutcomeUnknownException | StaleEpochException e) {
             next.end();
+            // The store may name this member as the owner, so it goes on under another name.
+            reign = next;
             Events.warn("takeover-failed", "token", token, "cause", e.getMessage());
         }
     }
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -49,7 +49,6 @@
     private static final Duration LEARNED_INTERVAL = Duration.ofSeconds(2);
 
     private final long token;
-    private final StateStore store;
     private final WorkerPort port;
     private final JobReplica replica;
     private final TimeSource time;
@@ -70,7 +69,6 @@
 
     Reign(long token, StateStore store, WorkerPort port, JobReplica replica, TimeSource time, Duration longestLease) {
         this.token = token;
-        this.store = store;
         this.port = port;
         this.replica = replica;
         this.time = time;
@@ -140,10 +138,9 @@
         storeSeenAt = Math.max(storeSeenAt, sentAt);
     }
 
-    /** Keeps earlier owners from storing progress. */
-    void fenceEarlier() throws NotRunException, OutcomeUnknownException, StaleEpochException {
-        store.append(
-                StateStore.Topic.PROGRESS, List.of(), new StateStore.Writer(WRITER, token, 0), Duration.ofMillis(900));
+    /** Names the owner in the store and keeps earlier owners from storing progress. */
+    void fenceEarlier(String member) throws NotRunException, OutcomeUnknownException, StaleEpochException {
+        writer.append(List.of(JobReplica.ownerEntry(new OwnerRecord(member, token))), () -> false);
     }
 
     /** Starts to hold workers and to place tasks. */
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -183,6 +183,14 @@
         });
     }
 
+    static byte[] encode(OwnerRecord owner) {
+        return pack(to -> to.packString(owner.member()).packLong(owner.token()));
+    }
+
+    static OwnerRecord owner(byte[] bytes) throws InvalidInputException {
+        return parse(bytes, from -> new OwnerRecord(from.unpackString(), from.unpackLong()));
+    }
+
     static byte[] encode(Map<TaskRecord.Location, Duration> silent) {
         return pack(to -> {
             to.packArrayHeader(silent.size());
--- a/node/src/main/java/org/chestnutbarrow/node/StateStore.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateStore.java
@@ -101,6 +101,9 @@
     /** Joins the group of owners or stays in it for {@code ttl}. */
     Membership join(String member, Duration ttl, long generation) throws NotRunException;
 
+    /** Members of the group that own a part at present. */
+    Set<String> members() throws NotRunException;
+
     /** Leaves the group of owners. */
     void leave(String member) throws NotRunException;
 }
--- a/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
@@ -58,6 +58,11 @@
         return loaded;
     }
 
+    /** Start of the last call that read to the end, ns. */
+    long freshAt() {
+        return freshAt;
+    }
+
     /** Age of what is known: time since the start of the last call that read to the end. */
     Duration age() {
         return loaded ? Duration.ofNanos(time.nanos() - freshAt) : Duration.ofDays(1);
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -27,6 +27,7 @@
     private final Map<Writer, Long> answers = new HashMap<>();
     private final Set<String> members = new LinkedHashSet<>();
     private long generation;
+    private boolean owningLast;
     private long firstKept;
     private Fault fault = Fault.NONE;
 
@@ -103,8 +104,20 @@
         if (members.add(member)) {
             generation++;
         }
-        boolean first = members.iterator().next().equals(member);
-        return new Membership(generation, first ? Set.of(0) : Set.of(1));
+        List<String> order = List.copyOf(members);
+        boolean owning = member.equals(owningLast ? order.getLast() : order.getFirst());
+        return new Membership(generation, owning ? Set.of(0) : Set.of(1));
+    }
+
+    /** Gives the owning part to the member that joined last. */
+    synchronized void dealAnew() {
+        generation++;
+        owningLast = true;
+    }
+
+    @Override
+    public synchronized Set<String> members() {
+        return Set.copyOf(members);
     }
 
     @Override
--- a/node/src/test/java/org/chestnutbarrow/node/FakeWorkers.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeWorkers.java
@@ -22,6 +22,10 @@
         return List.copyOf(doubled);
     }
 
+    synchronized long token() {
+        return token;
+    }
+
     synchronized int starts() {
         return started.size();
     }
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -22,6 +22,7 @@
 import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.WorkerId;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Runs nodes against a store and workers in memory. */
@@ -48,8 +49,14 @@
         }
     };
 
-    private final FakeStore store = new FakeStore();
-    private final FakeWorkers workers = new FakeWorkers();
+    private FakeStore store;
+    private FakeWorkers workers;
+
+    @BeforeMethod
+    public void begin() {
+        store = new FakeStore();
+        workers = new FakeWorkers();
+    }
 
     private static JobSpec job(String id) {
         Step step = new Step(
@@ -87,6 +94,27 @@
         }
     }
 
+    /** Guards against owners that change whenever a node joins, which stops all placement for a moment each time. */
+    @Test
+    public void theOwnerStaysWhenTheGroupDealsAnew() throws InterruptedException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.WORKERS, new StateStore.Entry("w1", Optional.of(new byte[] {1})));
+        Node first = start("first");
+        await("first node is ready", first::ready);
+        assertEquals(first.submit(job("a"), WITHIN), JobService.Receipt.STORED);
+        await("a is completed", () -> state(first, new JobId("a")) == JobState.COMPLETED);
+        long token = workers.token();
+        Node second = start("second");
+        await("second node is ready", second::ready);
+        store.dealAnew();
+        assertEquals(first.submit(job("b"), WITHIN), JobService.Receipt.STORED);
+        await("b is completed", () -> state(first, new JobId("b")) == JobState.COMPLETED);
+        Thread.sleep(Duration.ofMillis(400));
+        assertEquals(workers.token(), token, "the owner has changed");
+        first.close();
+        second.close();
+    }
+
     /** Guards against a job that is lost or run twice when the owner leaves and another node takes over. */
     @Test
     public void jobsGoOnWithTheNextOwner() throws InterruptedException {
--- a/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
@@ -58,6 +58,8 @@
         assertEquals(StateCodec.progress(StateCodec.encode(PROGRESS)), PROGRESS);
         List<Sensitivity> learned = List.of(new Sensitivity("a", "b", 1.5, 0.25));
         assertEquals(StateCodec.learned(StateCodec.encode(learned)), learned);
+        OwnerRecord owner = new OwnerRecord("node", 7);
+        assertEquals(StateCodec.owner(StateCodec.encode(owner)), owner);
         Map<TaskRecord.Location, Duration> silent =
                 Map.of(new TaskRecord.Location(new WorkerId("w"), 9), Duration.ofMillis(5));
         assertEquals(StateCodec.silent(StateCodec.encode(silent)), silent);
