--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -51,6 +51,15 @@
         return false;
     }
 
+    /** Tasks that have not finished. */
+    int openTasks() {
+        int sum = 0;
+        for (int left : open) {
+            sum += left;
+        }
+        return sum;
+    }
+
     void finish(TaskEntry task) {
         if (!task.done) {
             task.done = true;
--- a/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,6 +12,11 @@
 /** Gives waiting tasks to workers, the most urgent jobs first. Guarded by the lock of its {@link Cell}. */
 final class Placement {
     private static final int FULL = 100;
+    /**
+     * Delay in the order of jobs for each unfinished task, so that under overload small jobs are completed rather than
+     * all jobs begun.
+     */
+    private static final Duration OPEN_TASK_DELAY = Duration.ofMillis(400);
 
     private final Ledger ledger;
     private final Fleet fleet;
@@ -53,7 +59,7 @@
         }
         waiting.sort(Comparator.<JobEntry>comparingInt(job -> ledger.queue(job).priority())
                 .thenComparing(job -> job.late)
-                .thenComparing(job -> job.due));
+                .thenComparing(job -> job.due.plus(OPEN_TASK_DELAY.multipliedBy(job.openTasks()))));
         return waiting;
     }
 
