Read jobs and workers beside the fence at a takeover

Change: jobs and workers are read while the owner is recorded; only progress has to be read after that.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -2,6 +2,10 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.logging.Events;
@@ -182,13 +186,16 @@
 
     private void takeOver(long token, long sent) {
         Reign next = new Reign(token, store, port, replica, time, settings.longestLease());
-        try {
+        TopicFollower workerFeed = new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> IDLE, time);
+        workers.onChange(_ -> {});
+        // Calls to a slow store take 0.3 s and more, so those that need not follow the fence are made beside it.
+        try (ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor()) {
+            Future<?> jobsRead = calls.submit(() -> caughtUp(jobFeed));
+            Future<?> workersRead = calls.submit(() -> caughtUp(workerFeed));
             next.fenceEarlier(member);
             progressFeed.catchUp();
-            jobFeed.catchUp();
-            TopicFollower workerFeed = new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> IDLE, time);
-            workers.onChange(_ -> {});
-            workerFeed.catchUp();
+            jobsRead.get();
+            workersRead.get();
             reign = next;
             next.begin(control.state(), workers.all());
             workers.onChange(next::workers);
@@ -201,14 +208,22 @@
                     Duration.ofNanos(time.nanos() - sent).toMillis(),
                     "workers",
                     workers.all().size());
-        } catch (NotRunException | OutcomeUnknownException | StaleEpochException e) {
+        } catch (NotRunException | OutcomeUnknownException | StaleEpochException | ExecutionException e) {
             next.end();
             // The store may name this member as the owner, so it goes on under another name.
             reign = next;
             Events.warn("takeover-failed", "token", token, "cause", e.getMessage());
+        } catch (InterruptedException e) {
+            next.end();
+            Thread.currentThread().interrupt();
         }
     }
 
+    private static boolean caughtUp(TopicFollower feed) throws NotRunException {
+        feed.catchUp();
+        return true;
+    }
+
     private static void follow(TopicFollower feed, Reign reign) {
         feed.run(reign::active);
     }
