Write log lines by a thread of their own from a bounded queue

Cause: a line was written by the thread that logged it, so an output that nobody reads held up placement and answers, and the volume had no bound.

Change: a queue of 8,192 lines, a quarter of it for warnings and errors; at most 3,000 lines of normal operation a second; what is left out is counted by lines-dropped. A stop waits for the output for 1 s at most.

Tests: LineHandlerTest (blocked output, rate, stop); the first and the last hang with the earlier handler.

--- a/logging/src/main/java/org/chestnutbarrow/logging/LogSetup.java
+++ b/logging/src/main/java/org/chestnutbarrow/logging/LogSetup.java
@@ -7,9 +7,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.time.Duration;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.logging.Formatter;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -20,11 +18,6 @@
 
 /** Sends what {@link System.Logger} is given to a file or to standard output, one line an event. Stateless. */
 public final class LogSetup {
-    /** A process that is killed loses the lines of normal operation of this time at most. */
-    private static final Duration FLUSH_INTERVAL = Duration.ofMillis(100);
-
-    private static final AtomicReference<Repeating> FLUSHER = new AtomicReference<>();
-
     private LogSetup() {}
 
     /** Chooses the log manager; must be called before anything is logged. */
@@ -34,7 +27,6 @@
 
     /** Writes what is left and closes the destination; nothing is logged after it. */
     public static void close() {
-        closeFlusher(FLUSHER.getAndSet(null));
         for (Handler handler : Logger.getLogger("").getHandlers()) {
             handler.close();
         }
@@ -52,7 +44,7 @@
             OutputStream to = file.isPresent()
                     ? Files.newOutputStream(file.get(), StandardOpenOption.CREATE, StandardOpenOption.APPEND)
                     : new FileOutputStream(FileDescriptor.out);
-            handler = new LineHandler(to, new LineFormatter());
+            handler = new LineHandler(to, new LineFormatter(), System::nanoTime);
         } catch (IOException e) {
             throw new InvalidInputException(
                     "cannot write the log file " + file.get(), "set logTo to a file that can be written", e);
@@ -61,7 +53,6 @@
         handler.setLevel(least);
         Logger root = Logger.getLogger("");
         root.addHandler(handler);
-        closeFlusher(FLUSHER.getAndSet(new Repeating("log-flush", FLUSH_INTERVAL, handler::flush)));
         root.setLevel(least);
         if (LogManager.getLogManager() instanceof KeepingLogManager manager) {
             manager.keep();
@@ -70,12 +61,6 @@
         Logger.getLogger("io.netty").setLevel(Level.WARNING);
     }
 
-    private static void closeFlusher(Repeating flusher) {
-        if (flusher != null) {
-            flusher.close();
-        }
-    }
-
     private static Level julLevel(System.Logger.Level level) {
         return switch (level) {
             case ALL, TRACE -> Level.FINER;
