Serve the metrics of a node

Cause: a node had no counters or histograms, so an operator had only its log.

Tests: NodeTest reads the page, DocumentedNamesTest holds the table in OPERATIONS.md against the code.

--- a/daemon/src/test/java/org/chestnutbarrow/daemon/DocumentedNamesTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/DocumentedNamesTest.java
@@ -36,7 +36,12 @@
 
     @Test
     public void listsAllMetrics() throws IOException {
-        assertEquals(section("## Metrics", METRIC_ROW), code(DAEMON, METRIC));
+        assertEquals(section("## Metrics\n", METRIC_ROW), code(DAEMON, METRIC));
+    }
+
+    @Test
+    public void listsAllMetricsOfANode() throws IOException {
+        assertEquals(section("## Metrics of a node\n", METRIC_ROW), code(NODE, METRIC));
     }
 
     private static Set<String> section(String head, Pattern row) throws IOException {
--- a/node/src/main/java/org/chestnutbarrow/node/JobService.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobService.java
@@ -36,6 +36,9 @@
     /** Number of accepted jobs of a queue that have not started. */
     int pending(String queueKey);
 
+    /** Counters and histograms in the Prometheus text format. */
+    String metrics();
+
     /** Whether callers should be sent to this node. */
     boolean ready();
 }
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -47,6 +47,7 @@
     private final ControlTable control;
     private final WorkerTable workers;
     private final JobWriter writer;
+    private final NodeMetrics metrics;
     private final TopicFollower controlFeed;
     private final TopicFollower jobFeed;
     private final TopicFollower progressFeed;
@@ -68,6 +69,7 @@
         this.controlFeed = new TopicFollower(store, StateStore.Topic.CONTROL, control, () -> LIVE, time);
         this.jobFeed =
                 new TopicFollower(store, StateStore.Topic.JOBS, replica.jobs(), () -> owning() ? LIVE : STANDBY, time);
+        this.metrics = new NodeMetrics(this::owning, jobFeed::age);
         this.progressFeed = new TopicFollower(
                 store, StateStore.Topic.PROGRESS, replica.progress(), () -> owning() ? OWN_WRITES : STANDBY, time);
     }
@@ -185,7 +187,7 @@
     }
 
     private void takeOver(long token, long sent) {
-        Reign next = new Reign(token, store, port, replica, time, settings.longestLease());
+        Reign next = new Reign(token, store, port, replica, time, settings.longestLease(), metrics);
         TopicFollower workerFeed = new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> IDLE, time);
         workers.onChange(_ -> {});
         // Calls to a slow store take 0.3 s and more, so those that need not follow the fence are made beside it.
@@ -239,10 +241,12 @@
             Events.info("job-known", "job", job.id());
             return Receipt.STORED;
         }
+        long begin = time.nanos();
         Receipt receipt = writer.append(JobReplica.jobEntry(job), within);
         if (receipt == Receipt.STORED) {
             replica.accepted(job);
         }
+        metrics.submitted(receipt, Duration.ofNanos(time.nanos() - begin));
         Events.info("job-submitted", "job", job.id(), "queue", job.queue().key(), "receipt", receipt);
         return receipt;
     }
@@ -287,6 +291,11 @@
                 .size();
     }
 
+    @Override
+    public String metrics() {
+        return metrics.page();
+    }
+
     @Override
     public boolean ready() {
         return !leaving
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
@@ -0,0 +1,98 @@
+package org.chestnutbarrow.node;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.batch.WorkerReport;
+import org.chestnutbarrow.logging.Events;
+
+/** The metrics of one node. Safe for use by several threads; label values are words of the code. */
+final class NodeMetrics {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Counter submissions = Counter.builder()
+            .name("chestnutbarrow_node_submissions_total")
+            .help("Jobs handed in by outcome")
+            .labelNames("receipt")
+            .register(registry);
+    private final Histogram submissionTime = Histogram.builder()
+            .name("chestnutbarrow_node_submission_seconds")
+            .help("Time from the arrival of a job to its outcome")
+            .classicUpperBounds(0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
+            .classicOnly()
+            .register(registry);
+    private final Counter starts = Counter.builder()
+            .name("chestnutbarrow_node_task_starts_total")
+            .help("Runs that were ordered")
+            .register(registry);
+    private final Counter ends = Counter.builder()
+            .name("chestnutbarrow_node_task_ends_total")
+            .help("Runs whose end was listed")
+            .labelNames("how")
+            .register(registry);
+    private final Counter jobs = Counter.builder()
+            .name("chestnutbarrow_node_jobs_ended_total")
+            .help("Jobs whose final state is stored")
+            .labelNames("state")
+            .register(registry);
+
+    /** Creates the metrics; {@code owner} tells whether this node owns the workers, {@code age} the age of what it read. */
+    NodeMetrics(BooleanSupplier owner, Supplier<Duration> age) {
+        GaugeWithCallback.builder()
+                .name("chestnutbarrow_node_owner")
+                .help("1 while this node owns the workers")
+                .callback(to -> to.call(owner.getAsBoolean() ? 1 : 0))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("chestnutbarrow_node_jobs_age_seconds")
+                .help("Time since the jobs were read to their end")
+                .callback(to -> to.call(age.get().toNanos() / NANOS_PER_SECOND))
+                .register(registry);
+        CounterWithCallback.builder()
+                .name("chestnutbarrow_node_log_lines_total")
+                .help("Events by name")
+                .labelNames("event")
+                .callback(to -> Events.counts((event, count) -> to.call((double) count, event)))
+                .register(registry);
+    }
+
+    void submitted(JobService.Receipt receipt, Duration took) {
+        submissions.labelValues(receipt.name()).inc();
+        submissionTime.observe(took.toNanos() / NANOS_PER_SECOND);
+    }
+
+    void started() {
+        starts.inc();
+    }
+
+    void ended(WorkerReport.EndKind how) {
+        ends.labelValues(how.name()).inc();
+    }
+
+    void jobEnded(JobState state) {
+        jobs.labelValues(state.name()).inc();
+    }
+
+    /** The Prometheus text format. */
+    String page() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException e) {
+            throw new UncheckedIOException("writing to memory failed", e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+}
--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.batch.WorkerReport;
 
 /** Where the ownership of the workers stands, for a worker link. Safe for use by several threads. */
 interface Owner {
@@ -10,6 +11,9 @@
     /** Whether leases of a life may be extended. */
     boolean extending(TaskRecord.Location life);
 
+    /** A worker has listed the end of a run for the first time. */
+    void ended(WorkerReport.EndKind how);
+
     /** A life has answered under this token. */
     void heard(TaskRecord.Location life);
 
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -16,6 +16,7 @@
 import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.batch.WorkerEntry;
+import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.NotRunException;
@@ -53,6 +54,7 @@
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration longestLease;
+    private final NodeMetrics metrics;
     private final SilentLives silentLives;
     private final Cell cell;
     private final SequencedWriter writer;
@@ -67,12 +69,20 @@
     /** Whether more than half of the workers have answered under this token; used by the thread of the plans only. */
     private boolean mostHeld;
 
-    Reign(long token, StateStore store, WorkerPort port, JobReplica replica, TimeSource time, Duration longestLease) {
+    Reign(
+            long token,
+            StateStore store,
+            WorkerPort port,
+            JobReplica replica,
+            TimeSource time,
+            Duration longestLease,
+            NodeMetrics metrics) {
         this.token = token;
         this.port = port;
         this.replica = replica;
         this.time = time;
         this.longestLease = longestLease;
+        this.metrics = metrics;
         this.storeSeenAt = time.nanos();
         this.cell = new Cell(time);
         Duration longest = HEARD.plus(STANDSTILL).plus(WorkerLink.longest(WorkerLink.lease(longestLease)));
@@ -106,6 +116,11 @@
         }
     }
 
+    @Override
+    public void ended(WorkerReport.EndKind how) {
+        metrics.ended(how);
+    }
+
     @Override
     public void heard(TaskRecord.Location life) {
         silentLives.heard(life);
@@ -272,6 +287,9 @@
             return;
         }
         log(order);
+        if (order instanceof Order.Start) {
+            metrics.started();
+        }
         link.send(order);
     }
 
@@ -329,6 +347,7 @@
                     JobProgress change = changes.get(i);
                     replica.stored(change, offset + i);
                     if (change.state().isFinal() && change.steps().isEmpty()) {
+                        metrics.jobEnded(change.state());
                         Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
                     }
                 }
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -266,6 +266,7 @@
         for (WorkerReport.Ended end : listed.report().ended()) {
             if (end.number() > lastEnd) {
                 lastEnd = end.number();
+                owner.ended(end.how());
                 Events.info(
                         "task-ended",
                         "job",
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -131,6 +131,10 @@
         assertEquals(second.submit(job("a"), WITHIN), JobService.Receipt.STORED);
         await("b is completed", () -> state(second, new JobId("b")) == JobState.COMPLETED);
         assertEquals(state(second, new JobId("a")), JobState.COMPLETED);
+        String metrics = second.metrics();
+        assertTrue(metrics.contains("chestnutbarrow_node_submissions_total{receipt=\"STORED\"} 1.0"), metrics);
+        assertTrue(metrics.contains("chestnutbarrow_node_owner 1.0"), metrics);
+        assertTrue(metrics.contains("chestnutbarrow_node_task_ends_total{how=\"DONE\"} 2.0"), metrics);
         assertEquals(workers.doubled(), List.of());
         assertEquals(workers.starts(), 4);
         second.close();
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -77,6 +77,9 @@
             return false;
         }
 
+        @Override
+        public void ended(WorkerReport.EndKind how) {}
+
         @Override
         public void heard(TaskRecord.Location life) {}
 
