Answer counts and states only from a fresh copy of the store

After a restart a completed job was shown as queued until progress was read, and a job that completed before its cancellation could be shown as cancelled.

TopicFollower.refresh bounds the age of the copy (1.5 s of the 2 s that callers are promised). A state that is not final and not cancelled is still answered while the store is silent, because the job did have it; only the first read must have ended. A held read that ends empty counts as fresh at its end, otherwise the owner's copy would seem 2 s old on a quiet store. Cancelling a job that has ended, or a second time, no longer stores a record.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -44,6 +44,11 @@
      * @param progress the newest progress, if there is one
      */
     record Known(JobSpec spec, boolean cancelled, Optional<JobProgress> progress) {
+        /** Whether its end stands in the store, so that its state never changes again. */
+        boolean ended() {
+            return progress.isPresent() && progress.get().state().isFinal();
+        }
+
         JobState state() {
             JobState stored = progress.map(JobProgress::state).orElse(JobState.QUEUED);
             return cancelled && !stored.isFinal() ? JobState.CANCELLED : stored;
@@ -126,6 +131,12 @@
         }
     }
 
+    /** Number of jobs of a queue that have not started. */
+    int pending(String queueKey) {
+        return all(k -> k.state() == JobState.QUEUED && k.spec().queue().key().equals(queueKey))
+                .size();
+    }
+
     /** All jobs of which {@code which} holds. */
     List<Known> all(Predicate<Known> which) {
         List<Known> result = new ArrayList<>();
--- a/node/src/main/java/org/chestnutbarrow/node/JobService.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobService.java
@@ -30,11 +30,20 @@
     /** Cancels a job. */
     Receipt cancel(JobId id, Duration within);
 
-    /** Where a job stands; empty if there is no such job. */
-    Optional<JobState> state(JobId id) throws NotRunException;
-
-    /** Number of accepted jobs of a queue that have not started. */
-    int pending(String queueKey);
+    /**
+     * Where a job stands; empty if there is no such job. While the store does not answer, a state that is not final may
+     * be the last one that was read.
+     *
+     * @throws NotRunException if the store must be asked first and does not answer within that time
+     */
+    Optional<JobState> state(JobId id, Duration within) throws NotRunException;
+
+    /**
+     * Number of accepted jobs of a queue that have not started, as of a moment less than 2 s ago.
+     *
+     * @throws NotRunException if the store must be asked first and does not answer within that time
+     */
+    int pending(String queueKey, Duration within) throws NotRunException;
 
     /** Counters and histograms in the Prometheus text format. */
     String metrics();
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -31,6 +31,8 @@
     private static final int JOINS = 6;
     /** A node that has not read the store for this time is not the right one for callers. */
     private static final Duration STALE = Duration.ofMillis(2500);
+    /** Oldest copy that answers are made from. Callers are promised 2 s, of which the answer's way needs a part. */
+    private static final Duration OLDEST_COPY = Duration.ofMillis(1500);
     /** The part whose owner owns the workers. */
     private static final int OWNING_PART = 0;
 
@@ -253,15 +255,20 @@
 
     @Override
     public Receipt cancel(JobId id, Duration within) {
+        long begin = time.nanos();
         try {
-            if (known(id).isEmpty()) {
+            Optional<JobReplica.Known> known = known(id, within);
+            if (known.isEmpty()) {
                 return Receipt.NO_JOB;
             }
+            if (known.get().state().isFinal()) {
+                return Receipt.STORED;
+            }
         } catch (NotRunException e) {
             Events.warn("cancel-refused", "job", id, "cause", e.getMessage());
             return Receipt.NOT_STORED;
         }
-        Receipt receipt = writer.append(JobReplica.cancelEntry(id), within);
+        Receipt receipt = writer.append(JobReplica.cancelEntry(id), left(begin, within));
         if (receipt == Receipt.STORED) {
             replica.cancelled(id);
         }
@@ -270,25 +277,47 @@
     }
 
     @Override
-    public Optional<JobState> state(JobId id) throws NotRunException {
-        return known(id).map(JobReplica.Known::state);
+    public Optional<JobState> state(JobId id, Duration within) throws NotRunException {
+        long begin = time.nanos();
+        Optional<JobReplica.Known> known = known(id, within);
+        if (known.isEmpty() || known.get().ended()) {
+            return known.map(JobReplica.Known::state);
+        }
+        try {
+            refresh(left(begin, within));
+        } catch (NotRunException e) {
+            // Without a cancellation the state that was read last is one that the job did have.
+            if (!progressFeed.loaded() || known.get().cancelled()) {
+                throw e;
+            }
+        }
+        return replica.find(id).map(JobReplica.Known::state);
     }
 
     /** A job that is not known here may have been accepted elsewhere a moment ago, so the store is asked. */
-    private Optional<JobReplica.Known> known(JobId id) throws NotRunException {
+    private Optional<JobReplica.Known> known(JobId id, Duration within) throws NotRunException {
         Optional<JobReplica.Known> known = replica.find(id);
         if (known.isPresent()) {
             return known;
         }
-        jobFeed.catchUp();
+        jobFeed.refresh(Duration.ZERO, within);
         return replica.find(id);
     }
 
+    private void refresh(Duration within) throws NotRunException {
+        long begin = time.nanos();
+        jobFeed.refresh(OLDEST_COPY, within);
+        progressFeed.refresh(OLDEST_COPY, left(begin, within));
+    }
+
+    private Duration left(long begin, Duration within) {
+        return within.minusNanos(time.nanos() - begin);
+    }
+
     @Override
-    public int pending(String queueKey) {
-        return replica.all(k ->
-                        k.state() == JobState.QUEUED && k.spec().queue().key().equals(queueKey))
-                .size();
+    public int pending(String queueKey, Duration within) throws NotRunException {
+        refresh(within);
+        return replica.pending(queueKey);
     }
 
     @Override
--- a/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
@@ -1,6 +1,10 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.chestnutbarrow.logging.Events;
@@ -34,16 +38,29 @@
      */
     record Pace(Duration longest, Duration pause) {}
 
+    /**
+     * A read to the end of the topic for callers.
+     *
+     * @param sent when it began, ns
+     * @param done ends with the read
+     */
+    private record Attempt(long sent, CompletableFuture<Void> done) {}
+
     private final StateStore store;
     private final StateStore.Topic topic;
     private final Listener listener;
     private final Supplier<Pace> pace;
     private final TimeSource time;
     private final Object reading = new Object();
+    private final Object attempts = new Object();
+    private final CompletableFuture<Void> firstLoad = new CompletableFuture<>();
     private volatile boolean loaded;
     private volatile long freshAt;
     private volatile boolean failing;
+    /** Guarded by {@code reading}. */
     private long next;
+    /** The newest read for callers; guarded by {@code attempts}. */
+    private Attempt last;
 
     TopicFollower(StateStore store, StateStore.Topic topic, Listener listener, Supplier<Pace> pace, TimeSource time) {
         this.store = store;
@@ -58,12 +75,12 @@
         return loaded;
     }
 
-    /** Start of the last call that read to the end, ns. */
+    /** A time before which all that the topic held is known, ns. */
     long freshAt() {
         return freshAt;
     }
 
-    /** Age of what is known: time since the start of the last call that read to the end. */
+    /** Age of what is known. */
     Duration age() {
         return loaded ? Duration.ofNanos(time.nanos() - freshAt) : Duration.ofDays(1);
     }
@@ -101,6 +118,58 @@
         }
     }
 
+    /**
+     * Makes sure that what is known is no older than {@code mostAge}: zero means that the store is asked after this call
+     * began. Callers at the same time share one read, and a refusal for {@link #RETRY}.
+     *
+     * @throws NotRunException if the store does not answer in time or the first read has not ended in time
+     */
+    void refresh(Duration mostAge, Duration within) throws NotRunException {
+        long begin = time.nanos();
+        long needed = begin - mostAge.toNanos();
+        await(firstLoad, within);
+        while (freshAt - needed < 0) {
+            await(attempt().done(), within.minusNanos(time.nanos() - begin));
+        }
+    }
+
+    private Attempt attempt() {
+        synchronized (attempts) {
+            long now = time.nanos();
+            boolean over = last == null || last.done().isDone();
+            boolean refused = last != null && last.done().isCompletedExceptionally();
+            if (over && !(refused && now - last.sent() < RETRY.toNanos())) {
+                Attempt next = new Attempt(now, new CompletableFuture<>());
+                last = next;
+                Thread.ofVirtual().name("refresh").start(() -> carryOut(next));
+            }
+            return last;
+        }
+    }
+
+    private void carryOut(Attempt attempt) {
+        try {
+            catchUp();
+            attempt.done().complete(null);
+        } catch (NotRunException | RuntimeException e) {
+            attempt.done().completeExceptionally(e);
+        }
+    }
+
+    private void await(CompletableFuture<Void> result, Duration within) throws NotRunException {
+        try {
+            result.get(within.toNanos(), TimeUnit.NANOSECONDS);
+        } catch (ExecutionException e) {
+            throw new NotRunException(
+                    "the copy of " + topic + " is old: " + e.getCause().getMessage(), "try again", e);
+        } catch (TimeoutException e) {
+            throw new NotRunException("the copy of " + topic + " is old: no answer in time", "try again", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new NotRunException("the wait for " + topic + " was interrupted", "try again", e);
+        }
+    }
+
     /** Reads one page; returns whether more is known to be there. A waiting read does not hold the lock. */
     private boolean step(Duration wait) throws NotRunException {
         long sent = time.nanos();
@@ -130,7 +199,9 @@
             }
             boolean more = next < page.end();
             if (!more) {
-                freshAt = sent;
+                // The store answers without entries only when it has held the call to its end.
+                boolean held = page.entries().isEmpty() && time.nanos() - sent >= wait.toNanos();
+                fresh(held ? sent + wait.toNanos() : sent);
             }
             regained();
             return more;
@@ -140,11 +211,15 @@
     private boolean load(long sent) throws NotRunException {
         StateStore.Snapshot snapshot = store.newest(topic);
         synchronized (reading) {
+            if (loaded && snapshot.next() < next) {
+                return true;
+            }
             listener.replaced(snapshot);
             listener.settled();
             next = snapshot.next();
+            fresh(sent);
             loaded = true;
-            freshAt = sent;
+            firstLoad.complete(null);
             Events.info(
                     "topic-loaded", "topic", topic, "keys", snapshot.values().size(), "offset", next);
             regained();
@@ -152,6 +227,13 @@
         }
     }
 
+    /** Called with the monitor of {@code reading}; of two reads at a time the later one counts. */
+    private void fresh(long sent) {
+        if (!loaded || sent - freshAt > 0) {
+            freshAt = sent;
+        }
+    }
+
     private void regained() {
         if (failing) {
             failing = false;
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.EnumMap;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
@@ -30,11 +32,43 @@
     private boolean owningLast;
     private long firstKept;
     private Fault fault = Fault.NONE;
+    private final Set<Topic> refused = EnumSet.noneOf(Topic.class);
+    private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
+    private volatile Duration readTime = Duration.ZERO;
+    private volatile Consumer<Duration> held = _ -> {};
 
     synchronized void fault(Fault next) {
         fault = next;
     }
 
+    /** Refuses to read these topics from now on, and no others. */
+    synchronized void refuseReads(Set<Topic> topics) {
+        refused.clear();
+        refused.addAll(topics);
+    }
+
+    /** Each read takes this time from now on. */
+    void readTime(Duration time) {
+        readTime = time;
+    }
+
+    /** Is called with the time for which a read may be held, and returns when it is over. */
+    void whileHeld(Consumer<Duration> wait) {
+        held = wait;
+    }
+
+    /** Reads of a topic so far. */
+    synchronized int reads(Topic topic) {
+        return reads.getOrDefault(topic, 0);
+    }
+
+    private synchronized void countRead(Topic topic) throws NotRunException {
+        reads.merge(topic, 1, Integer::sum);
+        if (fault == Fault.REFUSES || refused.contains(topic)) {
+            throw new NotRunException("refused", "try again");
+        }
+    }
+
     synchronized void forgetHistory() {
         firstKept = Long.MAX_VALUE;
     }
@@ -72,10 +106,14 @@
     }
 
     @Override
-    public synchronized Page read(Topic topic, long from, Duration wait) throws NotRunException, HistoryLostException {
-        if (fault == Fault.REFUSES) {
-            throw new NotRunException("refused", "try again");
-        }
+    public Page read(Topic topic, long from, Duration wait) throws NotRunException, HistoryLostException {
+        Pauses.sleep(readTime);
+        countRead(topic);
+        held.accept(wait);
+        return page(topic, from);
+    }
+
+    private synchronized Page page(Topic topic, long from) throws HistoryLostException {
         List<Entry> records = records(topic);
         if (from < Math.min(firstKept, records.size())) {
             throw new HistoryLostException(from);
@@ -89,9 +127,7 @@
 
     @Override
     public synchronized Snapshot newest(Topic topic) throws NotRunException {
-        if (fault == Fault.REFUSES) {
-            throw new NotRunException("refused", "try again");
-        }
+        countRead(topic);
         Map<String, byte[]> values = new HashMap<>();
         for (Entry entry : records(topic)) {
             entry.value().ifPresentOrElse(v -> values.put(entry.key(), v), () -> values.remove(entry.key()));
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -9,7 +10,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
+import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Queue;
@@ -49,11 +52,26 @@
         }
     };
 
+    /** The system's clocks, moved ahead by {@link #ahead}. */
+    private final TimeSource clock = new TimeSource() {
+        @Override
+        public Instant now() {
+            return Instant.now().plusNanos(ahead.get());
+        }
+
+        @Override
+        public long nanos() {
+            return System.nanoTime() + ahead.get();
+        }
+    };
+
+    private final AtomicLong ahead = new AtomicLong();
     private FakeStore store;
     private FakeWorkers workers;
 
     @BeforeMethod
     public void begin() {
+        ahead.set(0);
         store = new FakeStore();
         workers = new FakeWorkers();
     }
@@ -71,11 +89,7 @@
 
     private Node start(String name) {
         return Node.start(
-                new NodeSettings(name, Duration.ofMillis(300), Duration.ofSeconds(6)),
-                store,
-                workers,
-                CODEC,
-                TimeSource.SYSTEM);
+                new NodeSettings(name, Duration.ofMillis(300), Duration.ofSeconds(6)), store, workers, CODEC, clock);
     }
 
     private static void await(String what, BooleanSupplier condition) throws InterruptedException {
@@ -88,7 +102,7 @@
 
     private static JobState state(Node node, JobId id) {
         try {
-            return node.state(id).orElseThrow();
+            return node.state(id, WITHIN).orElseThrow();
         } catch (NotRunException e) {
             throw new AssertionError("the store in memory always answers", e);
         }
@@ -139,4 +153,107 @@
         assertEquals(workers.starts(), 4);
         second.close();
     }
+
+    /** Guards against a number of pending jobs that lacks those accepted elsewhere while the store refused this node. */
+    @Test
+    public void pendingIsNotAnsweredFromAnOldCopy() throws InterruptedException, NotRunException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        Node node = start("node");
+        await("node is ready", node::ready);
+        assertEquals(node.pending(QUEUE.key(), WITHIN), 0);
+        store.refuseReads(Set.of(StateStore.Topic.JOBS));
+        store.put(StateStore.Topic.JOBS, JobReplica.jobEntry(job("a")));
+        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        assertThrows(NotRunException.class, () -> node.pending(QUEUE.key(), WITHIN));
+        store.refuseReads(Set.of(StateStore.Topic.PROGRESS));
+        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        assertThrows(NotRunException.class, () -> node.pending(QUEUE.key(), WITHIN));
+        store.refuseReads(Set.of());
+        await("the store is read again", () -> pending(node) == 1);
+        node.close();
+    }
+
+    private static boolean shows(Node node, JobId id, JobState state) {
+        try {
+            return node.state(id, WITHIN).equals(Optional.of(state));
+        } catch (NotRunException e) {
+            return false;
+        }
+    }
+
+    private static int pending(Node node) {
+        try {
+            return node.pending(QUEUE.key(), WITHIN);
+        } catch (NotRunException e) {
+            return -1;
+        }
+    }
+
+    private static StateStore.Entry completed(String id) {
+        return JobReplica.progressEntry(new JobProgress(new JobId(id), JobState.COMPLETED, Instant.EPOCH, List.of()));
+    }
+
+    /** Guards against a completed job that is shown as queued by a node that has not read any progress. */
+    @Test
+    public void statesAreNotAnsweredBeforeProgressIsRead() throws InterruptedException, NotRunException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.JOBS, JobReplica.jobEntry(job("a")));
+        store.put(StateStore.Topic.PROGRESS, completed("a"));
+        store.refuseReads(Set.of(StateStore.Topic.PROGRESS));
+        Node node = start("node");
+        Duration brief = Duration.ofMillis(300);
+        assertThrows(NotRunException.class, () -> node.state(new JobId("a"), brief));
+        store.refuseReads(Set.of());
+        assertEquals(node.state(new JobId("a"), WITHIN), Optional.of(JobState.COMPLETED));
+        node.close();
+    }
+
+    /** Guards against a completed job that is shown as cancelled because its end has not been read. */
+    @Test
+    public void cancelledIsNotAnsweredFromOldProgress() throws InterruptedException, NotRunException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.JOBS, JobReplica.jobEntry(job("a")));
+        Node node = start("node");
+        await("node is ready", node::ready);
+        store.refuseReads(Set.of(StateStore.Topic.PROGRESS));
+        store.put(StateStore.Topic.PROGRESS, completed("a"));
+        assertEquals(node.cancel(new JobId("a"), WITHIN), JobService.Receipt.STORED);
+        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        assertThrows(NotRunException.class, () -> node.state(new JobId("a"), WITHIN));
+        store.refuseReads(Set.of());
+        await("the end is read", () -> shows(node, new JobId("a"), JobState.COMPLETED));
+        node.close();
+    }
+
+    /** Guards against a state that is not answered at all while the store refuses this node. */
+    @Test
+    public void aStateThatWasReadIsAnsweredWithoutTheStore() throws InterruptedException, NotRunException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.JOBS, JobReplica.jobEntry(job("a")));
+        Node node = start("node");
+        await("node is ready", node::ready);
+        store.refuseReads(Set.of(StateStore.Topic.JOBS, StateStore.Topic.PROGRESS));
+        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        assertEquals(node.state(new JobId("a"), WITHIN), Optional.of(JobState.QUEUED));
+        assertThrows(NotRunException.class, () -> node.state(new JobId("b"), WITHIN));
+        node.close();
+    }
+
+    /** Guards against a write for each repeated cancellation of a job that has ended. */
+    @Test
+    public void cancellingAnEndedJobStoresNothing() throws InterruptedException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.JOBS, JobReplica.jobEntry(job("a")));
+        store.put(StateStore.Topic.JOBS, JobReplica.jobEntry(job("b")));
+        store.put(StateStore.Topic.PROGRESS, completed("a"));
+        Node node = start("node");
+        await("node is ready", node::ready);
+        assertEquals(node.cancel(new JobId("a"), WITHIN), JobService.Receipt.STORED);
+        assertEquals(store.records(StateStore.Topic.JOBS).size(), 2);
+        assertEquals(state(node, new JobId("a")), JobState.COMPLETED);
+        assertEquals(node.cancel(new JobId("b"), WITHIN), JobService.Receipt.STORED);
+        assertEquals(node.cancel(new JobId("b"), WITHIN), JobService.Receipt.STORED);
+        assertEquals(store.records(StateStore.Topic.JOBS).size(), 3);
+        node.close();
+    }
 }
