Keep the numbers of queued jobs instead of counting all jobs

Each shard of the replica now keeps the number of its queued jobs by queue, corrected in the same critical section as each change of a job.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -61,6 +61,27 @@
         final Set<JobId> cancelled = new HashSet<>();
         final Map<JobId, JobProgress> progress = new HashMap<>();
         final Map<JobId, Long> offsets = new HashMap<>();
+        /** Number of queued jobs by the keys of their queues; a queue without any is absent. */
+        final Map<String, Integer> pending = new HashMap<>();
+
+        Optional<Known> known(JobId id) {
+            return Optional.ofNullable(specs.get(id))
+                    .map(spec -> new Known(spec, cancelled.contains(id), Optional.ofNullable(progress.get(id))));
+        }
+
+        /** Changes what is known of a job and keeps the numbers of queued jobs. */
+        synchronized void change(JobId id, Runnable change) {
+            count(id, -1);
+            change.run();
+            count(id, 1);
+        }
+
+        private void count(JobId id, int by) {
+            known(id)
+                    .filter(known -> known.state() == JobState.QUEUED)
+                    .ifPresent(known -> pending.merge(
+                            known.spec().queue().key(), by, (a, b) -> a + b == 0 ? null : Integer.valueOf(a + b)));
+        }
     }
 
     private final List<Shard> shards = new ArrayList<>();
@@ -122,12 +143,7 @@
     Optional<Known> find(JobId id) {
         Shard shard = shard(id);
         synchronized (shard) {
-            JobSpec spec = shard.specs.get(id);
-            if (spec == null) {
-                return Optional.empty();
-            }
-            return Optional.of(
-                    new Known(spec, shard.cancelled.contains(id), Optional.ofNullable(shard.progress.get(id))));
+            return shard.known(id);
         }
     }
 
@@ -142,14 +158,8 @@
         List<Known> result = new ArrayList<>();
         for (Shard shard : shards) {
             synchronized (shard) {
-                for (JobSpec spec : shard.specs.values()) {
-                    Known known = new Known(
-                            spec,
-                            shard.cancelled.contains(spec.id()),
-                            Optional.ofNullable(shard.progress.get(spec.id())));
-                    if (which.test(known)) {
-                        result.add(known);
-                    }
+                for (JobId id : shard.specs.keySet()) {
+                    shard.known(id).filter(which).ifPresent(result::add);
                 }
             }
         }
@@ -159,29 +169,25 @@
     /** Takes progress that this node has stored itself. */
     void stored(JobProgress progress, long offset) {
         Shard shard = shard(progress.id());
-        synchronized (shard) {
+        shard.change(progress.id(), () -> {
             if (shard.offsets.getOrDefault(progress.id(), -1L) <= offset) {
                 shard.progress.put(progress.id(), progress);
                 shard.offsets.put(progress.id(), offset);
             }
-        }
+        });
     }
 
     /** Takes a job that this node has stored itself. */
     void accepted(JobSpec job) {
         Shard shard = shard(job.id());
-        synchronized (shard) {
-            shard.specs.putIfAbsent(job.id(), job);
-        }
+        shard.change(job.id(), () -> shard.specs.putIfAbsent(job.id(), job));
         onChange.accept(job.id());
     }
 
     /** Takes a cancellation that this node has stored itself. */
     void cancelled(JobId id) {
         Shard shard = shard(id);
-        synchronized (shard) {
-            shard.cancelled.add(id);
-        }
+        shard.change(id, () -> shard.cancelled.add(id));
         onChange.accept(id);
     }
 
@@ -233,13 +239,13 @@
 
     private void forget(JobId id, boolean spec) {
         Shard shard = shard(id);
-        synchronized (shard) {
+        shard.change(id, () -> {
             if (spec) {
                 shard.specs.remove(id);
             } else {
                 shard.cancelled.remove(id);
             }
-        }
+        });
     }
 
     private void progress(String key, Optional<byte[]> value, long offset) {
@@ -262,10 +268,10 @@
             }
             JobId id = new JobId(key);
             Shard shard = shard(id);
-            synchronized (shard) {
+            shard.change(id, () -> {
                 shard.progress.remove(id);
                 shard.offsets.remove(id);
-            }
+            });
         } catch (InvalidInputException | IllegalArgumentException e) {
             Events.warn("record-unreadable", "topic", StateStore.Topic.PROGRESS, "key", key, "cause", e.getMessage());
         }
