Carry the capacity of a node in its name as a member

Cause: nothing that members can read of each other says what their machines can carry, so the choice of the owner cannot depend on it. The group returns only the names of its members.

Change: the settings state the processor time of the machine (share times speed of a core), and Member writes it into the member's name and reads it back. Names of another form have no capacity. The choice itself is unchanged.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -144,7 +144,7 @@
     }
 
     private String newMember() {
-        return settings.name() + "-" + time.now().toEpochMilli();
+        return new Member(settings.name(), settings.milliCores(), time.now()).id();
     }
 
     /**
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -29,6 +29,7 @@
 public class NodeTest {
     private static final Queue QUEUE = new Queue("host", "/q/", "service", 0, 2, 2, Duration.ofSeconds(1));
     private static final Duration WITHIN = Duration.ofSeconds(5);
+    private static final int STRONG = 1500;
     private static final RecordCodec CODEC = new RecordCodec() {
         @Override
         public ControlState control(Map<String, byte[]> records, ControlState before) {
@@ -71,7 +72,7 @@
 
     private Node start(String name) {
         return Node.start(
-                new NodeSettings(name, Duration.ofMillis(300), Duration.ofSeconds(6)),
+                new NodeSettings(name, STRONG, Duration.ofMillis(300), Duration.ofSeconds(6)),
                 store,
                 workers,
                 CODEC,
