Let the strongest member take over the ownership

Cause: the member that the group dealt part 0 to took over, whatever it could carry.

Change: Succession, which does no I/O, chooses. The strongest member follows an owner that is no member any more; of equal ones the one that has run for longer, so that a machine that restarts often is not chosen again and again. Others step in by their rank, 1.5 s each. A living owner is relieved only by a member of twice its capacity that joined 3 s ago or more.

Tokens: one member alone could use a generation before, namely the holder of part 0. Now any member with a part may take over, and the store takes a first append with the same writer, epoch and sequence for a repeat and answers it with success, so two members with one token would both own. The token is therefore the generation x 1024 + the lowest part that the member holds over both topics. In addition a new owner reads back whom the store names before it orders anything.

Members are read when the generation has changed, by those of lower rank later, so that most read once for several changes. Each takeover that is weighed has a line with its inputs.

Tests: NodeTest.aWeakMemberDoesNotTakeOverWhileAStrongOneIsAlive and aWeakOwnerIsRelievedByAMemberOfTwiceItsCapacity failed before.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -31,8 +31,6 @@
     private static final int JOINS = 6;
     /** A node that has not read the store for this time is not the right one for callers. */
     private static final Duration STALE = Duration.ofMillis(2500);
-    /** The part whose owner owns the workers. */
-    private static final int OWNING_PART = 0;
 
     private static final TopicFollower.Pace LIVE = new TopicFollower.Pace(Duration.ofSeconds(1), Duration.ZERO);
     private static final TopicFollower.Pace STANDBY = new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(500));
@@ -54,15 +52,19 @@
     private volatile String member;
     private volatile Reign reign;
     private volatile boolean leaving;
-    /** Generation of the group in which the owner was last seen alive; used by the thread of the membership only. */
-    private long judged = -1;
+    /** Used by the thread of the membership only. */
+    private Succession succession;
+    /** The last choice that was logged as declined; used by the thread of the membership only. */
+    private Optional<Succession.Why> declined = Optional.empty();
 
     private Node(NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
         this.settings = settings;
         this.store = store;
         this.port = port;
         this.time = time;
-        this.member = newMember();
+        Member self = newMember();
+        this.member = self.id();
+        this.succession = new Succession(self, time.nanos());
         this.control = new ControlTable(codec);
         this.workers = new WorkerTable(codec);
         this.writer = new JobWriter(store, member);
@@ -139,40 +141,79 @@
             return;
         }
         store.leave(member);
-        member = newMember();
+        Member self = newMember();
+        member = self.id();
+        succession = new Succession(self, time.nanos());
         reign = null;
     }
 
-    private String newMember() {
-        return new Member(settings.name(), settings.milliCores(), time.now()).id();
+    private Member newMember() {
+        return new Member(settings.name(), settings.milliCores(), time.now());
     }
 
-    /**
-     * Takes over if the owner is no member any more and the group names this node. The owner goes on whatever the group
-     * deals out, because each change of the owner stops all placement for a moment.
-     */
+    /** Takes over if this member is the one to do so; the owner goes on whatever the group deals out. */
     private void judge(StateStore.Membership now, long sent) throws NotRunException {
         Reign current = reign;
         if (current != null) {
             supervise(current);
             return;
         }
-        if (!now.parts().contains(OWNING_PART) || now.generation() == judged) {
-            return;
+        Succession.Choice choice = succession.choose(now, replica.owner(), time.nanos());
+        if (choice instanceof Succession.Look) {
+            choice = look(now);
         }
-        if (!ownerLives()) {
+        if (choice instanceof Succession.TakeOver) {
+            // What led to the choice may be old, so it is made again by the newest owner and members.
             progressFeed.catchUp();
+            choice = look(now);
         }
-        // Generations rise with each change of the members, so one above the last token is new and fences that owner.
-        boolean vacant = !ownerLives();
-        if (vacant && now.generation() > replica.owner().map(OwnerRecord::token).orElse(-1L)) {
-            takeOver(now.generation(), sent);
+        switch (choice) {
+            case Succession.Look _ -> {}
+            case Succession.Rest rest -> declined(rest.grounds(), now);
+            case Succession.TakeOver next -> {
+                log(true, next.grounds(), now);
+                takeOver(next.token(), sent);
+            }
         }
-        if (!vacant) {
-            judged = now.generation();
+    }
+
+    private Succession.Choice look(StateStore.Membership now) throws NotRunException {
+        succession.seen(now.generation(), store.members());
+        return succession.choose(now, replica.owner(), time.nanos());
+    }
+
+    private void declined(Succession.Grounds grounds, StateStore.Membership now) {
+        switch (grounds.why()) {
+            case OWNER_SUFFICES -> declined = Optional.empty();
+            case MEMBERS_UNKNOWN -> {}
+            default -> {
+                if (!declined.equals(Optional.of(grounds.why()))) {
+                    declined = Optional.of(grounds.why());
+                    log(false, grounds, now);
+                }
+            }
         }
     }
 
+    private void log(boolean takes, Succession.Grounds grounds, StateStore.Membership now) {
+        Events.info(
+                "takeover-weighed",
+                "takes",
+                takes,
+                "why",
+                grounds.why(),
+                "rank",
+                grounds.rank(),
+                "milliCores",
+                grounds.milliCores(),
+                "ownerMilliCores",
+                grounds.ownerMilliCores(),
+                "generation",
+                now.generation(),
+                "owner",
+                replica.owner().map(OwnerRecord::member).orElse("none"));
+    }
+
     private void supervise(Reign current) {
         current.confirmed(progressFeed.freshAt());
         Optional<OwnerRecord> owner = replica.owner();
@@ -181,11 +222,6 @@
         }
     }
 
-    private boolean ownerLives() throws NotRunException {
-        Optional<OwnerRecord> owner = replica.owner();
-        return owner.isPresent() && store.members().contains(owner.get().member());
-    }
-
     private void takeOver(long token, long sent) {
         Reign next = new Reign(token, store, port, replica, time, settings.longestLease(), metrics);
         TopicFollower workerFeed = new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> IDLE, time);
@@ -194,8 +230,7 @@
         try (ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor()) {
             Future<?> jobsRead = calls.submit(() -> caughtUp(jobFeed));
             Future<?> workersRead = calls.submit(() -> caughtUp(workerFeed));
-            next.fenceEarlier(member);
-            progressFeed.catchUp();
+            next.fenceEarlier(member, progressFeed);
             jobsRead.get();
             workersRead.get();
             reign = next;
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -153,9 +153,23 @@
         storeSeenAt = Math.max(storeSeenAt, sentAt);
     }
 
-    /** Names the owner in the store and keeps earlier owners from storing progress. */
-    void fenceEarlier(String member) throws NotRunException, OutcomeUnknownException, StaleEpochException {
-        writer.append(List.of(JobReplica.ownerEntry(new OwnerRecord(member, token))), () -> false);
+    /**
+     * Names the owner in the store, keeps earlier owners from storing progress, and reads theirs.
+     *
+     * @throws StaleEpochException if the store names another owner
+     */
+    void fenceEarlier(String member, TopicFollower progress)
+            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+        OwnerRecord self = new OwnerRecord(member, token);
+        writer.append(List.of(JobReplica.ownerEntry(self)), () -> false);
+        progress.catchUp();
+        // The store takes the first append of another owner with this token for a repeat and answers it with success.
+        Optional<OwnerRecord> owner = replica.owner();
+        if (!owner.equals(Optional.of(self))) {
+            throw new StaleEpochException(
+                    "owner " + owner.map(OwnerRecord::member).orElse("unknown"),
+                    owner.map(OwnerRecord::token).orElse(token));
+        }
     }
 
     /** Starts to hold workers and to place tasks. */
--- a/node/src/main/java/org/chestnutbarrow/node/StateStore.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateStore.java
@@ -4,14 +4,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 
 /**
  * The durable store that all nodes share: ordered topics that keep the newest value of each key for good, and a group
- * that gives the ownership to one member. Implementations are safe for use by several threads; calls block.
+ * that deals its parts to its members. Implementations are safe for use by several threads; calls block.
  */
 public interface StateStore {
     /** What the store holds. */
@@ -72,9 +74,29 @@
      * The right to own.
      *
      * @param generation increases with each change of the group
-     * @param parts parts that the member owns
+     * @param parts parts that the member holds, from 0 to {@link #MOST_PARTS} - 1; each part of a generation belongs to
+     *     one member
      */
-    record Membership(long generation, Set<Integer> parts) {}
+    record Membership(long generation, Set<Integer> parts) {
+        /** More parts than any group has; a power of two keeps tokens readable. */
+        public static final int MOST_PARTS = 1024;
+
+        public Membership {
+            parts = Set.copyOf(parts);
+            Checks.require(generation >= 0, "a generation is not negative");
+            Checks.require(parts.stream().allMatch(p -> p >= 0 && p < MOST_PARTS), "a part is out of range");
+        }
+
+        /**
+         * A token that no other member can form and that rises with the generation; empty for a member without a part,
+         * which has nothing of its own to form it from.
+         */
+        public OptionalLong token() {
+            return parts.stream()
+                    .mapToLong(part -> generation * MOST_PARTS + part)
+                    .min();
+        }
+    }
 
     /**
      * Appends all entries or none.
@@ -98,12 +120,12 @@
     /** Reads the newest value of each key. */
     Snapshot newest(Topic topic) throws NotRunException;
 
-    /** Joins the group of owners or stays in it for {@code ttl}. */
+    /** Joins the group or stays in it for {@code ttl}. */
     Membership join(String member, Duration ttl, long generation) throws NotRunException;
 
-    /** Members of the group that own a part at present. */
+    /** Members of the group that hold a part at present. */
     Set<String> members() throws NotRunException;
 
-    /** Leaves the group of owners. */
+    /** Leaves the group. */
     void leave(String member) throws NotRunException;
 }
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -26,11 +27,21 @@
     private final Map<String, Writer> writers = new HashMap<>();
     private final Map<Writer, Long> answers = new HashMap<>();
     private final Set<String> members = new LinkedHashSet<>();
+    private final int parts;
     private long generation;
-    private boolean owningLast;
+    private int firstHolder;
     private long firstKept;
     private Fault fault = Fault.NONE;
 
+    FakeStore() {
+        this(64);
+    }
+
+    /** Creates a store whose group deals out a number of parts. */
+    FakeStore(int parts) {
+        this.parts = parts;
+    }
+
     synchronized void fault(Fault next) {
         fault = next;
     }
@@ -104,20 +115,34 @@
         if (members.add(member)) {
             generation++;
         }
+        Set<Integer> held = new HashSet<>();
+        for (int part = 0; part < parts; part++) {
+            if (holder(part).equals(member)) {
+                held.add(part);
+            }
+        }
+        return new Membership(generation, held);
+    }
+
+    /** Parts go round the members, so that some hold none if there are more members than parts. */
+    private String holder(int part) {
         List<String> order = List.copyOf(members);
-        boolean owning = member.equals(owningLast ? order.getLast() : order.getFirst());
-        return new Membership(generation, owning ? Set.of(0) : Set.of(1));
+        return order.get((part + firstHolder) % order.size());
     }
 
-    /** Gives the owning part to the member that joined last. */
+    /** Moves each part to the next member. */
     synchronized void dealAnew() {
         generation++;
-        owningLast = true;
+        firstHolder++;
     }
 
     @Override
     public synchronized Set<String> members() {
-        return Set.copyOf(members);
+        Set<String> holders = new HashSet<>();
+        for (int part = 0; part < parts && !members.isEmpty(); part++) {
+            holders.add(holder(part));
+        }
+        return holders;
     }
 
     @Override
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -30,6 +30,7 @@
     private static final Queue QUEUE = new Queue("host", "/q/", "service", 0, 2, 2, Duration.ofSeconds(1));
     private static final Duration WITHIN = Duration.ofSeconds(5);
     private static final int STRONG = 1500;
+    private static final int WEAK = 360;
     private static final RecordCodec CODEC = new RecordCodec() {
         @Override
         public ControlState control(Map<String, byte[]> records, ControlState before) {
@@ -71,8 +72,12 @@
     }
 
     private Node start(String name) {
+        return start(name, STRONG);
+    }
+
+    private Node start(String name, int milliCores) {
         return Node.start(
-                new NodeSettings(name, STRONG, Duration.ofMillis(300), Duration.ofSeconds(6)),
+                new NodeSettings(name, milliCores, Duration.ofMillis(300), Duration.ofSeconds(6)),
                 store,
                 workers,
                 CODEC,
@@ -87,6 +92,10 @@
         }
     }
 
+    private static boolean owns(Node node) {
+        return node.metrics().contains("chestnutbarrow_node_owner 1.0");
+    }
+
     private static JobState state(Node node, JobId id) {
         try {
             return node.state(id).orElseThrow();
@@ -140,4 +149,32 @@
         assertEquals(workers.starts(), 4);
         second.close();
     }
+
+    /** Guards against a machine that takes over although it cannot carry what a living one could. */
+    @Test
+    public void aWeakMemberDoesNotTakeOverWhileAStrongOneIsAlive() throws InterruptedException {
+        Node owner = start("a", STRONG);
+        await("the first node owns", () -> owns(owner));
+        Node weak = start("b", WEAK);
+        await("the weak node is a member", () -> store.members().size() == 2);
+        Node strong = start("c", STRONG);
+        await("the strong node is a member", () -> store.members().size() == 3);
+        owner.close();
+        await("a node owns", () -> owns(weak) || owns(strong));
+        assertTrue(owns(strong), "the weak node has taken over");
+        weak.close();
+        strong.close();
+    }
+
+    /** Guards against a weak machine that stays the owner because it was the first to start. */
+    @Test
+    public void aWeakOwnerIsRelievedByAMemberOfTwiceItsCapacity() throws InterruptedException {
+        Node weak = start("a", WEAK);
+        await("the weak node owns", () -> owns(weak));
+        Node strong = start("b", STRONG);
+        await("the strong node owns", () -> owns(strong));
+        await("the weak node has stopped to own", () -> !owns(weak));
+        weak.close();
+        strong.close();
+    }
 }
