Leave the group again after a join that was under way

Callers would see starts stop for up to the time of a membership, 1.5 s, after a planned stop of the owner.

Cause: close() leaves the group, but a call to join that was under way then, on a slow store for 0.3 s of each 0.55 s, makes the stopping node a member again, so the others take it for the living owner. Nor did a takeover that was under way end.

Change: the thread of the membership leaves once more when it ends, and a takeover ends at once in a node that is leaving.

Tests: NodeTest.aJoinUnderWayDoesNotOutliveTheNode failed before, the node was still a member after 5 s in a store without expiry. The relief test now also runs jobs over the change of the owner; none is started twice.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -123,6 +123,9 @@
                 StateStore.Membership now = store.join(member, ttl, generation);
                 generation = now.generation();
                 lost = false;
+                if (leaving) {
+                    break;
+                }
                 judge(now, sent);
             } catch (NotRunException e) {
                 if (!lost) {
@@ -132,6 +135,16 @@
             }
             Pauses.sleep(pause);
         }
+        // A call to join that was under way while the node left has made it a member again.
+        leave();
+    }
+
+    private void leave() {
+        try {
+            store.leave(member);
+        } catch (NotRunException e) {
+            Events.warn("leave-failed", "cause", e.getMessage());
+        }
     }
 
     /** After an ownership this node goes on as another member, so that the ended one is not taken for alive. */
@@ -234,6 +247,10 @@
             jobsRead.get();
             workersRead.get();
             reign = next;
+            if (leaving) {
+                next.end();
+                return;
+            }
             next.begin(control.state(), workers.all());
             workers.onChange(next::workers);
             thread("workers", () -> follow(workerFeed, next));
@@ -348,11 +365,7 @@
         if (current != null) {
             current.end();
         }
-        try {
-            store.leave(member);
-        } catch (NotRunException e) {
-            Events.warn("leave-failed", "cause", e.getMessage());
-        }
+        leave();
         Events.info("node-left", "member", member);
     }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
@@ -27,6 +28,7 @@
     private final Map<String, Writer> writers = new HashMap<>();
     private final Map<Writer, Long> answers = new HashMap<>();
     private final Set<String> members = new LinkedHashSet<>();
+    private final AtomicReference<Runnable> duringJoin = new AtomicReference<>(() -> {});
     private final int parts;
     private long generation;
     private int firstHolder;
@@ -110,8 +112,18 @@
         return new Snapshot(values, records(topic).size());
     }
 
+    /** Runs something once while a call to join is under way. */
+    void duringJoin(Runnable action) {
+        duringJoin.set(action);
+    }
+
     @Override
-    public synchronized Membership join(String member, Duration ttl, long known) {
+    public Membership join(String member, Duration ttl, long known) {
+        duringJoin.getAndSet(() -> {}).run();
+        return joined(member);
+    }
+
+    private synchronized Membership joined(String member) {
         if (members.add(member)) {
             generation++;
         }
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -166,14 +166,34 @@
         strong.close();
     }
 
+    /** Guards against an ownership that stays vacant because an owner that has left is still a member. */
+    @Test
+    public void aJoinUnderWayDoesNotOutliveTheNode() throws InterruptedException {
+        Node owner = start("a", STRONG);
+        await("the first node owns", () -> owns(owner));
+        store.duringJoin(owner::close);
+        await("the node has left", () -> !owns(owner));
+        await("the node is no member", () -> store.members().isEmpty());
+        Thread.sleep(Duration.ofMillis(200));
+        assertEquals(store.members(), Set.of());
+    }
+
     /** Guards against a weak machine that stays the owner because it was the first to start. */
     @Test
     public void aWeakOwnerIsRelievedByAMemberOfTwiceItsCapacity() throws InterruptedException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.WORKERS, new StateStore.Entry("w1", Optional.of(new byte[] {1})));
         Node weak = start("a", WEAK);
         await("the weak node owns", () -> owns(weak));
+        assertEquals(weak.submit(job("a"), WITHIN), JobService.Receipt.STORED);
         Node strong = start("b", STRONG);
         await("the strong node owns", () -> owns(strong));
         await("the weak node has stopped to own", () -> !owns(weak));
+        assertEquals(weak.submit(job("b"), WITHIN), JobService.Receipt.STORED);
+        await("a is completed", () -> state(weak, new JobId("a")) == JobState.COMPLETED);
+        await("b is completed", () -> state(weak, new JobId("b")) == JobState.COMPLETED);
+        assertTrue(owns(strong), "the ownership has gone back");
+        assertEquals(workers.doubled(), List.of());
         weak.close();
         strong.close();
     }
