--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -5,10 +5,12 @@
 import java.util.EnumMap;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
@@ -28,8 +30,10 @@
     private final Map<String, Writer> writers = new HashMap<>();
     private final Map<Writer, Long> answers = new HashMap<>();
     private final Set<String> members = new LinkedHashSet<>();
+    private final AtomicReference<Runnable> duringJoin = new AtomicReference<>(() -> {});
+    private final int parts;
     private long generation;
-    private boolean owningLast;
+    private int firstHolder;
     private long firstKept;
     private Fault fault = Fault.NONE;
     private final Set<Topic> refused = EnumSet.noneOf(Topic.class);
@@ -37,6 +41,15 @@
     private volatile Duration readTime = Duration.ZERO;
     private volatile Consumer<Duration> held = _ -> {};
 
+    FakeStore() {
+        this(64);
+    }
+
+    /** Creates a store whose group deals out a number of parts. */
+    FakeStore(int parts) {
+        this.parts = parts;
+    }
+
     synchronized void fault(Fault next) {
         fault = next;
     }
@@ -135,25 +148,49 @@
         return new Snapshot(values, records(topic).size());
     }
 
+    /** Runs something once while a call to join is under way. */
+    void duringJoin(Runnable action) {
+        duringJoin.set(action);
+    }
+
     @Override
-    public synchronized Membership join(String member, Duration ttl, long known) {
+    public Membership join(String member, Duration ttl, long known) {
+        duringJoin.getAndSet(() -> {}).run();
+        return joined(member);
+    }
+
+    private synchronized Membership joined(String member) {
         if (members.add(member)) {
             generation++;
         }
+        Set<Integer> held = new HashSet<>();
+        for (int part = 0; part < parts; part++) {
+            if (holder(part).equals(member)) {
+                held.add(part);
+            }
+        }
+        return new Membership(generation, held);
+    }
+
+    /** Parts go round the members, so that some hold none if there are more members than parts. */
+    private String holder(int part) {
         List<String> order = List.copyOf(members);
-        boolean owning = member.equals(owningLast ? order.getLast() : order.getFirst());
-        return new Membership(generation, owning ? Set.of(0) : Set.of(1));
+        return order.get((part + firstHolder) % order.size());
     }
 
-    /** Gives the owning part to the member that joined last. */
+    /** Moves each part to the next member. */
     synchronized void dealAnew() {
         generation++;
-        owningLast = true;
+        firstHolder++;
     }
 
     @Override
     public synchronized Set<String> members() {
-        return Set.copyOf(members);
+        Set<String> holders = new HashSet<>();
+        for (int part = 0; part < parts && !members.isEmpty(); part++) {
+            holders.add(holder(part));
+        }
+        return holders;
     }
 
     @Override
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -32,6 +32,8 @@
 public class NodeTest {
     private static final Queue QUEUE = new Queue("host", "/q/", "service", 0, 2, 2, Duration.ofSeconds(1));
     private static final Duration WITHIN = Duration.ofSeconds(5);
+    private static final int STRONG = 1500;
+    private static final int WEAK = 360;
     private static final RecordCodec CODEC = new RecordCodec() {
         @Override
         public ControlState control(Map<String, byte[]> records, ControlState before) {
@@ -88,8 +90,16 @@
     }
 
     private Node start(String name) {
+        return start(name, STRONG);
+    }
+
+    private Node start(String name, int milliCores) {
         return Node.start(
-                new NodeSettings(name, Duration.ofMillis(300), Duration.ofSeconds(6)), store, workers, CODEC, clock);
+                new NodeSettings(name, milliCores, Duration.ofMillis(300), Duration.ofSeconds(6)),
+                store,
+                workers,
+                CODEC,
+                clock);
     }
 
     private static void await(String what, BooleanSupplier condition) throws InterruptedException {
@@ -100,6 +110,10 @@
         }
     }
 
+    private static boolean owns(Node node) {
+        return node.metrics().contains("chestnutbarrow_node_owner 1.0");
+    }
+
     private static JobState state(Node node, JobId id) {
         try {
             return node.state(id, WITHIN).orElseThrow();
@@ -256,4 +270,52 @@
         assertEquals(store.records(StateStore.Topic.JOBS).size(), 3);
         node.close();
     }
+
+    /** Guards against a machine that takes over although it cannot carry what a living one could. */
+    @Test
+    public void aWeakMemberDoesNotTakeOverWhileAStrongOneIsAlive() throws InterruptedException {
+        Node owner = start("a", STRONG);
+        await("the first node owns", () -> owns(owner));
+        Node weak = start("b", WEAK);
+        await("the weak node is a member", () -> store.members().size() == 2);
+        Node strong = start("c", STRONG);
+        await("the strong node is a member", () -> store.members().size() == 3);
+        owner.close();
+        await("a node owns", () -> owns(weak) || owns(strong));
+        assertTrue(owns(strong), "the weak node has taken over");
+        weak.close();
+        strong.close();
+    }
+
+    /** Guards against an ownership that stays vacant because an owner that has left is still a member. */
+    @Test
+    public void aJoinUnderWayDoesNotOutliveTheNode() throws InterruptedException {
+        Node owner = start("a", STRONG);
+        await("the first node owns", () -> owns(owner));
+        store.duringJoin(owner::close);
+        await("the node has left", () -> !owns(owner));
+        await("the node is no member", () -> store.members().isEmpty());
+        Thread.sleep(Duration.ofMillis(200));
+        assertEquals(store.members(), Set.of());
+    }
+
+    /** Guards against a weak machine that stays the owner because it was the first to start. */
+    @Test
+    public void aWeakOwnerIsRelievedByAMemberOfTwiceItsCapacity() throws InterruptedException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.WORKERS, new StateStore.Entry("w1", Optional.of(new byte[] {1})));
+        Node weak = start("a", WEAK);
+        await("the weak node owns", () -> owns(weak));
+        assertEquals(weak.submit(job("a"), WITHIN), JobService.Receipt.STORED);
+        Node strong = start("b", STRONG);
+        await("the strong node owns", () -> owns(strong));
+        await("the weak node has stopped to own", () -> !owns(weak));
+        assertEquals(weak.submit(job("b"), WITHIN), JobService.Receipt.STORED);
+        await("a is completed", () -> state(weak, new JobId("a")) == JobState.COMPLETED);
+        await("b is completed", () -> state(weak, new JobId("b")) == JobState.COMPLETED);
+        assertTrue(owns(strong), "the ownership has gone back");
+        assertEquals(workers.doubled(), List.of());
+        weak.close();
+        strong.close();
+    }
 }
