Send an order only while it is wanted, and none behind another task's

Callers saw runs that began after their job's cancellation was confirmed, runs that went on after it until their lease lapsed, and tasks that waited for seconds for a worker. A stop without an answer for a lease was dropped, although holds go on extending the lease of its run.

The link now asks the cell right before each attempt whether the run is still charged to this life and wanted. A start that is not, or that could not be sent for 1 s, is withdrawn: it certainly never reached the worker, so its task is placed anew at once. Only the orders of one task wait for each other (OrderQueue); repeats have a loop of their own, so a first attempt waits at most for one call, and stops come first. A stop follows the attempts of its start, and the worker rejects a run that is stopped before it starts. A stop is repeated as long as its run is charged; only starts move the end of the leases on, so that those of a silent worker still run out.

The age counts from the moment at which the progress of the start is stored, not from the decision: with a store slower than 1 s no start would ever be sent otherwise, and the check against the cell covers the time before.

At most three connections a worker are in use: hold, orders, repeats, the last one only while answers are missing.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -133,6 +133,22 @@
         sharing.adjust(node, now, task -> placement.fitsElsewhere(task, now));
     }
 
+    /** Whether the run of an order is charged to the life that receives the order. */
+    public synchronized boolean charged(Order order) {
+        TaskEntry task = ledger.task(order.task());
+        return task != null && task.run == order.run() && task.on != null && task.on.receives(order);
+    }
+
+    /** Whether a start or a pace is still wanted: nothing stops the run, and the worker of a start gets new tasks. */
+    public synchronized boolean wanted(Order order) {
+        if (!charged(order)) {
+            return false;
+        }
+        TaskEntry task = ledger.task(order.task());
+        boolean goesOn = !task.stopping && !task.done && !task.job.state.isFinal();
+        return goesOn && (!(order instanceof Order.Start) || placement.open(task.on));
+    }
+
     /** The worker has confirmed the start of a run. */
     public synchronized void started(TaskName name, int run) {
         TaskEntry task = ledger.task(name);
--- a/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
@@ -35,6 +35,11 @@
         out = Set.copyOf(zones);
     }
 
+    /** Whether a worker that was chosen may still be given a task. */
+    boolean open(WorkerNode node) {
+        return node.listed && !node.leaving && !out.contains(node.entry.zone());
+    }
+
     /** Places what can be placed. */
     void place(long now) {
         chooser.begin(fleet.all());
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -55,6 +55,11 @@
         return entry.born();
     }
 
+    /** Whether an order is for this life. */
+    boolean receives(Order order) {
+        return id().equals(order.worker()) && born() == order.born();
+    }
+
     void add(TaskEntry task) {
         if (!tasks.add(task)) {
             return;
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -217,6 +217,7 @@
         WorkerLink link = new WorkerLink(entry, port, cell, this, time, longestLease);
         thread("hold", link::hold);
         thread("orders", link::sendOrders);
+        thread("repeats", link::repeatOrders);
         return link;
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -1,9 +1,7 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
+import java.util.Optional;
 import org.chestnutbarrow.batch.Cell;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.TaskRecord;
@@ -15,8 +13,11 @@
 import org.chestnutbarrow.model.TimeSource;
 
 /**
- * Orders to one life of a worker, one at a time, and the repeated hold that extends its leases and brings its ends. Safe
- * for use by several threads.
+ * Orders to one life of a worker and the repeated hold that extends its leases and brings its ends. Safe for use by
+ * several threads.
+ *
+ * <p>At most three calls are under way: a hold, the first attempt of an order, and a repeat. An order is checked against
+ * the {@link Cell} right before each attempt.
  */
 final class WorkerLink {
     /** Lease of what runs on a worker: longer than a change of the owner takes, about 2.5 s. */
@@ -29,8 +30,11 @@
     private static final Duration RETRY = Duration.ofMillis(100);
     /** After this time without an answer the leases are no longer extended, so that the tasks can run elsewhere. */
     private static final Duration SILENCE = Duration.ofMillis(800);
-    /** Time after which the loop for orders notices that the link was closed. */
-    private static final Duration IDLE = Duration.ofSeconds(1);
+    /**
+     * A start that could not be sent for this time is placed anew, so that a node that stood still sends no old ones. It is
+     * below the bounds for draining workers and evacuated zones, which begin at about 2 s.
+     */
+    private static final Duration START_AGE = Duration.ofSeconds(1);
     /** A worker's clock may be 2% slow. */
     private static final double CLOCK_RATE = 1.02;
     /** Added to each computed expiry for transit and timers. */
@@ -43,7 +47,7 @@
     private final Owner owner;
     private final TimeSource time;
     private final Duration lease;
-    private final BlockingQueue<Order> orders = new LinkedBlockingQueue<>();
+    private final OrderQueue orders = new OrderQueue();
     private volatile boolean closed;
     private final Object acknowledging = new Object();
     private volatile long acknowledge;
@@ -92,14 +96,15 @@
         return worker;
     }
 
-    /** Ends both loops, the one for orders within {@link #IDLE}. */
+    /** Ends all loops; a call under way is finished. */
     void close() {
         closed = true;
+        orders.close();
     }
 
-    /** Sends an order after those that wait. */
+    /** Sends an order after the others of its task. */
     void send(Order order) {
-        orders.add(order);
+        orders.add(order, time.nanos());
     }
 
     /** Lets the worker forget its ends up to a number with the next hold. */
@@ -131,52 +136,114 @@
         return !closed && owner.active();
     }
 
-    /** Sends orders until the link is closed. */
+    /** Sends orders for the first time, until the link is closed. */
     void sendOrders() {
-        while (open()) {
-            Order order;
-            try {
-                order = orders.poll(IDLE.toMillis(), TimeUnit.MILLISECONDS);
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-                return;
+        deliverAll(false);
+    }
+
+    /** Repeats orders, until the link is closed. */
+    void repeatOrders() {
+        deliverAll(true);
+    }
+
+    private void deliverAll(boolean repeated) {
+        try {
+            Optional<Delivery> taken = orders.take(repeated);
+            while (taken.isPresent() && open()) {
+                if (repeated) {
+                    Pauses.sleep(RETRY);
+                }
+                Delivery delivery = taken.get();
+                deliver(delivery).ifPresentOrElse(orders::repeat, () -> orders.settle(delivery));
+                taken = orders.take(repeated);
             }
-            if (order != null) {
-                deliver(order);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Sends an order if it is still wanted; returns what to repeat, nothing if the order is settled. */
+    private Optional<Delivery> deliver(Delivery delivery) {
+        return switch (delivery.order()) {
+            case Order.Start start when delivery.unanswered().isEmpty() -> begin(start, delivery);
+            case Order.Start start ->
+                goOn(start, delivery, delivery.unanswered().get());
+            case Order.Stop stop -> stop(stop, delivery);
+            case Order.Pace pace -> {
+                boolean replaced = delivery.repeated() && orders.followed(delivery);
+                yield cell.wanted(pace) && !replaced ? call(delivery) : Optional.empty();
             }
+        };
+    }
+
+    private Optional<Delivery> begin(Order.Start start, Delivery delivery) {
+        if (cell.wanted(start) && time.nanos() - delivery.queuedAt() < START_AGE.toNanos()) {
+            return call(delivery);
         }
+        Events.info("start-withdrawn", "task", name(start), "run", start.run(), "worker", worker.id());
+        cell.refused(start.task(), start.run(), false);
+        owner.wake();
+        return Optional.empty();
     }
 
-    /** Repeats an order without an answer until its lease is over; a repeat has no second effect. */
-    private void deliver(Order order) {
-        long until = time.nanos() + lease.toNanos();
-        long leaseUntil = extend();
-        boolean unknown = false;
-        while (open() && time.nanos() - until < 0) {
-            try {
-                WorkerPort.Answer answer = port.send(worker, order, owner.token(), leaseUntil, ANSWER);
-                if (settle(order, answer, unknown)) {
-                    return;
-                }
-            } catch (OutcomeUnknownException e) {
-                if (!unknown) {
-                    Events.warn("order-unanswered", "task", name(order), "run", order.run(), "worker", worker.id());
-                }
-                unknown = true;
-            } catch (NotRunException e) {
-                Events.warn("order-unsent", "task", name(order), "run", order.run(), "worker", worker.id());
+    /** A start that may have reached the worker is repeated, because a repeat has no second effect. */
+    private Optional<Delivery> goOn(Order.Start start, Delivery delivery, Delivery.Sent sent) {
+        if (cell.wanted(start) && time.nanos() - sent.until() < 0) {
+            return call(delivery);
+        }
+        // A worker that is told to stop a run before it starts rejects it later.
+        if (!cell.charged(start) || orders.stopFollows(delivery)) {
+            return Optional.empty();
+        }
+        if (time.nanos() - sent.until() < 0) {
+            return Optional.of(delivery);
+        }
+        cell.abandoned(start.task(), start.run());
+        owner.wake();
+        return Optional.empty();
+    }
+
+    /** A stop is repeated while its run is charged, because holds extend the lease of the run. */
+    private Optional<Delivery> stop(Order.Stop stop, Delivery delivery) {
+        if (time.nanos() - delivery.queuedAt() >= lease.toNanos()) {
+            // An unanswered start before it has reached the end of its lease too.
+            cell.abandoned(stop.task(), stop.run());
+            if (!cell.charged(stop)) {
+                return Optional.empty();
             }
-            if (order instanceof Order.Pace) {
-                return;
+            if (!reachable()) {
+                return Optional.of(delivery);
             }
-            Pauses.sleep(RETRY);
         }
-        if (open()) {
-            cell.abandoned(order.task(), order.run());
-            owner.wake();
+        return call(delivery);
+    }
+
+    private Optional<Delivery> call(Delivery delivery) {
+        Order order = delivery.order();
+        Delivery.Sent sent = delivery.unanswered().orElseGet(() -> sending(order));
+        try {
+            WorkerPort.Answer answer = port.send(worker, order, owner.token(), sent.leaseUntilMs(), ANSWER);
+            boolean settled = settle(order, answer, delivery.unanswered().isPresent());
+            return settled ? Optional.empty() : Optional.of(delivery.again());
+        } catch (OutcomeUnknownException e) {
+            if (delivery.unanswered().isEmpty()) {
+                Events.warn("order-unanswered", "task", name(order), "run", order.run(), "worker", worker.id());
+            }
+            return Optional.of(delivery.again(sent));
+        } catch (NotRunException e) {
+            if (!delivery.repeated()) {
+                Events.warn("order-unsent", "task", name(order), "run", order.run(), "worker", worker.id());
+            }
+            return Optional.of(delivery.again());
         }
     }
 
+    private Delivery.Sent sending(Order order) {
+        // Only starts extend leases; those of a worker that is silent must run out while stops for it are repeated.
+        long leaseUntil = order instanceof Order.Start ? extend() : -1;
+        return new Delivery.Sent(leaseUntil, time.nanos() + lease.toNanos());
+    }
+
     private boolean settle(Order order, WorkerPort.Answer answer, boolean unknown) {
         return switch (answer) {
             case WorkerPort.Done done -> confirmed(order, done);
