Keep a run that has an unanswered start when a repeat finds no room

A task could run twice. A worker that answered the repeat of an unanswered start with a refusal for want of room settled it, and the task was placed anew; but the call without an answer may still be carried out seconds later, when there is room. Such a start is repeated until its lease is over or its run is not wanted any more, as it already was for an unhealthy worker.

aRepeatWithoutRoomDoesNotSettleAnUnansweredStart failed before.

--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -268,6 +268,10 @@
         if (why == WorkerPort.Refusal.UNHEALTHY && (unknown || !start)) {
             return false;
         }
+        if (why == WorkerPort.Refusal.REJECTED && start && unknown) {
+            // The worker may carry out the call without an answer once there is room.
+            return false;
+        }
         if (why == WorkerPort.Refusal.FENCED) {
             owner.fenced("worker " + worker.id().value());
         } else if (start && why != WorkerPort.Refusal.OLD_RUN) {
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -111,6 +111,7 @@
         final AtomicInteger tried = new AtomicInteger();
         volatile List<WorkerReport.Running> running = List.of();
         volatile boolean unreachable;
+        volatile boolean full;
 
         @Override
         public Answer send(WorkerEntry to, Order order, long token, long leaseUntilMs, Duration timeout)
@@ -123,7 +124,7 @@
             if (unanswered.contains(order.task())) {
                 throw new OutcomeUnknownException("no answer", "repeat it");
             }
-            return new Done(1000);
+            return full ? new Refused(Refusal.REJECTED) : new Done(1000);
         }
 
         @Override
@@ -366,6 +367,20 @@
         await("the stop is repeated", () -> port.stops(start) >= before + 3);
     }
 
+    /** Guards against two runs of a task: a call without an answer may start the first after a repeat found no room. */
+    @Test
+    public void aRepeatWithoutRoomDoesNotSettleAnUnansweredStart() throws InterruptedException {
+        port.unanswered.add(new TaskName(new JobId("a"), 0, 0));
+        Order.Start start = queueStart("a");
+        startLanes();
+        await("the start is repeated", () -> port.starts(start) >= 2);
+        port.full = true;
+        port.unanswered.clear();
+        long before = port.starts(start);
+        await("the start is repeated without room", () -> port.starts(start) > before + 2 || !cell.charged(start));
+        assertTrue(cell.charged(start), "the task could be placed anew");
+    }
+
     /** Guards against runs that are never given up because stops for their silent worker are repeated. */
     @Test
     public void repeatedStopsDoNotExtendLeases() throws InterruptedException {
