Look at few workers for each decision

Callers saw jobs late, cancellations that took effect only when the lease ended, and lost holds as soon as an owner of some hundred workers had a backlog.

A plan now costs what has changed: - Tasks with the same requirement share a DemandClass, which remembers that no worker could take them. Until a worker frees room, becomes usable or, for filling tasks, reports, nothing is tried; then only the workers that changed are. - WorkerIndex orders the workers by free room and by spare time, so a choice ends at the first worker that no later one can beat. Workers on the rack of the data are tried first; before, a worker elsewhere could win for a lasting task with ten others of its step on each of them. - Waiting jobs and tasks, open tasks, the room of all workers and the ends to acknowledge are kept, not searched for. What a worker's serving tasks leave to filling ones is kept until one of them reports.

PlanCostTest failed before: a plan without any change looked at 102,900 workers (300 waiting jobs, 343 workers) and looks at none now. Its random play checks that offering all workers anew after a plan starts nothing, so no change that makes room is overlooked.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Calm.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Calm.java
@@ -15,6 +15,27 @@
     private double variance = START_VARIANCE;
     private boolean known;
 
+    /**
+     * The lowest level of several tasks.
+     *
+     * @param known lowest level of those that have reported; infinite if none has
+     * @param fresh whether some have not reported
+     */
+    record Least(double known, boolean fresh) {
+        /** The lowest level if tasks that have not reported are at the typical one. */
+        double level(double typical) {
+            return fresh ? Math.min(known, typical) : known;
+        }
+    }
+
+    /** This level beside the lowest of others, which may be null. */
+    Least least(Least others) {
+        double level = known ? this.level : Double.POSITIVE_INFINITY;
+        return others == null
+                ? new Least(level, !known)
+                : new Least(Math.min(level, others.known()), !known || others.fresh());
+    }
+
     double level(double typical) {
         return known ? level : typical;
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -28,6 +28,7 @@
     private final Reports reports;
     private final Sharing sharing;
     private final Placement placement;
+    private final Chooser chooser;
 
     /** Creates a cell without jobs and workers. */
     public Cell(TimeSource time) {
@@ -35,7 +36,8 @@
         ledger = new Ledger(time);
         reports = new Reports(ledger);
         sharing = new Sharing(ledger, disturbance);
-        placement = new Placement(ledger, fleet, new Chooser(disturbance), time);
+        chooser = new Chooser(disturbance, fleet.index());
+        placement = new Placement(ledger, chooser, time);
     }
 
     /** Replaces the queues in force, by their keys. */
@@ -45,7 +47,7 @@
 
     /** Replaces the zones that are out of service. */
     public synchronized void zonesOut(Set<AvailabilityZone> zones) {
-        placement.zonesOut(zones);
+        fleet.zonesOut(zones);
     }
 
     /** Goes on from what an earlier owner learned about disturbance. */
@@ -68,14 +70,12 @@
                 && stored.get().steps().isEmpty()) {
             return;
         }
-        JobEntry job = new JobEntry(spec);
-        ledger.add(job);
+        JobEntry job = ledger.add(spec);
         stored.ifPresent(progress -> restore(job, progress));
     }
 
     private void restore(JobEntry job, JobProgress progress) {
-        job.state = progress.state();
-        job.changed = progress.changed();
+        job.move(progress.state(), progress.changed());
         for (int s = 0; s < Math.min(progress.steps().size(), job.steps.size()); s++) {
             List<TaskRecord> records = progress.steps().get(s);
             for (int i = 0; i < Math.min(records.size(), job.steps.get(s).size()); i++) {
@@ -130,7 +130,7 @@
         long now = time.nanos();
         reports.take(node, report, sentAt, now);
         disturbance.observe(node, now);
-        sharing.adjust(node, now, task -> placement.fitsElsewhere(task, now));
+        sharing.adjust(node, now, task -> chooser.fitsElsewhere(task, now));
     }
 
     /** The worker has confirmed the start of a run. */
@@ -148,7 +148,7 @@
         TaskEntry task = ledger.task(name);
         if (task != null && task.run == run && task.on != null && !task.seen) {
             if (unhealthy) {
-                task.on.health.failed(time.nanos(), name.job());
+                task.on.failed(time.nanos(), name.job());
             }
             ledger.release(task);
         }
@@ -167,15 +167,21 @@
 
     /** Places what can be placed and says what to store and to order. */
     public synchronized Plan plan() {
-        placement.place(time.nanos());
+        long now = time.nanos();
+        fleet.index().endAvoidance(now);
+        placement.place(now);
         List<JobProgress> changes = ledger.takeChanges();
         Map<WorkerId, Long> acknowledge = new HashMap<>();
-        for (WorkerNode node : fleet.all()) {
-            if (node.processed > node.acknowledged) {
-                node.acknowledged = node.processed;
+        for (WorkerNode node : ledger.takeProcessed()) {
+            if (fleet.find(node.id()) == node) {
                 acknowledge.put(node.id(), node.processed);
             }
         }
         return new Plan(changes, ledger.takeOrders(), acknowledge);
     }
+
+    /** Workers that decisions have looked at so far, a measure of their cost. */
+    synchronized long examined() {
+        return chooser.examined();
+    }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
@@ -1,16 +1,16 @@
 package org.chestnutbarrow.batch;
 
-import java.time.Duration;
 import java.util.Collection;
-import java.util.Set;
-import org.chestnutbarrow.model.AvailabilityZone;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
 import org.chestnutbarrow.model.Resources;
 
-/** Chooses the worker for a task. Guarded by the lock of its {@link Cell}. */
+/**
+ * Chooses the worker for a task. Looks at few workers: in the order of their room, until no later one can be better, and
+ * only at those that changed when no worker could take such a task before. Guarded by the lock of its {@link Cell}.
+ */
 final class Chooser {
-    /** A worker that has not answered for this time gets nothing new; holds are answered at least every 600 ms. */
-    private static final Duration SILENT = Duration.ofMillis(1500);
-
     /** Least speed of a new filling task, as a part of the one that it asks for. */
     private static final double LEAST_SPEED = 0.8;
     /** Headroom that must be left to serving tasks beside a new filling task. */
@@ -21,46 +21,147 @@
     private static final double IMAGE_WEIGHT = 2;
     /** Part of the workers' declared room that first runs of lasting tasks leave to short ones. */
     private static final double SHORT_PART = 0.08;
+    /** Requirements that are shared between jobs; about 50 bytes each. */
+    private static final int MOST_CLASSES = 2000;
+    /** Keeps a worker whose spare time is just enough from being left out by rounding. */
+    private static final double ROUNDING = 1 - 1e-9;
 
     private static final int FULL = 100;
 
     private final Disturbance disturbance;
+    private final WorkerIndex index;
+    private final Map<Requirement, DemandClass> classes = new HashMap<>();
+    private long examined;
 
-    private long freeMilliCores;
-    private long allMilliCores;
-
-    Chooser(Disturbance disturbance) {
+    Chooser(Disturbance disturbance, WorkerIndex index) {
         this.disturbance = disturbance;
+        this.index = index;
     }
 
-    /** Takes the room of all workers at the begin of a plan. */
-    void begin(Collection<WorkerNode> workers) {
-        freeMilliCores = 0;
-        allMilliCores = 0;
-        for (WorkerNode worker : workers) {
-            if (worker.held && worker.listed) {
-                freeMilliCores += worker.freeMilliCores();
-                allMilliCores += worker.entry.capacity().milliCores();
-            }
+    /** Workers that decisions have looked at so far. */
+    long examined() {
+        return examined;
+    }
+
+    /** The best worker, or null if none can take the task. */
+    WorkerNode choose(TaskEntry task, long now) {
+        DemandClass demand = demand(task);
+        if (!possible(demand, now)) {
+            return null;
+        }
+        WorkerNode best = best(task, demand.requirement, null, now);
+        if (best == null) {
+            demand.miss(index.changes());
+        }
+        return best;
+    }
+
+    /** Whether a worker may be able to take a task; if not, it looks only at workers that have changed since. */
+    boolean possible(TaskEntry task, long now) {
+        return possible(demand(task), now);
+    }
+
+    /** Whether a worker other than the one where it runs could take a task. */
+    boolean fitsElsewhere(TaskEntry task, long now) {
+        DemandClass demand = demand(task);
+        if (!possible(demand, now)) {
+            return false;
         }
+        boolean fits = best(task, demand.requirement, task.on, now) != null;
+        if (!fits && !suits(task.on, demand.requirement, now)) {
+            demand.miss(index.changes());
+        }
+        return fits;
     }
 
-    /** Counts room that was given away since the begin of the plan. */
-    void taken(Resources charge) {
-        freeMilliCores -= charge.milliCores();
+    private boolean possible(DemandClass demand, long now) {
+        if (!demand.missed()) {
+            return true;
+        }
+        Requirement wanted = demand.requirement;
+        boolean any = wanted.manner() instanceof Requirement.Filling
+                ? index.anyObserved(demand.missedAt(), worker -> suits(worker, wanted, now))
+                : index.anyFreed(demand.missedAt(), worker -> suits(worker, wanted, now));
+        if (any) {
+            demand.retry();
+        } else {
+            demand.miss(index.changes());
+        }
+        return any;
     }
 
-    /** The best worker, or null if none fits. */
-    WorkerNode choose(
-            TaskEntry task, String service, Collection<WorkerNode> workers, Set<AvailabilityZone> out, long now) {
+    /**
+     * What the task requires now. A first run of a lasting task leaves some room to short tasks, unless the worker could
+     * take it twice. A lasting task that ran before is restarted wherever it fits.
+     */
+    private DemandClass demand(TaskEntry task) {
+        boolean twice = task.step.lasting() && task.run == 0 && !leavesRoom(task.step.charge());
+        DemandClass known = task.job.demand(task.name.step(), twice);
+        if (known != null) {
+            return known;
+        }
+        if (classes.size() >= MOST_CLASSES) {
+            classes.clear();
+        }
+        DemandClass demand =
+                classes.computeIfAbsent(Requirement.of(task, task.job.policy.service(), twice), DemandClass::new);
+        task.job.demand(task.name.step(), twice, demand);
+        return demand;
+    }
+
+    private boolean leavesRoom(Resources charge) {
+        return index.freeMilliCores() - charge.milliCores() > SHORT_PART * index.allMilliCores();
+    }
+
+    private boolean suits(WorkerNode worker, Requirement wanted, long now) {
+        examined++;
+        return worker.usable(now)
+                && worker.entry.service().equals(wanted.service())
+                && worker.fits(wanted.room())
+                && (wanted.label().isEmpty()
+                        || worker.entry.labels().contains(wanted.label().get()))
+                && (wanted.spread().isEmpty() || spreads(worker, wanted.spread().get()))
+                && (!(wanted.manner() instanceof Requirement.Filling filling) || speed(filling, worker) >= LEAST_SPEED);
+    }
+
+    private static boolean spreads(WorkerNode worker, Requirement.Spread spread) {
+        return worker.ofStep(spread.job(), spread.step()) < spread.perWorker();
+    }
+
+    private WorkerNode best(TaskEntry task, Requirement wanted, WorkerNode except, long now) {
+        WorkerIndex.Pool pool = index.pool(wanted.service());
+        Optional<String> rack = task.step.placement().rack();
+        if (rack.isPresent()) {
+            WorkerNode near = best(task, wanted, pool.labelled(rack.get()), false, except, now);
+            if (near != null) {
+                return near;
+            }
+        }
+        Collection<WorkerNode> candidates = switch (wanted.manner()) {
+            case Requirement.Finite _, Requirement.Lasting _ ->
+                pool.byFree(wanted.room().milliCores());
+            case Requirement.Filling filling -> pool.bySpare(LEAST_SPEED * filling.milliCores() * ROUNDING);
+        };
+        return best(task, wanted, candidates, true, except, now);
+    }
+
+    private WorkerNode best(
+            TaskEntry task,
+            Requirement wanted,
+            Collection<WorkerNode> candidates,
+            boolean ordered,
+            WorkerNode except,
+            long now) {
         WorkerNode best = null;
         double bestScore = Double.NEGATIVE_INFINITY;
-        Resources charge = task.step.charge();
-        for (WorkerNode worker : workers) {
-            if (!usable(worker, service, out, now) || !worker.fits(charge) || !allowed(task, worker, charge)) {
+        for (WorkerNode worker : candidates) {
+            if (ordered && best != null && bound(wanted.manner(), worker) <= bestScore) {
+                break;
+            }
+            if (worker == except || !suits(worker, wanted, now)) {
                 continue;
             }
-            double score = score(task, worker);
+            double score = score(task, wanted.manner(), worker);
             if (score > bestScore) {
                 bestScore = score;
                 best = worker;
@@ -69,44 +170,44 @@
         return best;
     }
 
-    private static boolean usable(WorkerNode worker, String service, Set<AvailabilityZone> out, long now) {
-        return worker.held
-                && worker.listed
-                && !worker.leaving
-                && worker.entry.service().equals(service)
-                && !out.contains(worker.entry.zone())
-                && now - worker.heardAt < SILENT.toNanos()
-                && worker.health.usable(now);
+    private double score(TaskEntry task, Requirement.Manner manner, WorkerNode worker) {
+        return switch (manner) {
+            // Short tasks use up the room that is too small for others.
+            case Requirement.Finite _ -> -freePart(worker);
+            // Workers whose serving tasks run one image suit more of the filling images.
+            case Requirement.Lasting lasting ->
+                sameImage(lasting.image(), worker)
+                        - freePart(worker)
+                        - worker.ofStep(task.name.job(), task.name.step());
+            case Requirement.Filling filling ->
+                Math.min(1, speed(filling, worker)) + SPARE_WEIGHT * worker.part(worker.spareMilliCores());
+        };
     }
 
-    private boolean allowed(TaskEntry task, WorkerNode worker, Resources charge) {
-        Step.Constraints placement = task.step.placement();
-        if (placement.label().isPresent()
-                && !worker.entry.labels().contains(placement.label().get())) {
-            return false;
-        }
-        if (task.step.lasting() && task.run == 0 && !roomToLast(worker, charge)) {
-            return false;
-        }
-        return placement.perWorker() == 0 || worker.ofStep(task) < placement.perWorker();
+    /** The highest score that a worker, and those after it in the order of the index, can have. */
+    private static double bound(Requirement.Manner manner, WorkerNode worker) {
+        return switch (manner) {
+            case Requirement.Finite _ -> -freePart(worker);
+            case Requirement.Lasting _ -> IMAGE_WEIGHT - freePart(worker);
+            case Requirement.Filling _ -> 1 + SPARE_WEIGHT * worker.part(worker.spareMilliCores());
+        };
     }
 
-    /**
-     * A first run of a lasting task leaves some room to short tasks, unless the worker could take
-     * it twice. A lasting task that ran before is restarted wherever it fits.
-     */
-    private boolean roomToLast(WorkerNode worker, Resources charge) {
-        return worker.fits(charge.plus(charge)) || freeMilliCores - charge.milliCores() > SHORT_PART * allMilliCores;
+    private static double freePart(WorkerNode worker) {
+        return worker.part(worker.freeMilliCores());
     }
 
     /**
      * The speed that a filling task can have on a worker, up to 1: filling tasks only get what others leave, and take
      * headroom from the tasks that serve.
      */
-    private double speed(TaskEntry task, WorkerNode worker) {
-        double spare = (double) worker.spareMilliCores()
-                / Math.max(1, task.step.demand().milliCores());
-        return spare < LEAST_SPEED ? spare : Math.min(spare, disturbance.share(worker, task, LEAST_HEADROOM));
+    private double speed(Requirement.Filling filling, WorkerNode worker) {
+        double spare = (double) worker.spareMilliCores() / Math.max(1, filling.milliCores());
+        return spare < LEAST_SPEED ? spare : Math.min(spare, share(filling.image(), filling.milliCores(), worker));
+    }
+
+    private double share(String image, int milliCores, WorkerNode worker) {
+        return disturbance.share(worker, image, milliCores, LEAST_HEADROOM);
     }
 
     /** The pace at which a filling task starts on the worker that was chosen for it, in percent. */
@@ -114,39 +215,16 @@
         if (!task.step.service().fills()) {
             return FULL;
         }
-        return (int) (FULL * Math.clamp(disturbance.share(worker, task, LEAST_HEADROOM), LEAST_SPEED, 1));
+        double share = share(task.step.service().image(), task.step.demand().milliCores(), worker);
+        return (int) (FULL * Math.clamp(share, LEAST_SPEED, 1));
     }
 
     /** From -2 if all serving tasks of the worker run other images to 2 if all run the same; 0 for an empty worker. */
-    private static double sameImage(TaskEntry task, WorkerNode worker) {
+    private static double sameImage(String image, WorkerNode worker) {
         if (worker.serving() == 0) {
             return 0;
         }
-        double same = worker.serving(task.step.service().image());
+        double same = worker.serving(image);
         return IMAGE_WEIGHT * (2 * same / worker.serving() - 1);
     }
-
-    private double score(TaskEntry task, WorkerNode worker) {
-        double capacity = Math.max(1, worker.entry.capacity().milliCores());
-        double score;
-        if (task.step.service().fills()) {
-            double speed = speed(task, worker);
-            if (speed < LEAST_SPEED) {
-                return Double.NEGATIVE_INFINITY;
-            }
-            score = Math.min(1, speed) + SPARE_WEIGHT * worker.spareMilliCores() / capacity;
-        } else if (task.step.lasting()) {
-            // Workers whose serving tasks run one image suit more of the filling images.
-            score = sameImage(task, worker) - worker.freeMilliCores() / capacity - worker.ofStep(task);
-        } else {
-            // Short tasks use up the room that is too small for others.
-            score = -worker.freeMilliCores() / capacity;
-        }
-        boolean near = task.step
-                .placement()
-                .rack()
-                .map(worker.entry.labels()::contains)
-                .orElse(true);
-        return near ? score + 10 : score;
-    }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Disturbance.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Disturbance.java
@@ -68,6 +68,7 @@
                 learn(task, use, seconds);
             }
         }
+        node.learned();
     }
 
     private void learn(TaskEntry task, Map<String, Double> use, double seconds) {
@@ -101,22 +102,38 @@
      * @param filling processor time of the filling tasks by image, as parts of the worker
      */
     double expected(TaskEntry serving, Map<String, Double> filling) {
-        double headroom = serving.calm.level(typical);
+        return expected(serving.step.service().image(), serving.calm.level(typical), filling);
+    }
+
+    private double expected(String serving, double calm, Map<String, Double> filling) {
+        double headroom = calm;
         for (Map.Entry<String, Double> part : filling.entrySet()) {
-            headroom -= weight(part.getKey(), serving.step.service().image()) * part.getValue();
+            headroom -= weight(part.getKey(), serving) * part.getValue();
         }
         return headroom;
     }
 
-    /** The share of its speed, up to 1, at which one more filling task leaves all serving tasks a headroom. */
-    double share(WorkerNode node, TaskEntry more, double headroom) {
-        Map<String, Double> filling = node.demanded();
+    /** Headroom that each serving task of a worker is expected to keep at least. */
+    double least(WorkerNode node, Map<String, Double> filling) {
+        double least = Double.POSITIVE_INFINITY;
+        for (Map.Entry<String, Calm.Least> serving : node.leastCalm().entrySet()) {
+            double calm = serving.getValue().level(typical);
+            least = Math.min(least, expected(serving.getKey(), calm, filling));
+        }
+        return least;
+    }
+
+    /**
+     * The share of its speed, up to 1, at which one more filling task leaves all serving tasks a headroom; it asks for
+     * {@code milliCores} and runs {@code image}.
+     */
+    double share(WorkerNode node, String image, int milliCores, double headroom) {
+        double part = node.part(milliCores);
         double share = 1;
-        for (TaskEntry task : node.tasks) {
-            if (task.serves()) {
-                double spare = expected(task, filling) - headroom;
-                share = Math.min(share, spare / Math.max(LEAST_TAKEN, CAUTION * taken(node, more, task)));
-            }
+        for (Map.Entry<String, Calm.Least> serving : node.leastCalm().entrySet()) {
+            double calm = serving.getValue().level(typical);
+            double spare = expected(serving.getKey(), calm, node.demanded()) - headroom;
+            share = Math.min(share, spare / Math.max(LEAST_TAKEN, CAUTION * weight(image, serving.getKey()) * part));
         }
         return share;
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Fleet.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Fleet.java
@@ -1,6 +1,5 @@
 package org.chestnutbarrow.batch;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -20,19 +19,25 @@
  * the jobs whose state changed.
  */
 final class Fleet {
-    /** A worker counts as never heard of until its first answer. */
-    private static final Duration NEVER = Duration.ofHours(1);
-
+    private final WorkerIndex index = new WorkerIndex();
     private final Map<WorkerId, WorkerNode> workers = new HashMap<>();
     /** Lives that stored progress names and that were not listed then. */
     private final List<WorkerNode> lost = new ArrayList<>();
 
+    private Set<AvailabilityZone> out = Set.of();
+
     WorkerNode find(WorkerId id) {
         return workers.get(id);
     }
 
-    Collection<WorkerNode> all() {
-        return workers.values();
+    WorkerIndex index() {
+        return index;
+    }
+
+    /** Replaces the zones that are out of service. */
+    void zonesOut(Set<AvailabilityZone> zones) {
+        out = Set.copyOf(zones);
+        workers.values().forEach(node -> node.out(out.contains(node.entry.zone())));
     }
 
     /** The node of a life; one that gets nothing new if the life is not listed. */
@@ -46,16 +51,18 @@
                 return node;
             }
         }
-        WorkerNode node = new WorkerNode(new WorkerEntry(
-                at.worker(),
-                at.born(),
-                new Address("0.0.0.0", 0),
-                "",
-                new AvailabilityZone("unknown"),
-                Set.of(),
-                Resources.NONE,
-                true));
-        node.listed = false;
+        WorkerNode node = new WorkerNode(
+                new WorkerEntry(
+                        at.worker(),
+                        at.born(),
+                        new Address("0.0.0.0", 0),
+                        "",
+                        new AvailabilityZone("unknown"),
+                        Set.of(),
+                        Resources.NONE,
+                        true),
+                index);
+        node.listed(false);
         lost.add(node);
         return node;
     }
@@ -67,20 +74,21 @@
             present.add(entry.id());
             WorkerNode known = workers.get(entry.id());
             if (known != null && known.born() == entry.born()) {
-                known.listed = true;
-                known.leaving = entry.leaving();
+                known.leaving(entry.leaving());
                 continue;
             }
             if (known != null) {
                 // A new life of a worker shows that the runs of the one before are over.
                 free(known, touched);
+                known.listed(false);
             }
-            WorkerNode node = new WorkerNode(entry);
-            node.heardAt = now - NEVER.toNanos();
+            WorkerNode node = new WorkerNode(entry, index);
+            node.neverHeard(now);
+            node.out(out.contains(entry.zone()));
             workers.put(entry.id(), node);
             adopt(node, touched);
         }
-        workers.values().forEach(node -> node.listed = present.contains(node.id()));
+        workers.values().forEach(node -> node.listed(present.contains(node.id())));
         return touched;
     }
 
@@ -113,7 +121,7 @@
         WorkerNode node = workers.get(life.worker());
         if (node != null && node.born() == life.born()) {
             free(node, touched);
-            if (!node.listed) {
+            if (!node.listed()) {
                 workers.remove(life.worker());
             }
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Ledger.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Ledger.java
@@ -18,7 +18,9 @@
     private final TimeSource time;
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
     private final Set<JobEntry> dirty = new LinkedHashSet<>();
+    private final Set<WorkerNode> processed = new LinkedHashSet<>();
     private final List<Order> orders = new ArrayList<>();
+    private final Set<JobEntry> waiting = new LinkedHashSet<>();
     private Map<String, Queue> queues = Map.of();
 
     Ledger(TimeSource time) {
@@ -27,15 +29,24 @@
 
     void configure(Map<String, Queue> inForce) {
         queues = Map.copyOf(inForce);
+        jobs.values().forEach(job -> job.policy(policy(job.spec)));
     }
 
     /** The policy in force for a job; the one of its submission if its queue is gone. */
-    Queue queue(JobEntry job) {
-        return queues.getOrDefault(job.spec.queue().key(), job.spec.queue());
+    private Queue policy(JobSpec spec) {
+        return queues.getOrDefault(spec.queue().key(), spec.queue());
     }
 
-    void add(JobEntry job) {
-        jobs.put(job.spec.id(), job);
+    /** Adds a job that is not known yet. */
+    JobEntry add(JobSpec spec) {
+        JobEntry job = new JobEntry(spec, policy(spec), waiting);
+        jobs.put(spec.id(), job);
+        return job;
+    }
+
+    /** Jobs with a task that has neither finished nor been placed. */
+    Collection<JobEntry> waiting() {
+        return waiting;
     }
 
     /** The job, or null if there is none. */
@@ -43,10 +54,6 @@
         return jobs.get(id);
     }
 
-    Collection<JobEntry> jobs() {
-        return jobs.values();
-    }
-
     /** The task, or null if there is none. */
     TaskEntry task(TaskName name) {
         JobEntry job = jobs.get(name.job());
@@ -62,6 +69,11 @@
         dirty.add(job);
     }
 
+    /** Marks a worker with ends that can be acknowledged once the changes are stored. */
+    void processed(WorkerNode node) {
+        processed.add(node);
+    }
+
     void order(Order order) {
         orders.add(order);
     }
@@ -107,7 +119,7 @@
         List<JobProgress> changes = new ArrayList<>();
         for (JobEntry job : dirty) {
             changes.add(job.progress());
-            if (job.state.isFinal() && changes.getLast().steps().isEmpty()) {
+            if (job.over()) {
                 jobs.remove(job.spec.id());
             }
         }
@@ -121,4 +133,11 @@
         orders.clear();
         return taken;
     }
+
+    /** Takes the workers with ends that were processed since the last call. */
+    List<WorkerNode> takeProcessed() {
+        List<WorkerNode> taken = List.copyOf(processed);
+        processed.clear();
+        return taken;
+    }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
@@ -3,10 +3,9 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Set;
-import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.TimeSource;
 
 /** Gives waiting tasks to workers, the most urgent jobs first. Guarded by the lock of its {@link Cell}. */
@@ -19,57 +18,63 @@
     private static final Duration OPEN_TASK_DELAY = Duration.ofMillis(400);
 
     private final Ledger ledger;
-    private final Fleet fleet;
     private final Chooser chooser;
     private final TimeSource time;
-    private Set<AvailabilityZone> out = Set.of();
 
-    Placement(Ledger ledger, Fleet fleet, Chooser chooser, TimeSource time) {
+    /** A job that may have a task to place, with its rank in the order of jobs. */
+    private record Candidate(JobEntry job, int priority, boolean late, Instant rank) {
+        private static final Comparator<Candidate> ORDER = Comparator.comparingInt(Candidate::priority)
+                .thenComparing(Candidate::late)
+                .thenComparing(Candidate::rank);
+    }
+
+    Placement(Ledger ledger, Chooser chooser, TimeSource time) {
         this.ledger = ledger;
-        this.fleet = fleet;
         this.chooser = chooser;
         this.time = time;
     }
 
-    void zonesOut(Set<AvailabilityZone> zones) {
-        out = Set.copyOf(zones);
-    }
-
     /** Places what can be placed. */
     void place(long now) {
-        chooser.begin(fleet.all());
-        for (JobEntry job : waiting()) {
+        for (Candidate candidate : candidates(now)) {
+            JobEntry job = candidate.job();
             for (int s = 0; s < job.steps.size(); s++) {
                 if (job.ready(s)) {
-                    place(job, job.steps.get(s), now);
+                    place(job, s, now);
                 }
             }
         }
     }
 
-    private List<JobEntry> waiting() {
+    /** Jobs with a task that a worker may be able to take, the most urgent first. */
+    private List<Candidate> candidates(long now) {
         Instant at = time.now();
-        List<JobEntry> waiting = new ArrayList<>();
-        for (JobEntry job : ledger.jobs()) {
-            if (!job.state.isFinal() && job.waits()) {
-                job.due = job.spec.due(ledger.queue(job));
-                job.late = job.due.isBefore(at);
-                waiting.add(job);
+        List<Candidate> candidates = new ArrayList<>();
+        for (JobEntry job : ledger.waiting()) {
+            if (mayPlace(job, now)) {
+                Instant rank = job.due.plus(OPEN_TASK_DELAY.multipliedBy(job.openTasks()));
+                candidates.add(new Candidate(job, job.policy.priority(), job.due.isBefore(at), rank));
             }
         }
-        waiting.sort(Comparator.<JobEntry>comparingInt(job -> ledger.queue(job).priority())
-                .thenComparing(job -> job.late)
-                .thenComparing(job -> job.due.plus(OPEN_TASK_DELAY.multipliedBy(job.openTasks()))));
-        return waiting;
+        candidates.sort(Candidate.ORDER);
+        return candidates;
     }
 
-    private void place(JobEntry job, List<TaskEntry> tasks, long now) {
-        String service = ledger.queue(job).service();
-        for (TaskEntry task : tasks) {
-            if (!task.waiting()) {
-                continue;
+    private boolean mayPlace(JobEntry job, long now) {
+        for (int s = 0; s < job.steps.size(); s++) {
+            int first = job.waiting(s).nextSetBit(0);
+            if (first >= 0 && job.ready(s) && chooser.possible(job.steps.get(s).get(first), now)) {
+                return true;
             }
-            WorkerNode node = chooser.choose(task, service, fleet.all(), out, now);
+        }
+        return false;
+    }
+
+    private void place(JobEntry job, int step, long now) {
+        BitSet waiting = job.waiting(step);
+        for (int i = waiting.nextSetBit(0); i >= 0; i = waiting.nextSetBit(i + 1)) {
+            TaskEntry task = job.steps.get(step).get(i);
+            WorkerNode node = chooser.choose(task, now);
             if (node == null) {
                 return;
             }
@@ -83,7 +88,6 @@
         int pace = chooser.pace(task, node);
         task.pace = pace;
         node.add(task);
-        chooser.taken(task.step.charge());
         if (job.state == JobState.QUEUED) {
             job.move(JobState.RUNNING, time.now());
         }
@@ -94,11 +98,4 @@
             ledger.order(new Order.Pace(task.name, task.run, node.id(), node.born(), pace));
         }
     }
-
-    /** Whether a worker other than the one where it runs could take a task. */
-    boolean fitsElsewhere(TaskEntry task, long now) {
-        List<WorkerNode> others = new ArrayList<>(fleet.all());
-        others.remove(task.on);
-        return chooser.choose(task, ledger.queue(task.job).service(), others, out, now) != null;
-    }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Reports.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Reports.java
@@ -26,11 +26,12 @@
 
     /** Takes a report of the life {@code node} from a call that was sent at {@code sentAt}, ns. */
     void take(WorkerNode node, WorkerReport report, long sentAt, long now) {
-        node.heardAt = now;
+        node.heard(now);
         for (WorkerReport.Ended end : report.ended()) {
             if (end.number() > node.processed) {
                 ended(node, end, now);
                 node.processed = end.number();
+                ledger.processed(node);
             }
         }
         Set<TaskEntry> listed = new HashSet<>();
@@ -40,9 +41,9 @@
                 listed.add(task);
             }
         }
-        if (!node.held) {
+        if (!node.held()) {
             settleInherited(node, listed);
-            node.held = true;
+            node.hold();
         }
         if (report.ended().size() < FULL_LIST) {
             settleMissing(node, listed, sentAt);
@@ -82,7 +83,7 @@
         if (task.job.state.isFinal()) {
             ledger.stop(task, "job-ended");
         } else if (!task.stopping && stuck(task, now)) {
-            node.health.failed(now, task.name.job());
+            node.failed(now, task.name.job());
             ledger.stop(task, "stuck");
         }
         return task;
@@ -122,9 +123,9 @@
     private void failed(WorkerNode node, TaskEntry task, boolean ownStop, long now) {
         task.failures++;
         if (!ownStop) {
-            node.health.failed(now, task.name.job());
+            node.failed(now, task.name.job());
         }
-        int most = ledger.queue(task.job).maxAttempts();
+        int most = task.job.policy.maxAttempts();
         if (!task.step.lasting() && task.failures >= most && !task.job.state.isFinal()) {
             ledger.end(task.job, JobState.FAILED, "attempts");
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -43,8 +43,12 @@
         this.step = step;
     }
 
-    boolean waiting() {
-        return !done && on == null;
+    /** Charges a worker for the task. */
+    void chargeTo(WorkerNode node) {
+        if (on == null) {
+            job.placed(this);
+        }
+        on = node;
     }
 
     /** Takes the task off its worker. */
@@ -52,6 +56,7 @@
         if (on != null) {
             on.remove(this);
             on = null;
+            job.released(this);
         }
         stopping = false;
         seen = false;
