Leave 15 ms between the begins of two plans

An owner with 343 workers is sent about 1,000 reports a second, and each one woke a plan with an append of its own, so plans and appends took turns without an end while reports waited for the lock of the cell. One plan now takes what was reported in at least 15 ms; after a quiet time it is still made at once. 15 ms is small against the 300 ms within which starts are due, and covers some 15 reports at that size.

--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -61,6 +61,9 @@
     private final Map<WorkerId, WorkerLink> links = new HashMap<>();
     private final List<Thread> threads = new ArrayList<>();
     private final Semaphore signal = new Semaphore(0);
+    /** Used by the thread of the plans only. */
+    private final PlanGap gap = new PlanGap();
+
     private volatile boolean active = true;
     /** When what was learned was stored last, ns; used by the thread of the plans only. */
     private long learnedAt;
@@ -240,8 +243,13 @@
         while (active) {
             try {
                 if (signal.tryAcquire(PLAN_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)) {
+                    Duration left = gap.left(time.nanos());
+                    if (left.isPositive()) {
+                        Thread.sleep(left);
+                    }
                     signal.drainPermits();
                 }
+                gap.begin(time.nanos());
                 settleSilent();
                 carryOut(cell.plan());
             } catch (InterruptedException e) {
