Count a job as begun once a worker has confirmed a run

Callers that asked an owner out of processor time for the number of pending jobs got under half of it: a job was stored as running when its first order was written, before it was sent, and orders wait there. A job is now moved from queued to running, and stored, when a worker confirms or lists one of its runs, or lists its end. A run that was inherited from an earlier owner counts with the first answer that lists it, so a job whose confirmation was not stored does not stay queued.

The three new tests in CellTest failed before: the stored state was RUNNING with the order, and no state was stored with the confirmation.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -138,6 +138,7 @@
         TaskEntry task = ledger.task(name);
         if (task != null && task.run == run && task.on != null) {
             task.seen = true;
+            ledger.begun(task.job);
             task.settledAt = Math.max(1, time.nanos());
             task.progressedAt = time.nanos();
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobState.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobState.java
@@ -2,6 +2,7 @@
 
 /** Where a job stands. */
 public enum JobState {
+    /** No worker has confirmed or listed a run of the job. */
     QUEUED,
     RUNNING,
     COMPLETED,
--- a/batch/src/main/java/org/chestnutbarrow/batch/Ledger.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Ledger.java
@@ -91,6 +91,14 @@
         touch(task.job);
     }
 
+    /** A worker has confirmed or listed a run of the job. */
+    void begun(JobEntry job) {
+        if (job.state == JobState.QUEUED) {
+            job.move(JobState.RUNNING, time.now());
+            touch(job);
+        }
+    }
+
     /** A run of the task finished. */
     void finish(TaskEntry task) {
         if (task.on != null) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
@@ -88,9 +88,6 @@
         int pace = chooser.pace(task, node);
         task.pace = pace;
         node.add(task);
-        if (job.state == JobState.QUEUED) {
-            job.move(JobState.RUNNING, time.now());
-        }
         ledger.touch(job);
         String checkpoint = task.step.service().checkpoints() ? task.checkpoint : "";
         ledger.order(new Order.Start(task.name, task.run, node.id(), node.born(), job.spec.payload(), checkpoint));
--- a/batch/src/main/java/org/chestnutbarrow/batch/Reports.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Reports.java
@@ -72,6 +72,7 @@
                 return null;
             }
         }
+        ledger.begun(task.job);
         if (!task.seen || run.percent() != task.percent || task.pace < AT_WORK) {
             task.progressedAt = now;
         }
@@ -96,6 +97,9 @@
 
     private void ended(WorkerNode node, WorkerReport.Ended end, long now) {
         TaskEntry task = ledger.task(end.task());
+        if (task != null) {
+            ledger.begun(task.job);
+        }
         if (task == null || task.run != end.run() || (task.on != null && task.on != node)) {
             if (task != null && end.how() == WorkerReport.EndKind.DONE && !task.done) {
                 ledger.finish(task);
--- a/batch/src/test/java/org/chestnutbarrow/batch/CellTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/CellTest.java
@@ -30,6 +30,51 @@
         assertTrue(f.starts().isEmpty());
     }
 
+    private static JobState storedState(CellFixture f) {
+        return f.cell.plan().changes().getFirst().state();
+    }
+
+    /** Guards against a job that counts as begun while its orders still wait, so that too few are given as pending. */
+    @Test
+    public void aJobIsQueuedUntilAWorkerHasConfirmedARun() {
+        CellFixture f = new CellFixture().with("w1");
+        f.add(f.job("a", PLAIN));
+        Plan placed = f.cell.plan();
+        assertEquals(placed.changes().getFirst().state(), JobState.QUEUED);
+        Order.Start start = CellFixture.starts(placed).getFirst();
+        f.cell.started(start.task(), start.run());
+        assertEquals(storedState(f), JobState.RUNNING);
+    }
+
+    /** Guards against a begun job that stays queued because the answer to its order was lost. */
+    @Test
+    public void aListedRunOrEndShowsThatItsJobHasBegun() {
+        CellFixture f = new CellFixture().with("w1");
+        f.add(f.job("a", PLAIN));
+        f.add(f.job("b", PLAIN));
+        List<Order.Start> starts = f.starts();
+        f.report("w1", List.of(CellFixture.running(starts.get(0), 1, 0)), List.of());
+        assertEquals(storedState(f), JobState.RUNNING);
+        f.report("w1", List.of(), List.of(CellFixture.ended(1, starts.get(1), EndKind.FAILED)));
+        assertEquals(storedState(f), JobState.RUNNING);
+    }
+
+    /** Guards against a job that stays queued because its owner ended between an order and its confirmation. */
+    @Test
+    public void aTakenOverJobHasBegunOnceItsRunIsListed() {
+        CellFixture f = new CellFixture();
+        f.workers.add(f.worker("w1", CellFixture.BORN));
+        f.cell.updateWorkers(f.workers);
+        JobSpec job = f.job("a", PLAIN);
+        TaskRecord.Location at = new TaskRecord.Location(new WorkerId("w1"), CellFixture.BORN);
+        TaskRecord placed = new TaskRecord(false, 1, 0, "", Optional.of(at));
+        f.cell.addJob(
+                job, Optional.of(new JobProgress(job.id(), JobState.QUEUED, Instant.EPOCH, List.of(List.of(placed)))));
+        assertTrue(f.cell.plan().changes().isEmpty());
+        f.report("w1", List.of(new WorkerReport.Running(new TaskName(job.id(), 0, 0), 1, 5, 0)), List.of());
+        assertEquals(storedState(f), JobState.RUNNING);
+    }
+
     /** Guards against a step that starts before the steps it follows are done, and against a completed job that runs on. */
     @Test
     public void stepsFollowEachOther() {
