Rank waiting jobs and check sharing at less cost

With 1,600 waiting jobs most of a plan was the ordering of those that a freed worker may take: each comparison added durations and instants, and for each job the log of changes was opened although nothing had changed since its kind of task was last tried. Ranks are now computed once, in ms, and a class that was missed at the latest change is passed over at once. Jobs within a ms of each other keep the order in which they began to wait.

A report beside filling tasks computed their shares twice although all of them ran at full speed and nothing was short of headroom; that case is now told from the least calm headroom of each image, with the same result.

The new test guards filling tasks that wait for a report of more headroom; it passed before this change, and fails if reports are not noted as changes.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Chooser.java
@@ -78,6 +78,9 @@
         if (!demand.missed()) {
             return true;
         }
+        if (demand.missedAt() == index.changes()) {
+            return false;
+        }
         Requirement wanted = demand.requirement;
         boolean any = wanted.manner() instanceof Requirement.Filling
                 ? index.anyObserved(demand.missedAt(), worker -> suits(worker, wanted, now))
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -20,8 +20,8 @@
     Instant changed = Instant.EPOCH;
     /** The policy in force. */
     Queue policy;
-    /** When it should be complete under the policy in force. */
-    Instant due;
+    /** When it should be complete under the policy in force, ms since 1970. */
+    long dueMs;
 
     private final Set<JobEntry> waitingJobs;
     private final int[] open;
@@ -59,7 +59,7 @@
     /** Sets the policy in force. */
     void policy(Queue inForce) {
         policy = inForce;
-        due = spec.due(inForce);
+        dueMs = spec.due(inForce).toEpochMilli();
         for (DemandClass[] ofStep : demands) {
             Arrays.fill(ofStep, null);
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Placement.java
@@ -1,10 +1,9 @@
 package org.chestnutbarrow.batch;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Comparator;
+import java.util.Collections;
 import java.util.List;
 import org.chestnutbarrow.model.TimeSource;
 
@@ -21,11 +20,15 @@
     private final Chooser chooser;
     private final TimeSource time;
 
-    /** A job that may have a task to place, with its rank in the order of jobs. */
-    private record Candidate(JobEntry job, int priority, boolean late, Instant rank) {
-        private static final Comparator<Candidate> ORDER = Comparator.comparingInt(Candidate::priority)
-                .thenComparing(Candidate::late)
-                .thenComparing(Candidate::rank);
+    /** A job that may have a task to place, with its rank in the order of jobs, ms since 1970. */
+    private record Candidate(JobEntry job, int priority, boolean late, long rank) implements Comparable<Candidate> {
+        @Override
+        public int compareTo(Candidate other) {
+            if (priority != other.priority) {
+                return Integer.compare(priority, other.priority);
+            }
+            return late == other.late ? Long.compare(rank, other.rank) : Boolean.compare(late, other.late);
+        }
     }
 
     Placement(Ledger ledger, Chooser chooser, TimeSource time) {
@@ -48,15 +51,15 @@
 
     /** Jobs with a task that a worker may be able to take, the most urgent first. */
     private List<Candidate> candidates(long now) {
-        Instant at = time.now();
+        long at = time.now().toEpochMilli();
         List<Candidate> candidates = new ArrayList<>();
         for (JobEntry job : ledger.waiting()) {
             if (mayPlace(job, now)) {
-                Instant rank = job.due.plus(OPEN_TASK_DELAY.multipliedBy(job.openTasks()));
-                candidates.add(new Candidate(job, job.policy.priority(), job.due.isBefore(at), rank));
+                long rank = job.dueMs + OPEN_TASK_DELAY.toMillis() * job.openTasks();
+                candidates.add(new Candidate(job, job.policy.priority(), job.dueMs < at, rank));
             }
         }
-        candidates.sort(Candidate.ORDER);
+        Collections.sort(candidates);
         return candidates;
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/Sharing.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Sharing.java
@@ -53,12 +53,16 @@
         if (filling.isEmpty()) {
             return;
         }
-        Map<TaskEntry, Double> least = shares(node, serving, filling, LOW);
-        Map<TaskEntry, Double> most = shares(node, serving, filling, HIGH);
         if (longOver(serving, now)) {
             filling.stream().filter(task -> task.pace > 0).forEach(task -> slow(node, task, 0, elsewhere));
             return;
         }
+        Map<String, Double> whole = parts(node, filling);
+        if (disturbance.least(node, whole) >= LOW && filling.stream().allMatch(task -> task.pace == FULL)) {
+            return;
+        }
+        Map<TaskEntry, Double> least = shares(node, serving, filling, whole, LOW);
+        Map<TaskEntry, Double> most = shares(node, serving, filling, whole, HIGH);
         boolean mayRise = now - node.raisedAt >= RISE_GAP.toNanos();
         for (TaskEntry task : filling) {
             int lowered = percent(least.get(task));
@@ -94,16 +98,26 @@
         return (int) Math.round(share * FULL);
     }
 
-    /** The shares at which all serving tasks keep a headroom, taken from the tasks that disturb most first. */
-    private Map<TaskEntry, Double> shares(
-            WorkerNode node, List<TaskEntry> serving, List<TaskEntry> filling, double headroom) {
-        Map<TaskEntry, Double> shares = new HashMap<>();
+    /** Processor time by image that the tasks use at full speed, as parts of the worker. */
+    private static Map<String, Double> parts(WorkerNode node, List<TaskEntry> filling) {
         Map<String, Double> parts = new HashMap<>();
         for (TaskEntry task : filling) {
-            shares.put(task, 1.0);
             parts.merge(
                     task.step.service().image(), node.part(task.step.demand().milliCores()), Double::sum);
         }
+        return parts;
+    }
+
+    /** The shares at which all serving tasks keep a headroom, taken from the tasks that disturb most first. */
+    private Map<TaskEntry, Double> shares(
+            WorkerNode node,
+            List<TaskEntry> serving,
+            List<TaskEntry> filling,
+            Map<String, Double> whole,
+            double headroom) {
+        Map<TaskEntry, Double> shares = new HashMap<>();
+        filling.forEach(task -> shares.put(task, 1.0));
+        Map<String, Double> parts = new HashMap<>(whole);
         for (TaskEntry task : serving) {
             double missing = headroom - disturbance.expected(task, parts);
             if (missing <= 0) {
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
@@ -105,6 +105,26 @@
         assertEquals(f.starts().size(), 1);
     }
 
+    /** Guards against filling tasks that wait on although the tails beside them have become short. */
+    @Test
+    public void waitingFillingTasksAreTriedWhenAReportShowsHeadroom() {
+        CellFixture f = fixture(1);
+        f.add(f.job("serving", CellFixture.step(1, 1500, SERVING)));
+        Order.Start server = f.starts().getFirst();
+        reportTail(f, server, 60);
+        f.add(f.job("filling", CellFixture.step(1, 1000, FILLING)));
+        assertTrue(f.starts().isEmpty(), "no headroom");
+        reportTail(f, server, 10);
+        assertEquals(f.starts().size(), 1);
+    }
+
+    private static void reportTail(CellFixture f, Order.Start server, int tailMs) {
+        for (int i = 0; i < 20; i++) {
+            f.time.advance(Duration.ofMillis(500));
+            f.report("w0", List.of(CellFixture.running(server, 100, tailMs)), List.of());
+        }
+    }
+
     /** Guards against a waiting task that stays waiting although some change has made room for it. */
     @Test
     public void noChangeThatMakesRoomIsOverlooked() {
