Hold reads in the store in memory and settle ends before an owner leaves

FakeStore answered held reads at once, so the feeds of each node of NodeTest polled without a pause: in one run on a loaded machine a submission of theOwnerStaysWhenTheGroupDealsAnew was not stored within 5 s. It now holds a read until there is an entry.

jobsGoOnWithTheNextOwner counts the ends that were listed to the second owner. The test now waits for the acknowledgement, after which the expected number holds exactly as before.

--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.chestnutbarrow.model.NotRunException;
@@ -35,7 +36,7 @@
     private final Set<Topic> refused = EnumSet.noneOf(Topic.class);
     private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
     private volatile Duration readTime = Duration.ZERO;
-    private volatile Consumer<Duration> held = _ -> {};
+    private volatile Optional<Consumer<Duration>> held = Optional.empty();
 
     synchronized void fault(Fault next) {
         fault = next;
@@ -52,9 +53,25 @@
         readTime = time;
     }
 
-    /** Is called with the time for which a read may be held, and returns when it is over. */
+    /** Takes the place of the time for which a read is held. */
     void whileHeld(Consumer<Duration> wait) {
-        held = wait;
+        held = Optional.of(wait);
+    }
+
+    /** Holds a read until there is an entry, for {@code wait} at most. */
+    private synchronized void hold(Topic topic, long from, Duration wait) {
+        long end = System.nanoTime() + wait.toNanos();
+        try {
+            while (records(topic).size() <= from) {
+                long left = Duration.ofNanos(end - System.nanoTime()).toMillis();
+                if (left <= 0) {
+                    return;
+                }
+                wait(left);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Reads of a topic so far. */
@@ -79,6 +96,7 @@
 
     synchronized void put(Topic topic, Entry entry) {
         topics.computeIfAbsent(topic, _ -> new ArrayList<>()).add(entry);
+        notifyAll();
     }
 
     @Override
@@ -96,6 +114,7 @@
             List<Entry> records = topics.computeIfAbsent(topic, _ -> new ArrayList<>());
             answer = (long) records.size();
             records.addAll(entries);
+            notifyAll();
             answers.put(writer, answer);
             writers.put(writer.name(), writer);
         }
@@ -109,7 +128,7 @@
     public Page read(Topic topic, long from, Duration wait) throws NotRunException, HistoryLostException {
         Pauses.sleep(readTime);
         countRead(topic);
-        held.accept(wait);
+        held.ifPresentOrElse(instead -> instead.accept(wait), () -> hold(topic, from, wait));
         return page(topic, from);
     }
 
--- a/node/src/test/java/org/chestnutbarrow/node/FakeWorkers.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeWorkers.java
@@ -22,6 +22,11 @@
         return List.copyOf(doubled);
     }
 
+    /** Whether all ends have been acknowledged. */
+    synchronized boolean settled() {
+        return ended.stream().allMatch(end -> end.number() <= acknowledged);
+    }
+
     synchronized long token() {
         return token;
     }
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -140,6 +140,8 @@
         await("a is completed", () -> state(first, new JobId("a")) == JobState.COMPLETED);
         Node second = start("second");
         await("second node is ready", second::ready);
+        // The next owner counts the ends that are listed to it, which are those not acknowledged before.
+        await("the ends are acknowledged", workers::settled);
         first.close();
         assertEquals(second.submit(job("b"), WITHIN), JobService.Receipt.STORED);
         assertEquals(second.submit(job("a"), WITHIN), JobService.Receipt.STORED);
