Write progress in fewer bytes and decode its tasks only at a takeover

Format 2 leaves out the id, which the key has, names each life of a worker once, writes equal tasks in a row once, a checkpoint of 16 hexadecimal digits as a number, and leaves out checkpoint and failures of finished tasks, which no later run needs.

A node that does not own reads only the state of a record; the tasks are decoded when an owner takes over. Format 1 is still read. A node of an older version cannot read format 2.

An owner takes its records as they were stored, so that what it has learned and which lives are silent are also known here after its own ownership. The test of the round trip moves from StateCodecTest to ProgressCodecTest, where it covers 2,000 random records; finished tasks have a test of their own because their checkpoints are left out.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -36,22 +36,45 @@
     /** Key of what owners have learned about disturbance; no job has it as its id. */
     private static final String LEARNED = "learned/";
 
+    /**
+     * Newest progress of a job. Only an owner needs the tasks, so they stay encoded.
+     *
+     * @param state where the job stands
+     * @param record the record as stored
+     * @param offset its position in the topic
+     */
+    private record Progress(JobState state, byte[] record, long offset) {}
+
     /**
      * All that is known of one job.
      *
      * @param spec the job
      * @param cancelled whether its cancellation stands in the store
-     * @param progress the newest progress, if there is one
+     * @param stored the newest progress, if there is one
      */
-    record Known(JobSpec spec, boolean cancelled, Optional<JobProgress> progress) {
+    record Known(JobSpec spec, boolean cancelled, Optional<Progress> stored) {
         /** Whether its end stands in the store, so that its state never changes again. */
         boolean ended() {
-            return progress.isPresent() && progress.get().state().isFinal();
+            return stored.isPresent() && stored.get().state().isFinal();
         }
 
         JobState state() {
-            JobState stored = progress.map(JobProgress::state).orElse(JobState.QUEUED);
-            return cancelled && !stored.isFinal() ? JobState.CANCELLED : stored;
+            JobState state = stored.map(Progress::state).orElse(JobState.QUEUED);
+            return cancelled && !state.isFinal() ? JobState.CANCELLED : state;
+        }
+
+        /** The progress with its tasks, which are decoded by each call; empty if they cannot be read. */
+        Optional<JobProgress> progress() {
+            if (stored.isEmpty()) {
+                return Optional.empty();
+            }
+            try {
+                return Optional.of(
+                        ProgressCodec.progress(spec.id(), stored.get().record()));
+            } catch (InvalidInputException e) {
+                unreadable(StateStore.Topic.PROGRESS, spec.id().value(), e);
+                return Optional.empty();
+            }
         }
     }
 
@@ -59,8 +82,7 @@
     private static final class Shard {
         final Map<JobId, JobSpec> specs = new HashMap<>();
         final Set<JobId> cancelled = new HashSet<>();
-        final Map<JobId, JobProgress> progress = new HashMap<>();
-        final Map<JobId, Long> offsets = new HashMap<>();
+        final Map<JobId, Progress> progress = new HashMap<>();
         /** Number of queued jobs by the keys of their queues; a queue without any is absent. */
         final Map<String, Integer> pending = new HashMap<>();
 
@@ -105,7 +127,7 @@
     }
 
     static StateStore.Entry progressEntry(JobProgress progress) {
-        return new StateStore.Entry(progress.id().value(), Optional.of(StateCodec.encode(progress)));
+        return new StateStore.Entry(progress.id().value(), Optional.of(ProgressCodec.encode(progress)));
     }
 
     static StateStore.Entry learnedEntry(List<Sensitivity> learned) {
@@ -166,15 +188,11 @@
         return result;
     }
 
-    /** Takes progress that this node has stored itself. */
-    void stored(JobProgress progress, long offset) {
-        Shard shard = shard(progress.id());
-        shard.change(progress.id(), () -> {
-            if (shard.offsets.getOrDefault(progress.id(), -1L) <= offset) {
-                shard.progress.put(progress.id(), progress);
-                shard.offsets.put(progress.id(), offset);
-            }
-        });
+    /** Takes entries of the progress topic that this node has stored itself, the first of them at {@code offset}. */
+    void stored(List<StateStore.Entry> entries, long offset) {
+        for (int i = 0; i < entries.size(); i++) {
+            progress(entries.get(i).key(), entries.get(i).value(), offset + i);
+        }
     }
 
     /** Takes a job that this node has stored itself. */
@@ -233,7 +251,7 @@
                 accepted(StateCodec.job(value.get()));
             }
         } catch (InvalidInputException | IllegalArgumentException | IndexOutOfBoundsException e) {
-            Events.warn("record-unreadable", "topic", StateStore.Topic.JOBS, "key", key, "cause", e.getMessage());
+            unreadable(StateStore.Topic.JOBS, key, e);
         }
     }
 
@@ -262,21 +280,23 @@
                 learned = value.isPresent() ? StateCodec.learned(value.get()) : List.of();
                 return;
             }
-            if (value.isPresent()) {
-                stored(StateCodec.progress(value.get()), offset);
-                return;
-            }
             JobId id = new JobId(key);
             Shard shard = shard(id);
-            shard.change(id, () -> {
-                shard.progress.remove(id);
-                shard.offsets.remove(id);
-            });
+            if (value.isPresent()) {
+                Progress next = new Progress(ProgressCodec.state(value.get()), value.get(), offset);
+                shard.change(id, () -> shard.progress.merge(id, next, (a, b) -> a.offset() <= b.offset() ? b : a));
+            } else {
+                shard.change(id, () -> shard.progress.remove(id));
+            }
         } catch (InvalidInputException | IllegalArgumentException e) {
-            Events.warn("record-unreadable", "topic", StateStore.Topic.PROGRESS, "key", key, "cause", e.getMessage());
+            unreadable(StateStore.Topic.PROGRESS, key, e);
         }
     }
 
+    private static void unreadable(StateStore.Topic topic, String key, Exception cause) {
+        Events.warn("record-unreadable", "topic", topic, "key", key, "cause", cause.getMessage());
+    }
+
     private Shard shard(JobId id) {
         return shards.get(Math.floorMod(id.hashCode(), SHARDS));
     }
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -336,16 +336,15 @@
         }
     }
 
-    /** Stores entries, the changes first among them, repeating the call until the store has answered or a newer owner exists. */
+    /** Stores entries, the changes among them, repeating the call until the store has answered or a newer owner exists. */
     private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
         while (active) {
             try {
                 long sent = time.nanos();
                 long offset = writer.append(entries, () -> active);
                 confirmed(sent);
-                for (int i = 0; i < changes.size(); i++) {
-                    JobProgress change = changes.get(i);
-                    replica.stored(change, offset + i);
+                replica.stored(entries, offset);
+                for (JobProgress change : changes) {
                     if (change.state().isFinal() && change.steps().isEmpty()) {
                         metrics.jobEnded(change.state());
                         Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -9,9 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
-import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Queue;
 import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.Step;
@@ -25,19 +23,21 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
-/** Encodes jobs and their progress as MessagePack, fields in a fixed order after a format number. Stateless. */
+/** Encodes records as MessagePack, fields in a fixed order after a format number. Stateless. */
 final class StateCodec {
     private static final int FORMAT = 1;
     private static final String REMEDY = "upgrade this node: another version of the program wrote the record";
 
     private StateCodec() {}
 
-    private interface Fields {
+    /** Writes what follows the format number. */
+    interface Fields {
         void write(MessageBufferPacker to) throws IOException;
     }
 
-    private interface Parser<T> {
-        T read(MessageUnpacker from) throws IOException;
+    /** Reads what follows the format number. */
+    interface Parser<T> {
+        T read(int format, MessageUnpacker from) throws IOException;
     }
 
     static byte[] encode(JobSpec job) {
@@ -74,7 +74,7 @@
     }
 
     static JobSpec job(byte[] bytes) throws InvalidInputException {
-        return parse(bytes, from -> {
+        return parse(bytes, (_, from) -> {
             JobId id = new JobId(from.unpackString());
             Instant submitted = Instant.ofEpochMilli(from.unpackLong());
             String payload = from.unpackString();
@@ -116,51 +116,6 @@
         return new Step(count, demand, estimate, after, placement, service);
     }
 
-    static byte[] encode(JobProgress progress) {
-        return pack(to -> {
-            to.packString(progress.id().value());
-            to.packString(progress.state().name());
-            to.packLong(progress.changed().toEpochMilli());
-            to.packArrayHeader(progress.steps().size());
-            for (List<TaskRecord> tasks : progress.steps()) {
-                to.packArrayHeader(tasks.size());
-                for (TaskRecord task : tasks) {
-                    write(to, task);
-                }
-            }
-        });
-    }
-
-    private static void write(MessageBufferPacker to, TaskRecord task) throws IOException {
-        to.packBoolean(task.done()).packInt(task.run()).packInt(task.failures());
-        to.packString(task.checkpoint());
-        if (task.at().isPresent()) {
-            to.packString(task.at().get().worker().value())
-                    .packLong(task.at().get().born());
-        } else {
-            to.packNil();
-        }
-    }
-
-    static JobProgress progress(byte[] bytes) throws InvalidInputException {
-        return parse(bytes, from -> {
-            JobId id = new JobId(from.unpackString());
-            JobState state = JobState.valueOf(from.unpackString());
-            Instant changed = Instant.ofEpochMilli(from.unpackLong());
-            List<List<TaskRecord>> steps = new ArrayList<>();
-            int count = from.unpackArrayHeader();
-            for (int s = 0; s < count; s++) {
-                List<TaskRecord> tasks = new ArrayList<>();
-                int width = from.unpackArrayHeader();
-                for (int i = 0; i < width; i++) {
-                    tasks.add(task(from));
-                }
-                steps.add(tasks);
-            }
-            return new JobProgress(id, state, changed, steps);
-        });
-    }
-
     static byte[] encode(List<Sensitivity> learned) {
         return pack(to -> {
             to.packArrayHeader(learned.size());
@@ -172,7 +127,7 @@
     }
 
     static List<Sensitivity> learned(byte[] bytes) throws InvalidInputException {
-        return parse(bytes, from -> {
+        return parse(bytes, (_, from) -> {
             List<Sensitivity> learned = new ArrayList<>();
             int count = from.unpackArrayHeader();
             for (int i = 0; i < count; i++) {
@@ -188,7 +143,7 @@
     }
 
     static OwnerRecord owner(byte[] bytes) throws InvalidInputException {
-        return parse(bytes, from -> new OwnerRecord(from.unpackString(), from.unpackLong()));
+        return parse(bytes, (_, from) -> new OwnerRecord(from.unpackString(), from.unpackLong()));
     }
 
     static byte[] encode(Map<TaskRecord.Location, Duration> silent) {
@@ -203,7 +158,7 @@
     }
 
     static Map<TaskRecord.Location, Duration> silent(byte[] bytes) throws InvalidInputException {
-        return parse(bytes, from -> {
+        return parse(bytes, (_, from) -> {
             Map<TaskRecord.Location, Duration> silent = new HashMap<>();
             int count = from.unpackArrayHeader();
             for (int i = 0; i < count; i++) {
@@ -215,25 +170,17 @@
         });
     }
 
-    private static TaskRecord task(MessageUnpacker from) throws IOException {
-        boolean done = from.unpackBoolean();
-        int run = from.unpackInt();
-        int failures = from.unpackInt();
-        String checkpoint = from.unpackString();
-        Optional<TaskRecord.Location> at = Optional.empty();
-        if (!from.tryUnpackNil()) {
-            at = Optional.of(new TaskRecord.Location(new WorkerId(from.unpackString()), from.unpackLong()));
-        }
-        return new TaskRecord(done, run, failures, checkpoint, at);
-    }
-
     private static Optional<String> text(String value) {
         return value.isEmpty() ? Optional.empty() : Optional.of(value);
     }
 
     private static byte[] pack(Fields fields) {
+        return pack(FORMAT, fields);
+    }
+
+    static byte[] pack(int format, Fields fields) {
         try (MessageBufferPacker to = MessagePack.newDefaultBufferPacker()) {
-            to.packInt(FORMAT);
+            to.packInt(format);
             fields.write(to);
             return to.toByteArray();
         } catch (IOException e) {
@@ -242,12 +189,17 @@
     }
 
     private static <T> T parse(byte[] bytes, Parser<T> parser) throws InvalidInputException {
+        return parse(bytes, FORMAT, parser);
+    }
+
+    /** Reads a record of a format up to {@code newest}. */
+    static <T> T parse(byte[] bytes, int newest, Parser<T> parser) throws InvalidInputException {
         try (MessageUnpacker from = MessagePack.newDefaultUnpacker(bytes)) {
             int format = from.unpackInt();
-            if (format != FORMAT) {
+            if (format < 1 || format > newest) {
                 throw new InvalidInputException("stored record has format " + format, REMEDY);
             }
-            return parser.read(from);
+            return parser.read(format, from);
         } catch (IOException | MessagePackException | IllegalArgumentException | IndexOutOfBoundsException e) {
             throw new InvalidInputException("stored record cannot be read: " + e.getMessage(), REMEDY, e);
         }
--- a/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
@@ -9,9 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
-import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
-import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Queue;
 import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.Step;
@@ -44,18 +42,10 @@
                             List.of(0),
                             Step.Constraints.NONE,
                             Step.Behaviour.PLAIN)));
-    private static final JobProgress PROGRESS = new JobProgress(
-            new JobId("a"),
-            JobState.RUNNING,
-            Instant.ofEpochMilli(8),
-            List.of(List.of(
-                    TaskRecord.NEW,
-                    new TaskRecord(true, 2, 1, "saved", Optional.of(new TaskRecord.Location(new WorkerId("w"), 9))))));
 
     @Test
     public void recordsAreReadAsWritten() throws InvalidInputException {
         assertEquals(StateCodec.job(StateCodec.encode(JOB)), JOB);
-        assertEquals(StateCodec.progress(StateCodec.encode(PROGRESS)), PROGRESS);
         List<Sensitivity> learned = List.of(new Sensitivity("a", "b", 1.5, 0.25));
         assertEquals(StateCodec.learned(StateCodec.encode(learned)), learned);
         OwnerRecord owner = new OwnerRecord("node", 7);
