Do not read back what the owner has stored itself

It carried each change of progress twice: once in its append, and once more a second later when its own follower of the topic read it.

The owner takes what it has stored when the append is answered, so the follower now passes over these entries if it had read all before them. Entries of another owner in between are read as before.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Predicate;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
@@ -108,6 +109,7 @@
 
     private final List<Shard> shards = new ArrayList<>();
     private volatile Consumer<JobId> onChange = _ -> {};
+    private volatile ObjLongConsumer<List<StateStore.Entry>> onStored = (_, _) -> {};
     private volatile Optional<OwnerRecord> owner = Optional.empty();
     private volatile List<Sensitivity> learned = List.of();
     private volatile Map<TaskRecord.Location, Duration> silent = Map.of();
@@ -193,6 +195,12 @@
         for (int i = 0; i < entries.size(); i++) {
             progress(entries.get(i).key(), entries.get(i).value(), offset + i);
         }
+        onStored.accept(entries, offset);
+    }
+
+    /** Is told of entries of the progress topic that this node has stored itself, with the offset of the first. */
+    void onStored(ObjLongConsumer<List<StateStore.Entry>> listener) {
+        onStored = listener;
     }
 
     /** Takes a job that this node has stored itself. */
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -74,6 +74,7 @@
         this.metrics = new NodeMetrics(this::owning, jobFeed::age);
         this.progressFeed = new TopicFollower(
                 store, StateStore.Topic.PROGRESS, replica.progress(), () -> owning() ? OWN_WRITES : STANDBY, time);
+        replica.onStored((entries, offset) -> progressFeed.skip(offset, entries.size()));
     }
 
     /** Starts a node. */
--- a/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
@@ -170,6 +170,15 @@
         }
     }
 
+    /** The entries from {@code offset} on are known already; if all before them were read, they are not read again. */
+    void skip(long offset, int count) {
+        synchronized (reading) {
+            if (loaded && next == offset) {
+                next = offset + count;
+            }
+        }
+    }
+
     /** Reads one page; returns whether more is known to be there. A waiting read does not hold the lock. */
     private boolean step(Duration wait) throws NotRunException {
         long sent = time.nanos();
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -35,6 +35,7 @@
     private Fault fault = Fault.NONE;
     private final Set<Topic> refused = EnumSet.noneOf(Topic.class);
     private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
+    private final Map<Topic, Integer> delivered = new EnumMap<>(Topic.class);
     private volatile Duration readTime = Duration.ZERO;
     private volatile Optional<Consumer<Duration>> held = Optional.empty();
 
@@ -79,6 +80,11 @@
         return reads.getOrDefault(topic, 0);
     }
 
+    /** Entries of a topic that reads have returned so far. */
+    synchronized int delivered(Topic topic) {
+        return delivered.getOrDefault(topic, 0);
+    }
+
     private synchronized void countRead(Topic topic) throws NotRunException {
         reads.merge(topic, 1, Integer::sum);
         if (fault == Fault.REFUSES || refused.contains(topic)) {
@@ -141,6 +147,7 @@
         for (int i = (int) from; i < records.size(); i++) {
             page.add(new Stored(i, records.get(i)));
         }
+        delivered.merge(topic, page.size(), Integer::sum);
         return new Page(page, records.size(), records.size());
     }
 
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -258,4 +258,22 @@
         assertEquals(store.records(StateStore.Topic.JOBS).size(), 3);
         node.close();
     }
+
+    /** Guards against an owner whose link carries each of its writes twice. */
+    @Test
+    public void theOwnerDoesNotReadBackItsProgress() throws InterruptedException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.WORKERS, new StateStore.Entry("w1", Optional.of(new byte[] {1})));
+        Node node = start("node");
+        await("node is ready", node::ready);
+        for (String id : List.of("a", "b", "c")) {
+            assertEquals(node.submit(job(id), WITHIN), JobService.Receipt.STORED);
+            await(id + " is completed", () -> state(node, new JobId(id)) == JobState.COMPLETED);
+        }
+        int reads = store.reads(StateStore.Topic.PROGRESS);
+        await("progress is read twice more", () -> store.reads(StateStore.Topic.PROGRESS) >= reads + 2);
+        int written = store.records(StateStore.Topic.PROGRESS).size();
+        assertTrue(2 * store.delivered(StateStore.Topic.PROGRESS) < written, "all writes were read back");
+        node.close();
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/TopicFollowerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TopicFollowerTest.java
@@ -129,6 +129,20 @@
         assertEquals(store.reads(StateStore.Topic.JOBS), 0);
     }
 
+    /** Guards against an owner that reads back all that it writes, and against entries of others that are passed over. */
+    @Test
+    public void onlyEntriesThatFollowWhatWasReadAreSkipped() throws NotRunException {
+        put("a");
+        follower.catchUp();
+        put("own");
+        follower.skip(1, 1);
+        put("other");
+        put("own");
+        follower.skip(3, 1);
+        follower.catchUp();
+        assertEquals(taken, List.of("a", "other", "own"));
+    }
+
     /** Guards against a copy that seems to age while the store holds a call because nothing changes. */
     @Test
     public void anEmptyHeldReadIsAsFreshAsItsEnd() throws NotRunException {
