Drop the records of jobs that ended long ago

Jobs were never removed from the store. Its keyed topics keep the newest record of each key for good, so the store grew towards the 400 MB at which it refuses appends, and a node that starts had to read all jobs that ever were, each with up to 4 KB of payload.

The order matters, because a job without progress would run again: a takeover reads jobs and progress a few seconds apart, and a node that reads the removal of progress forgets the job as well.

A copy that is read anew now forgets what the store no longer holds. aJobThatWasDroppedUnseenIsForgotten failed without that: a node that missed both the end of a job and its removal would have run it again as an owner.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -44,7 +44,12 @@
      * @param record the record as stored
      * @param offset its position in the topic
      */
-    private record Progress(JobState state, byte[] record, long offset) {}
+    private record Progress(JobState state, byte[] record, long offset) {
+        /** Whether the job has ended and none of its tasks is left on a worker. */
+        boolean settled() {
+            return state.isFinal() && ProgressCodec.withoutTasks(record);
+        }
+    }
 
     /**
      * All that is known of one job.
@@ -128,6 +133,13 @@
         return new StateStore.Entry(CANCEL + job.value(), Optional.of(new byte[] {1}));
     }
 
+    /** Drops a job and its cancellation. */
+    static List<StateStore.Entry> dropped(JobId job) {
+        return List.of(
+                new StateStore.Entry(CANCEL + job.value(), Optional.empty()),
+                new StateStore.Entry(JOB + job.value(), Optional.empty()));
+    }
+
     static StateStore.Entry progressEntry(JobProgress progress) {
         return new StateStore.Entry(progress.id().value(), Optional.of(ProgressCodec.encode(progress)));
     }
@@ -190,6 +202,21 @@
         return result;
     }
 
+    /** Jobs that have ended with all their runs, also those that were dropped and whose progress is left. */
+    Set<JobId> ended() {
+        Set<JobId> result = new HashSet<>();
+        for (Shard shard : shards) {
+            synchronized (shard) {
+                shard.progress.forEach((id, progress) -> {
+                    if (progress.settled()) {
+                        result.add(id);
+                    }
+                });
+            }
+        }
+        return result;
+    }
+
     /** Takes entries of the progress topic that this node has stored itself, the first of them at {@code offset}. */
     void stored(List<StateStore.Entry> entries, long offset) {
         for (int i = 0; i < entries.size(); i++) {
@@ -222,7 +249,8 @@
         return new TopicFollower.Listener() {
             @Override
             public void replaced(StateStore.Snapshot snapshot) {
-                // Jobs are only removed long after their end, so what is known stays valid.
+                // A job whose end was missed together with its removal would stay queued or running here.
+                retainJobs(snapshot.values().keySet());
                 snapshot.values().forEach((key, value) -> job(key, Optional.of(value)));
             }
 
@@ -238,6 +266,7 @@
         return new TopicFollower.Listener() {
             @Override
             public void replaced(StateStore.Snapshot snapshot) {
+                retainProgress(snapshot);
                 snapshot.values().forEach((key, value) -> progress(key, Optional.of(value), snapshot.next() - 1));
             }
 
@@ -248,6 +277,33 @@
         };
     }
 
+    private void retainJobs(Set<String> keys) {
+        for (Shard shard : shards) {
+            List<JobId> known;
+            synchronized (shard) {
+                known = new ArrayList<>(shard.specs.keySet());
+                known.addAll(shard.cancelled);
+            }
+            known.stream().filter(id -> !keys.contains(JOB + id.value())).forEach(id -> forget(id, true));
+            known.stream().filter(id -> !keys.contains(CANCEL + id.value())).forEach(id -> forget(id, false));
+        }
+    }
+
+    /** Progress that was stored after the snapshot was begun may be missing in it. */
+    private void retainProgress(StateStore.Snapshot snapshot) {
+        for (Shard shard : shards) {
+            Map<JobId, Progress> known;
+            synchronized (shard) {
+                known = Map.copyOf(shard.progress);
+            }
+            known.forEach((id, progress) -> {
+                if (progress.offset() < snapshot.next() && !snapshot.values().containsKey(id.value())) {
+                    forget(id);
+                }
+            });
+        }
+    }
+
     private void job(String key, Optional<byte[]> value) {
         try {
             JobId id = new JobId(key.substring(JOB.length()));
@@ -274,6 +330,16 @@
         });
     }
 
+    /** A job is dropped before its progress, so a copy of the jobs that lags must not show it as queued. */
+    private void forget(JobId id) {
+        Shard shard = shard(id);
+        shard.change(id, () -> {
+            shard.progress.remove(id);
+            shard.specs.remove(id);
+            shard.cancelled.remove(id);
+        });
+    }
+
     private void progress(String key, Optional<byte[]> value, long offset) {
         try {
             if (key.equals(OWNER)) {
@@ -294,7 +360,7 @@
                 Progress next = new Progress(ProgressCodec.state(value.get()), value.get(), offset);
                 shard.change(id, () -> shard.progress.merge(id, next, (a, b) -> a.offset() <= b.offset() ? b : a));
             } else {
-                shard.change(id, () -> shard.progress.remove(id));
+                forget(id);
             }
         } catch (InvalidInputException | IllegalArgumentException e) {
             unreadable(StateStore.Topic.PROGRESS, key, e);
--- a/node/src/main/java/org/chestnutbarrow/node/ProgressCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/ProgressCodec.java
@@ -147,6 +147,19 @@
         return STATES.get(from.unpackInt());
     }
 
+    /** Whether the record has no steps; false if it cannot be read. */
+    static boolean withoutTasks(byte[] bytes) {
+        try {
+            return StateCodec.parse(bytes, FORMAT, (format, from) -> {
+                state(format, from);
+                from.unpackLong();
+                return (format == 1 ? from.unpackArrayHeader() : from.unpackInt()) == 0;
+            });
+        } catch (InvalidInputException e) {
+            return false;
+        }
+    }
+
     static JobProgress progress(JobId id, byte[] bytes) throws InvalidInputException {
         return StateCodec.parse(bytes, FORMAT, (format, from) -> {
             JobState state = state(format, from);
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -58,6 +58,7 @@
     private final SilentLives silentLives;
     private final Cell cell;
     private final SequencedWriter writer;
+    private final EndedJobs endedJobs;
     private final Map<WorkerId, WorkerLink> links = new HashMap<>();
     private final List<Thread> threads = new ArrayList<>();
     private final Semaphore signal = new Semaphore(0);
@@ -88,6 +89,7 @@
         Duration longest = HEARD.plus(STANDSTILL).plus(WorkerLink.longest(WorkerLink.lease(longestLease)));
         this.silentLives = new SilentLives(time, longest);
         this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
+        this.endedJobs = new EndedJobs(store, replica, time, token);
     }
 
     @Override
@@ -172,6 +174,7 @@
         silentLives.begin(replica.silent(), cell.inherited());
         workers(workers);
         thread("plans", this::planLoop);
+        thread("ended-jobs", () -> endedJobs.run(() -> active));
     }
 
     private void changed(JobId id) {
@@ -264,6 +267,7 @@
         }
         Optional<Map<TaskRecord.Location, Duration>> silent = silentLives.due();
         silent.ifPresent(record -> entries.add(JobReplica.silentEntry(record)));
+        entries.addAll(endedJobs.takeDue());
         if (!entries.isEmpty() && !persist(entries, plan.changes())) {
             return;
         }
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -4,9 +4,12 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.Set;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
@@ -71,4 +74,46 @@
                         known.state() == JobState.QUEUED && known.spec().queue().equals(queue))
                 .size();
     }
+
+    private static StateStore.Snapshot snapshot(long next, StateStore.Entry... entries) {
+        Map<String, byte[]> values = new HashMap<>();
+        for (StateStore.Entry entry : entries) {
+            values.put(entry.key(), entry.value().orElseThrow());
+        }
+        return new StateStore.Snapshot(values, next);
+    }
+
+    /** Guards against a job that runs again because its end and its removal were both missed. */
+    @Test
+    public void aJobThatWasDroppedUnseenIsForgotten() {
+        JobReplica copy = new JobReplica();
+        JobId dropped = new JobId("dropped");
+        JobId kept = new JobId("kept");
+        copy.jobs()
+                .replaced(snapshot(
+                        9,
+                        JobReplica.jobEntry(job("dropped", A)),
+                        JobReplica.cancelEntry(dropped),
+                        JobReplica.jobEntry(job("kept", A)),
+                        JobReplica.cancelEntry(kept)));
+        copy.progress()
+                .replaced(snapshot(9, progress("dropped", JobState.RUNNING), progress("kept", JobState.RUNNING)));
+        copy.jobs().replaced(snapshot(20, JobReplica.jobEntry(job("kept", A))));
+        assertEquals(copy.find(dropped), Optional.empty());
+        assertEquals(copy.find(kept).orElseThrow().state(), JobState.RUNNING);
+        copy.progress().replaced(snapshot(20, progress("kept", JobState.COMPLETED)));
+        assertEquals(copy.ended(), Set.of(kept));
+        copy.accepted(job("dropped", A));
+        assertEquals(copy.find(dropped).orElseThrow().state(), JobState.QUEUED);
+    }
+
+    /** Guards against an owner's progress that is lost to a snapshot begun before it was stored. */
+    @Test
+    public void progressAfterASnapshotStays() {
+        JobReplica copy = new JobReplica();
+        copy.accepted(job("a", A));
+        copy.stored(List.of(progress("a", JobState.RUNNING)), 7);
+        copy.progress().replaced(snapshot(7));
+        assertEquals(copy.find(new JobId("a")).orElseThrow().state(), JobState.RUNNING);
+    }
 }
