--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.ObjLongConsumer;
 import java.util.function.Predicate;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
@@ -36,22 +37,50 @@
     /** Key of what owners have learned about disturbance; no job has it as its id. */
     private static final String LEARNED = "learned/";
 
+    /**
+     * Newest progress of a job. Only an owner needs the tasks, so they stay encoded.
+     *
+     * @param state where the job stands
+     * @param record the record as stored
+     * @param offset its position in the topic
+     */
+    private record Progress(JobState state, byte[] record, long offset) {
+        /** Whether the job has ended and none of its tasks is left on a worker. */
+        boolean settled() {
+            return state.isFinal() && ProgressCodec.withoutTasks(record);
+        }
+    }
+
     /**
      * All that is known of one job.
      *
      * @param spec the job
      * @param cancelled whether its cancellation stands in the store
-     * @param progress the newest progress, if there is one
+     * @param stored the newest progress, if there is one
      */
-    record Known(JobSpec spec, boolean cancelled, Optional<JobProgress> progress) {
+    record Known(JobSpec spec, boolean cancelled, Optional<Progress> stored) {
         /** Whether its end stands in the store, so that its state never changes again. */
         boolean ended() {
-            return progress.isPresent() && progress.get().state().isFinal();
+            return stored.isPresent() && stored.get().state().isFinal();
         }
 
         JobState state() {
-            JobState stored = progress.map(JobProgress::state).orElse(JobState.QUEUED);
-            return cancelled && !stored.isFinal() ? JobState.CANCELLED : stored;
+            JobState state = stored.map(Progress::state).orElse(JobState.QUEUED);
+            return cancelled && !state.isFinal() ? JobState.CANCELLED : state;
+        }
+
+        /** The progress with its tasks, which are decoded by each call; empty if they cannot be read. */
+        Optional<JobProgress> progress() {
+            if (stored.isEmpty()) {
+                return Optional.empty();
+            }
+            try {
+                return Optional.of(
+                        ProgressCodec.progress(spec.id(), stored.get().record()));
+            } catch (InvalidInputException e) {
+                unreadable(StateStore.Topic.PROGRESS, spec.id().value(), e);
+                return Optional.empty();
+            }
         }
     }
 
@@ -59,8 +88,7 @@
     private static final class Shard {
         final Map<JobId, JobSpec> specs = new HashMap<>();
         final Set<JobId> cancelled = new HashSet<>();
-        final Map<JobId, JobProgress> progress = new HashMap<>();
-        final Map<JobId, Long> offsets = new HashMap<>();
+        final Map<JobId, Progress> progress = new HashMap<>();
         /** Number of queued jobs by the keys of their queues; a queue without any is absent. */
         final Map<String, Integer> pending = new HashMap<>();
 
@@ -86,6 +114,7 @@
 
     private final List<Shard> shards = new ArrayList<>();
     private volatile Consumer<JobId> onChange = _ -> {};
+    private volatile ObjLongConsumer<List<StateStore.Entry>> onStored = (_, _) -> {};
     private volatile Optional<OwnerRecord> owner = Optional.empty();
     private volatile List<Sensitivity> learned = List.of();
     private volatile Map<TaskRecord.Location, Duration> silent = Map.of();
@@ -104,8 +133,15 @@
         return new StateStore.Entry(CANCEL + job.value(), Optional.of(new byte[] {1}));
     }
 
+    /** Drops a job and its cancellation. */
+    static List<StateStore.Entry> dropped(JobId job) {
+        return List.of(
+                new StateStore.Entry(CANCEL + job.value(), Optional.empty()),
+                new StateStore.Entry(JOB + job.value(), Optional.empty()));
+    }
+
     static StateStore.Entry progressEntry(JobProgress progress) {
-        return new StateStore.Entry(progress.id().value(), Optional.of(StateCodec.encode(progress)));
+        return new StateStore.Entry(progress.id().value(), Optional.of(ProgressCodec.encode(progress)));
     }
 
     static StateStore.Entry learnedEntry(List<Sensitivity> learned) {
@@ -166,15 +202,32 @@
         return result;
     }
 
-    /** Takes progress that this node has stored itself. */
-    void stored(JobProgress progress, long offset) {
-        Shard shard = shard(progress.id());
-        shard.change(progress.id(), () -> {
-            if (shard.offsets.getOrDefault(progress.id(), -1L) <= offset) {
-                shard.progress.put(progress.id(), progress);
-                shard.offsets.put(progress.id(), offset);
+    /** Jobs that have ended with all their runs, also those that were dropped and whose progress is left. */
+    Set<JobId> ended() {
+        Set<JobId> result = new HashSet<>();
+        for (Shard shard : shards) {
+            synchronized (shard) {
+                shard.progress.forEach((id, progress) -> {
+                    if (progress.settled()) {
+                        result.add(id);
+                    }
+                });
             }
-        });
+        }
+        return result;
+    }
+
+    /** Takes entries of the progress topic that this node has stored itself, the first of them at {@code offset}. */
+    void stored(List<StateStore.Entry> entries, long offset) {
+        for (int i = 0; i < entries.size(); i++) {
+            progress(entries.get(i).key(), entries.get(i).value(), offset + i);
+        }
+        onStored.accept(entries, offset);
+    }
+
+    /** Is told of entries of the progress topic that this node has stored itself, with the offset of the first. */
+    void onStored(ObjLongConsumer<List<StateStore.Entry>> listener) {
+        onStored = listener;
     }
 
     /** Takes a job that this node has stored itself. */
@@ -196,7 +249,8 @@
         return new TopicFollower.Listener() {
             @Override
             public void replaced(StateStore.Snapshot snapshot) {
-                // Jobs are only removed long after their end, so what is known stays valid.
+                // A job whose end was missed together with its removal would stay queued or running here.
+                retainJobs(snapshot.values().keySet());
                 snapshot.values().forEach((key, value) -> job(key, Optional.of(value)));
             }
 
@@ -212,6 +266,7 @@
         return new TopicFollower.Listener() {
             @Override
             public void replaced(StateStore.Snapshot snapshot) {
+                retainProgress(snapshot);
                 snapshot.values().forEach((key, value) -> progress(key, Optional.of(value), snapshot.next() - 1));
             }
 
@@ -222,6 +277,33 @@
         };
     }
 
+    private void retainJobs(Set<String> keys) {
+        for (Shard shard : shards) {
+            List<JobId> known;
+            synchronized (shard) {
+                known = new ArrayList<>(shard.specs.keySet());
+                known.addAll(shard.cancelled);
+            }
+            known.stream().filter(id -> !keys.contains(JOB + id.value())).forEach(id -> forget(id, true));
+            known.stream().filter(id -> !keys.contains(CANCEL + id.value())).forEach(id -> forget(id, false));
+        }
+    }
+
+    /** Progress that was stored after the snapshot was begun may be missing in it. */
+    private void retainProgress(StateStore.Snapshot snapshot) {
+        for (Shard shard : shards) {
+            Map<JobId, Progress> known;
+            synchronized (shard) {
+                known = Map.copyOf(shard.progress);
+            }
+            known.forEach((id, progress) -> {
+                if (progress.offset() < snapshot.next() && !snapshot.values().containsKey(id.value())) {
+                    forget(id);
+                }
+            });
+        }
+    }
+
     private void job(String key, Optional<byte[]> value) {
         try {
             JobId id = new JobId(key.substring(JOB.length()));
@@ -233,7 +315,7 @@
                 accepted(StateCodec.job(value.get()));
             }
         } catch (InvalidInputException | IllegalArgumentException | IndexOutOfBoundsException e) {
-            Events.warn("record-unreadable", "topic", StateStore.Topic.JOBS, "key", key, "cause", e.getMessage());
+            unreadable(StateStore.Topic.JOBS, key, e);
         }
     }
 
@@ -248,6 +330,16 @@
         });
     }
 
+    /** A job is dropped before its progress, so a copy of the jobs that lags must not show it as queued. */
+    private void forget(JobId id) {
+        Shard shard = shard(id);
+        shard.change(id, () -> {
+            shard.progress.remove(id);
+            shard.specs.remove(id);
+            shard.cancelled.remove(id);
+        });
+    }
+
     private void progress(String key, Optional<byte[]> value, long offset) {
         try {
             if (key.equals(OWNER)) {
@@ -262,21 +354,23 @@
                 learned = value.isPresent() ? StateCodec.learned(value.get()) : List.of();
                 return;
             }
-            if (value.isPresent()) {
-                stored(StateCodec.progress(value.get()), offset);
-                return;
-            }
             JobId id = new JobId(key);
             Shard shard = shard(id);
-            shard.change(id, () -> {
-                shard.progress.remove(id);
-                shard.offsets.remove(id);
-            });
+            if (value.isPresent()) {
+                Progress next = new Progress(ProgressCodec.state(value.get()), value.get(), offset);
+                shard.change(id, () -> shard.progress.merge(id, next, (a, b) -> a.offset() <= b.offset() ? b : a));
+            } else {
+                forget(id);
+            }
         } catch (InvalidInputException | IllegalArgumentException e) {
-            Events.warn("record-unreadable", "topic", StateStore.Topic.PROGRESS, "key", key, "cause", e.getMessage());
+            unreadable(StateStore.Topic.PROGRESS, key, e);
         }
     }
 
+    private static void unreadable(StateStore.Topic topic, String key, Exception cause) {
+        Events.warn("record-unreadable", "topic", topic, "key", key, "cause", cause.getMessage());
+    }
+
     private Shard shard(JobId id) {
         return shards.get(Math.floorMod(id.hashCode(), SHARDS));
     }
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -58,6 +58,7 @@
     private final SilentLives silentLives;
     private final Cell cell;
     private final SequencedWriter writer;
+    private final EndedJobs endedJobs;
     private final Map<WorkerId, WorkerLink> links = new HashMap<>();
     private final List<Thread> threads = new ArrayList<>();
     private final Semaphore signal = new Semaphore(0);
@@ -91,6 +92,7 @@
         Duration longest = HEARD.plus(STANDSTILL).plus(WorkerLink.longest(WorkerLink.lease(longestLease)));
         this.silentLives = new SilentLives(time, longest);
         this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
+        this.endedJobs = new EndedJobs(store, replica, time, token);
     }
 
     @Override
@@ -189,6 +191,7 @@
         silentLives.begin(replica.silent(), cell.inherited());
         workers(workers);
         thread("plans", this::planLoop);
+        thread("ended-jobs", () -> endedJobs.run(() -> active));
     }
 
     private void changed(JobId id) {
@@ -287,6 +290,7 @@
         }
         Optional<Map<TaskRecord.Location, Duration>> silent = silentLives.due();
         silent.ifPresent(record -> entries.add(JobReplica.silentEntry(record)));
+        entries.addAll(endedJobs.takeDue());
         if (!entries.isEmpty() && !persist(entries, plan.changes())) {
             return;
         }
@@ -359,16 +363,15 @@
         }
     }
 
-    /** Stores entries, the changes first among them, repeating the call until the store has answered or a newer owner exists. */
+    /** Stores entries, the changes among them, repeating the call until the store has answered or a newer owner exists. */
     private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
         while (active) {
             try {
                 long sent = time.nanos();
                 long offset = writer.append(entries, () -> active);
                 confirmed(sent);
-                for (int i = 0; i < changes.size(); i++) {
-                    JobProgress change = changes.get(i);
-                    replica.stored(change, offset + i);
+                replica.stored(entries, offset);
+                for (JobProgress change : changes) {
                     if (change.state().isFinal() && change.steps().isEmpty()) {
                         metrics.jobEnded(change.state());
                         Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
@@ -43,8 +44,9 @@
     private Fault fault = Fault.NONE;
     private final Set<Topic> refused = EnumSet.noneOf(Topic.class);
     private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
+    private final Map<Topic, Integer> delivered = new EnumMap<>(Topic.class);
     private volatile Duration readTime = Duration.ZERO;
-    private volatile Consumer<Duration> held = _ -> {};
+    private volatile Optional<Consumer<Duration>> held = Optional.empty();
 
     FakeStore() {
         this(64);
@@ -70,9 +72,25 @@
         readTime = time;
     }
 
-    /** Is called with the time for which a read may be held, and returns when it is over. */
+    /** Takes the place of the time for which a read is held. */
     void whileHeld(Consumer<Duration> wait) {
-        held = wait;
+        held = Optional.of(wait);
+    }
+
+    /** Holds a read until there is an entry, for {@code wait} at most. */
+    private synchronized void hold(Topic topic, long from, Duration wait) {
+        long end = System.nanoTime() + wait.toNanos();
+        try {
+            while (records(topic).size() <= from) {
+                long left = Duration.ofNanos(end - System.nanoTime()).toMillis();
+                if (left <= 0) {
+                    return;
+                }
+                wait(left);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Reads of a topic so far. */
@@ -80,6 +98,11 @@
         return reads.getOrDefault(topic, 0);
     }
 
+    /** Entries of a topic that reads have returned so far. */
+    synchronized int delivered(Topic topic) {
+        return delivered.getOrDefault(topic, 0);
+    }
+
     private synchronized void countRead(Topic topic) throws NotRunException {
         reads.merge(topic, 1, Integer::sum);
         if (fault == Fault.REFUSES || refused.contains(topic)) {
@@ -97,6 +120,7 @@
 
     synchronized void put(Topic topic, Entry entry) {
         topics.computeIfAbsent(topic, _ -> new ArrayList<>()).add(entry);
+        notifyAll();
     }
 
     @Override
@@ -118,6 +142,7 @@
             List<Entry> records = topics.computeIfAbsent(topic, _ -> new ArrayList<>());
             answer = (long) records.size();
             records.addAll(entries);
+            notifyAll();
             answers.put(writer, answer);
             writers.put(writer.name(), writer);
         }
@@ -144,7 +169,7 @@
     public Page read(Topic topic, long from, Duration wait) throws NotRunException, HistoryLostException {
         Pauses.sleep(readTime);
         countRead(topic);
-        held.accept(wait);
+        held.ifPresentOrElse(instead -> instead.accept(wait), () -> hold(topic, from, wait));
         return page(topic, from);
     }
 
@@ -157,6 +182,7 @@
         for (int i = (int) from; i < records.size(); i++) {
             page.add(new Stored(i, records.get(i)));
         }
+        delivered.merge(topic, page.size(), Integer::sum);
         return new Page(page, records.size(), records.size());
     }
 
