Name the time of a relief by the start of the node

The wait of 3 s before a relief counts from the start of a node or from its new name, not from its first join, as the comment, the log word and the design page said. The behaviour is unchanged.

--- a/node/src/main/java/org/chestnutbarrow/node/Succession.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Succession.java
@@ -21,7 +21,7 @@
      * within a second, so that most members ask once for all of them.
      */
     static final Duration LOOK = Duration.ofMillis(150);
-    /** A member relieves an owner after this time, so that a machine that restarts often does not change the owner. */
+    /** A member relieves an owner this long after its start, so that a machine that restarts often does not change the owner. */
     static final Duration SETTLED = Duration.ofSeconds(3);
 
     static final int RELIEF_FACTOR = 2;
@@ -50,7 +50,7 @@
         OWNER_SUFFICES,
         MEMBERS_UNKNOWN,
         OTHERS_FIRST,
-        JOINED_LATELY,
+        STARTED_LATELY,
         HOLDS_NO_PART,
         TOKEN_NOT_NEWER
     }
@@ -72,15 +72,15 @@
     private record Lack(Why why, Optional<OwnerRecord> owner, long since) {}
 
     private final Member self;
-    private final long joinedAt;
+    private final long startedAt;
     private Optional<Reading> reading = Optional.empty();
     private Optional<Lack> lack = Optional.empty();
     private OptionalLong changedAt = OptionalLong.empty();
 
-    /** Creates the choice of one member from the time at which it joins, ns. */
-    Succession(Member self, long joinedAt) {
+    /** Creates the choice of one member; {@code startedAt} is when its node started or took this name, ns. */
+    Succession(Member self, long startedAt) {
         this.self = self;
-        this.joinedAt = joinedAt;
+        this.startedAt = startedAt;
     }
 
     /** Takes the members, asked for after the store has answered with a generation. */
@@ -140,8 +140,8 @@
         if (owner.isPresent() && now.token().getAsLong() <= owner.get().token()) {
             return Optional.of(Why.TOKEN_NOT_NEWER);
         }
-        if (why == Why.OWNER_WEAK && nanos - joinedAt < SETTLED.toNanos()) {
-            return Optional.of(Why.JOINED_LATELY);
+        if (why == Why.OWNER_WEAK && nanos - startedAt < SETTLED.toNanos()) {
+            return Optional.of(Why.STARTED_LATELY);
         }
         return nanos - lack.orElseThrow().since() < STEP_IN.toNanos() * rank
                 ? Optional.of(Why.OTHERS_FIRST)
--- a/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
@@ -106,7 +106,7 @@
     public void aMachineThatRestartsComesLast() {
         assertEquals(
                 why(of(RESTARTED, WEAK, RESTARTED).choose(HOLDING, owner(WEAK), SETTLED - 1)),
-                Succession.Why.JOINED_LATELY);
+                Succession.Why.STARTED_LATELY);
         assertEquals(why(of(RESTARTED, STRONG, RESTARTED).choose(HOLDING, GONE, SETTLED)), Succession.Why.OTHERS_FIRST);
     }
 
