Read requests that are on their way before a draining server closes a connection

A caller that sent a request on a kept connection while the server began to drain got no answer: an idle connection was closed at once, also with bytes in its socket that the event loop had not read yet.

Idle connections now close 300 ms after draining begins, and count as in flight until then, so that whoever waits for the end of what is in flight waits for them. The new test fails before.

--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -103,7 +103,7 @@
         return new Address(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
-    /** Requests that have been received and not yet answered. */
+    /** Requests that have been received, or may be on their way when draining begins, and are not yet answered. */
     public int inFlight() {
         return connections.inFlight();
     }
@@ -121,7 +121,10 @@
         connections.leave();
     }
 
-    /** Stops accepting connections; requests in flight are answered and their connections closed afterwards. */
+    /**
+     * Stops accepting connections. Requests in flight are answered and their connections closed afterwards; idle
+     * connections stay open for a moment more, because a caller may have sent a request that was not read yet.
+     */
     public void drain() {
         if (closed.get()) {
             return;
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -1,8 +1,10 @@
 package org.chestnutbarrow.http;
 
 import io.netty.channel.Channel;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -11,6 +13,9 @@
  * <p>Invariant: never holds more than the limit.
  */
 final class ServerConnections {
+    /** A request that a caller had sent when draining began is read within this time, also on a busy machine. */
+    private static final Duration SETTLE = Duration.ofMillis(300);
+
     private final int limit;
     private final Set<Channel> open = ConcurrentHashMap.newKeySet();
     private final AtomicInteger count = new AtomicInteger();
@@ -67,13 +72,20 @@
         leaving = true;
     }
 
+    /** Tells idle connections to close after {@link #SETTLE}; until then each counts as in flight. */
     void drain() {
         draining = true;
         for (Channel channel : open) {
-            channel.pipeline().fireUserEventTriggered(DrainEvent.DRAIN);
+            began();
+            channel.eventLoop().schedule(() -> endIdle(channel), SETTLE.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
+    private void endIdle(Channel channel) {
+        ended();
+        channel.pipeline().fireUserEventTriggered(DrainEvent.DRAIN);
+    }
+
     void closeAll() {
         draining = true;
         for (Channel channel : open) {
--- a/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
+++ b/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
@@ -101,6 +101,20 @@
         }
     }
 
+    /** Guards against a request that is lost because the server closes a kept connection before it reads it. */
+    @Test
+    void drainAnswersARequestThatIsOnItsWay() throws Exception {
+        try (HttpServer server = start(LIMITS, request -> HttpResponse.text(200, "ok"));
+                Socket kept = open(server)) {
+            assertStatus(exchange(kept, GET), 200);
+            assertEquals(kept.getInputStream().readNBytes(2).length, 2);
+            server.drain();
+            assertEquals(server.inFlight(), 1);
+            assertStatus(exchange(kept, GET), 200);
+            assertEquals(kept.getInputStream().readAllBytes().length, 2);
+        }
+    }
+
     /** Guards against requests lost on connections that callers keep until the server closes them. */
     @Test
     void leavingServerEndsEachConnectionWithItsNextAnswer() throws Exception {
