Keep what a node hears of jobs over changes of the owner

Suspected, found by reading: a job that was read between the copy of all jobs and the registration of the listener reached neither; and a late refusal to an ended ownership removed the listener of the next ownership of the same node. Both would leave jobs that never start and cancellations that are never carried out.

The listener is registered first, because adding a job twice has no effect, and an ownership ends once.

--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 import org.chestnutbarrow.batch.Cell;
 import org.chestnutbarrow.batch.JobProgress;
@@ -65,7 +66,7 @@
     /** Used by the thread of the plans only. */
     private final PlanGap gap = new PlanGap();
 
-    private volatile boolean active = true;
+    private final AtomicBoolean active = new AtomicBoolean(true);
     /** When what was learned was stored last, ns; used by the thread of the plans only. */
     private long learnedAt;
 
@@ -102,13 +103,13 @@
 
     @Override
     public boolean active() {
-        return active;
+        return active.get();
     }
 
     @Override
     public boolean extending(TaskRecord.Location life) {
         long silent = time.nanos() - storeSeenAt;
-        return active
+        return active.get()
                 && silentLives.mayExtend(life)
                 && silent < EXTEND_WITHOUT_STORE.toNanos()
                 && (silent < HEARD.toNanos() || mostWorkers(link -> link.heardWithin(HEARD)));
@@ -147,7 +148,7 @@
 
     @Override
     public void fenced(String by) {
-        if (active) {
+        if (active.get()) {
             Events.warn("ownership-lost", "token", token, "by", by);
         }
         end();
@@ -184,18 +185,19 @@
         cell.restore(replica.learned());
         // Workers are asked only after all jobs are known: what a worker lists and no job explains is stopped.
         cell.updateWorkers(workers);
+        // A job that is read meanwhile is taken by one of the two.
+        replica.onChange(this::changed);
         for (JobReplica.Known known : replica.all(k -> true)) {
             add(known);
         }
-        replica.onChange(this::changed);
         silentLives.begin(replica.silent(), cell.inherited());
         workers(workers);
         thread("plans", this::planLoop);
-        thread("ended-jobs", () -> endedJobs.run(() -> active));
+        thread("ended-jobs", () -> endedJobs.run(active::get));
     }
 
     private void changed(JobId id) {
-        if (active) {
+        if (active.get()) {
             replica.find(id).ifPresent(this::add);
             wake();
         }
@@ -258,7 +260,7 @@
     }
 
     private void planLoop() {
-        while (active) {
+        while (active.get()) {
             try {
                 if (signal.tryAcquire(PLAN_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)) {
                     Duration left = gap.left(time.nanos());
@@ -365,10 +367,10 @@
 
     /** Stores entries, the changes among them, repeating the call until the store has answered or a newer owner exists. */
     private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
-        while (active) {
+        while (active.get()) {
             try {
                 long sent = time.nanos();
-                long offset = writer.append(entries, () -> active);
+                long offset = writer.append(entries, active::get);
                 confirmed(sent);
                 replica.stored(entries, offset);
                 for (JobProgress change : changes) {
@@ -392,7 +394,10 @@
 
     /** Ends this ownership; nothing is ordered any more. */
     void end() {
-        active = false;
+        // A late answer must not take the listener away from a later ownership of this node.
+        if (!active.getAndSet(false)) {
+            return;
+        }
         replica.onChange(_ -> {});
         synchronized (links) {
             links.values().forEach(WorkerLink::close);
