Confirm an ownership that has nothing to store

An owner that has stored nothing for 2 s now appends nothing under its epoch, which also tells it of a newer owner. ReignTest.aQuietOwnerStaysConfirmedByTheStore fails without it.

--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -39,6 +39,12 @@
     private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
     /** An owner that has not reached the store for this time stops extending leases; outages of 9 s are expected. */
     private static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(12);
+    /** An owner that has stored nothing for this time asks the store whether it still is the owner. */
+    private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(2);
+    /** Pause between two looks at whether the store has to be asked. */
+    private static final Duration CONFIRM_PAUSE = Duration.ofMillis(500);
+
+    private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
     /**
      * An owner without the store extends leases only while it hears more than half of the workers within this time. A
      * newer owner that holds more than half of them is therefore heard of by one of them at the latest.
@@ -51,6 +57,7 @@
     private static final Duration LEARNED_INTERVAL = Duration.ofSeconds(2);
 
     private final long token;
+    private final StateStore store;
     private final WorkerPort port;
     private final JobReplica replica;
     private final TimeSource time;
@@ -83,6 +90,7 @@
             Duration longestLease,
             NodeMetrics metrics) {
         this.token = token;
+        this.store = store;
         this.port = port;
         this.replica = replica;
         this.time = time;
@@ -194,6 +202,7 @@
         workers(workers);
         thread("plans", this::planLoop);
         thread("ended-jobs", () -> endedJobs.run(active::get));
+        thread("confirmation", this::confirmLoop);
     }
 
     private void changed(JobId id) {
@@ -282,6 +291,29 @@
         }
     }
 
+    /** Keeps the ownership confirmed while there is nothing to store and topics cannot be read. */
+    private void confirmLoop() {
+        while (active.get()) {
+            if (time.nanos() - storeSeenAt > CONFIRM_INTERVAL.toNanos()) {
+                confirm();
+            }
+            Pauses.sleep(CONFIRM_PAUSE);
+        }
+    }
+
+    private void confirm() {
+        try {
+            long sent = time.nanos();
+            store.append(
+                    StateStore.Topic.PROGRESS, List.of(), new StateStore.Writer(WRITER, token, 0), CONFIRM_TIMEOUT);
+            confirmed(sent);
+        } catch (NotRunException | OutcomeUnknownException e) {
+            Events.warn("ownership-unconfirmed", "token", token, "cause", e.getMessage());
+        } catch (StaleEpochException e) {
+            fenced("store: " + e.getMessage());
+        }
+    }
+
     private void carryOut(Plan plan) {
         List<StateStore.Entry> entries = new ArrayList<>();
         plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
