Start nothing by old copies of what callers, operators and workers said

Nothing bounded the age of what an owner decides by.

A plan now starts nothing while one of the copies of jobs, workers and declarations is older than 2 s. NodeTest.nothingIsStartedByOldCopies fails without it (4 starts instead of 2). An owner that cannot read for long keeps the ownership; handing it on is open.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Cell.java
@@ -182,11 +182,18 @@
         }
     }
 
-    /** Places what can be placed and says what to store and to order. */
-    public synchronized Plan plan() {
-        long now = time.nanos();
-        fleet.index().endAvoidance(now);
-        placement.place(now);
+    /** As {@link #plan(boolean)} with starts. */
+    public Plan plan() {
+        return plan(true);
+    }
+
+    /** Says what to store and to order; places what can be placed if {@code starts} holds. */
+    public synchronized Plan plan(boolean starts) {
+        if (starts) {
+            long now = time.nanos();
+            fleet.index().endAvoidance(now);
+            placement.place(now);
+        }
         List<JobProgress> changes = ledger.takeChanges();
         Map<WorkerId, Long> acknowledge = new HashMap<>();
         for (WorkerNode node : ledger.takeProcessed()) {
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -1,6 +1,8 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -239,8 +241,16 @@
     }
 
     private void takeOver(long token, long sent) {
-        Reign next = new Reign(token, store, port, replica, time, settings.longestLease(), metrics);
         TopicFollower workerFeed = new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> IDLE, time);
+        Reign next = new Reign(
+                token,
+                store,
+                port,
+                replica,
+                time,
+                settings.longestLease(),
+                metrics,
+                () -> Collections.max(List.of(controlFeed.age(), jobFeed.age(), workerFeed.age())));
         workers.onChange(_ -> {});
         // Calls to a slow store take 0.3 s and more, so those that need not follow the fence are made beside it.
         try (ExecutorService calls = Executors.newVirtualThreadPerTaskExecutor()) {
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.chestnutbarrow.batch.Cell;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.Order;
@@ -45,6 +46,11 @@
     private static final Duration CONFIRM_PAUSE = Duration.ofMillis(500);
 
     private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
+    /**
+     * Nothing new is started by what callers, operators and workers said longer ago than this. The bounds for draining
+     * workers and evacuated zones begin at 2 s, and a copy that is read in time is up to 1.2 s old.
+     */
+    private static final Duration OLDEST_INPUTS = Duration.ofSeconds(2);
     /**
      * An owner without the store extends leases only while it hears more than half of the workers within this time. A
      * newer owner that holds more than half of them is therefore heard of by one of them at the latest.
@@ -63,6 +69,7 @@
     private final TimeSource time;
     private final Duration longestLease;
     private final NodeMetrics metrics;
+    private final Supplier<Duration> inputsAge;
     private final SilentLives silentLives;
     private final Cell cell;
     private final SequencedWriter writer;
@@ -80,7 +87,14 @@
     private volatile long storeSeenAt;
     /** Whether more than half of the workers have answered under this token; used by the thread of the plans only. */
     private boolean mostHeld;
+    /** Whether the last plan could start tasks; used by the thread of the plans only. */
+    private boolean starting = true;
 
+    /**
+     * Prepares an ownership.
+     *
+     * @param inputsAge age of the oldest copy among those of jobs, workers and declarations
+     */
     Reign(
             long token,
             StateStore store,
@@ -88,9 +102,11 @@
             JobReplica replica,
             TimeSource time,
             Duration longestLease,
-            NodeMetrics metrics) {
+            NodeMetrics metrics,
+            Supplier<Duration> inputsAge) {
         this.token = token;
         this.store = store;
+        this.inputsAge = inputsAge;
         this.port = port;
         this.replica = replica;
         this.time = time;
@@ -280,7 +296,7 @@
                 }
                 gap.begin(time.nanos());
                 settleSilent();
-                carryOut(cell.plan());
+                carryOut(cell.plan(mayStart()));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
@@ -291,6 +307,18 @@
         }
     }
 
+    private boolean mayStart() {
+        Duration age = inputsAge.get();
+        boolean recent = age.compareTo(OLDEST_INPUTS) < 0;
+        if (recent && !starting) {
+            Events.info("starts-resumed", "token", token, "inputsAgeMs", age.toMillis());
+        } else if (!recent && starting) {
+            Events.warn("starts-suspended", "token", token, "inputsAgeMs", age.toMillis());
+        }
+        starting = recent;
+        return recent;
+    }
+
     /** Keeps the ownership confirmed while there is nothing to store and topics cannot be read. */
     private void confirmLoop() {
         while (active.get()) {
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -321,6 +321,30 @@
         strong.close();
     }
 
+    /** Guards against starts by an owner that does not see cancellations, evacuated zones and draining workers. */
+    @Test
+    public void nothingIsStartedByOldCopies() throws InterruptedException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.WORKERS, new StateStore.Entry("w1", Optional.of(new byte[] {1})));
+        Node node = start("node");
+        assertEquals(node.submit(job("a"), WITHIN), JobService.Receipt.STORED);
+        await("both tasks are started", () -> workers.starts() == 2);
+        for (StateStore.Topic topic :
+                List.of(StateStore.Topic.CONTROL, StateStore.Topic.WORKERS, StateStore.Topic.JOBS)) {
+            int before = workers.starts();
+            store.refuseReads(Set.of(topic));
+            ahead.addAndGet(Duration.ofSeconds(4).toNanos());
+            // The copies that can be read are recent again by the time at which the worker has answered.
+            Thread.sleep(Duration.ofMillis(1500));
+            assertEquals(node.submit(job("b" + topic), WITHIN), JobService.Receipt.STORED);
+            Thread.sleep(Duration.ofMillis(800));
+            assertEquals(workers.starts(), before, topic.toString());
+            store.refuseReads(Set.of());
+            await(topic + " is read again", () -> workers.starts() == before + 2);
+        }
+        node.close();
+    }
+
     /** Guards against an owner whose link carries each of its writes twice. */
     @Test
     public void theOwnerDoesNotReadBackItsProgress() throws InterruptedException {
--- a/node/src/test/java/org/chestnutbarrow/node/ReignTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/ReignTest.java
@@ -39,7 +39,8 @@
                 new JobReplica(),
                 clock,
                 Duration.ofSeconds(6),
-                new NodeMetrics(() -> true, () -> Duration.ZERO));
+                new NodeMetrics(() -> true, () -> Duration.ZERO),
+                () -> Duration.ZERO);
         reign.begin(new ControlState(1, Map.of(), Set.of()), List.of());
         return reign;
     }
--- a/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
@@ -221,7 +221,8 @@
                         actor.replica,
                         time,
                         Duration.ofSeconds(6),
-                        new NodeMetrics(() -> true, () -> Duration.ZERO)));
+                        new NodeMetrics(() -> true, () -> Duration.ZERO),
+                        () -> Duration.ZERO));
             }
         }
 
@@ -290,7 +291,8 @@
                     actor.replica,
                     time,
                     Duration.ofSeconds(6),
-                    new NodeMetrics(() -> true, () -> Duration.ZERO)));
+                    new NodeMetrics(() -> true, () -> Duration.ZERO),
+                    () -> Duration.ZERO));
         }
         reigns.getFirst().fenceEarlier(STRONG.id(), actors.getFirst().progress);
         assertThrows(
