--- a/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
@@ -48,6 +48,19 @@
             .labelNames("state")
             .register(registry);
 
+    private final Histogram orderWaits = Histogram.builder()
+            .name("chestnutbarrow_node_order_wait_seconds")
+            .help("Time from the storing of an order's progress to its first attempt")
+            .classicUpperBounds(0.005, 0.025, 0.1, 0.25, 0.5, 1, 2.5)
+            .classicOnly()
+            .register(registry);
+    private final Histogram holdLateness = Histogram.builder()
+            .name("chestnutbarrow_node_hold_late_seconds")
+            .help("Time from the end of a hold's wait to its answer or time-out")
+            .classicUpperBounds(0.005, 0.025, 0.05, 0.1, 0.25, 0.5, 1)
+            .classicOnly()
+            .register(registry);
+
     /** Creates the metrics; {@code owner} tells whether this node owns the workers, {@code age} the age of what it read. */
     NodeMetrics(BooleanSupplier owner, Supplier<Duration> age) {
         GaugeWithCallback.builder()
@@ -77,6 +90,14 @@
         starts.inc();
     }
 
+    void orderWaited(Duration time) {
+        orderWaits.observe(time.toNanos() / NANOS_PER_SECOND);
+    }
+
+    void holdLate(Duration time) {
+        holdLateness.observe(time.toNanos() / NANOS_PER_SECOND);
+    }
+
     void ended(WorkerReport.EndKind how) {
         ends.labelValues(how.name()).inc();
     }
--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.node;
 
+import java.time.Duration;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.batch.WorkerReport;
 
@@ -14,6 +15,12 @@
     /** A worker has listed the end of a run for the first time. */
     void ended(WorkerReport.EndKind how);
 
+    /** An order is sent for the first time after it waited in the node. */
+    void orderWaited(Duration time);
+
+    /** A hold was answered, or given up, this long after its own wait was over. */
+    void holdLate(Duration time);
+
     /** A life has answered under this token. */
     void heard(TaskRecord.Location life);
 
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -121,6 +121,16 @@
         metrics.ended(how);
     }
 
+    @Override
+    public void orderWaited(Duration waited) {
+        metrics.orderWaited(waited);
+    }
+
+    @Override
+    public void holdLate(Duration late) {
+        metrics.holdLate(late);
+    }
+
     @Override
     public void heard(TaskRecord.Location life) {
         silentLives.heard(life);
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -220,6 +220,9 @@
 
     private Optional<Delivery> call(Delivery delivery) {
         Order order = delivery.order();
+        if (!delivery.repeated()) {
+            owner.orderWaited(Duration.ofNanos(time.nanos() - delivery.queuedAt()));
+        }
         Delivery.Sent sent = delivery.unanswered().orElseGet(() -> sending(order));
         try {
             WorkerPort.Answer answer = port.send(worker, order, owner.token(), sent.leaseUntilMs(), ANSWER);
@@ -302,8 +305,10 @@
         try {
             WorkerPort.Answer answer =
                     port.hold(worker, owner.token(), leaseUntil, acknowledge, wait, wait.plus(ANSWER));
+            countLate(sent, wait);
             return held(answer, sent);
         } catch (OutcomeUnknownException | NotRunException e) {
+            countLate(sent, wait);
             if (!unreachable && !reachable()) {
                 unreachable = true;
                 Events.warn("worker-lost", "worker", worker.id(), "cause", e.getMessage());
@@ -312,6 +317,10 @@
         }
     }
 
+    private void countLate(long sent, Duration wait) {
+        owner.holdLate(Duration.ofNanos(Math.max(0, time.nanos() - sent - wait.toNanos())));
+    }
+
     private boolean held(WorkerPort.Answer answer, long sent) {
         if (answer instanceof WorkerPort.Refused refused && refused.why() == WorkerPort.Refusal.FENCED) {
             owner.fenced("worker " + worker.id().value());
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -135,6 +135,8 @@
         assertTrue(metrics.contains("chestnutbarrow_node_submissions_total{receipt=\"STORED\"} 1.0"), metrics);
         assertTrue(metrics.contains("chestnutbarrow_node_owner 1.0"), metrics);
         assertTrue(metrics.contains("chestnutbarrow_node_task_ends_total{how=\"DONE\"} 2.0"), metrics);
+        assertTrue(metrics.contains("chestnutbarrow_node_order_wait_seconds_count 2"), metrics);
+        assertTrue(metrics.contains("chestnutbarrow_node_hold_late_seconds_bucket"), metrics);
         assertEquals(workers.doubled(), List.of());
         assertEquals(workers.starts(), 4);
         second.close();
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -89,6 +89,12 @@
         @Override
         public void ended(WorkerReport.EndKind how) {}
 
+        @Override
+        public void orderWaited(Duration time) {}
+
+        @Override
+        public void holdLate(Duration time) {}
+
         @Override
         public void heard(TaskRecord.Location life) {}
 
