Wait longer for answers while the node itself runs late

With the owner's processor full, holds and orders timed out after 250 ms although the answer lay unread in the owner's socket. Workers then counted as silent, their connections were closed, and the repeats took more of the processor that was missing.

aLateNodeWaitsLongerForAnswers fails with the fixed time.

--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -21,6 +21,9 @@
     /** A hold was answered, or given up, this long after its own wait was over. */
     void holdLate(Duration time);
 
+    /** How late this node's own threads run, so that an answer may lie unread for that time. */
+    Duration lateness();
+
     /** A life has answered under this token. */
     void heard(TaskRecord.Location life);
 
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -56,6 +56,7 @@
     private final Duration longestLease;
     private final NodeMetrics metrics;
     private final SilentLives silentLives;
+    private final Lateness lateness = new Lateness();
     private final Cell cell;
     private final SequencedWriter writer;
     private final Map<WorkerId, WorkerLink> links = new HashMap<>();
@@ -131,6 +132,19 @@
         metrics.holdLate(late);
     }
 
+    @Override
+    public Duration lateness() {
+        return lateness.now();
+    }
+
+    private void measureLateness() {
+        while (active) {
+            long before = time.nanos();
+            Pauses.sleep(Lateness.INTERVAL);
+            lateness.paused(Duration.ofNanos(time.nanos() - before));
+        }
+    }
+
     @Override
     public void heard(TaskRecord.Location life) {
         silentLives.heard(life);
@@ -182,6 +196,7 @@
         silentLives.begin(replica.silent(), cell.inherited());
         workers(workers);
         thread("plans", this::planLoop);
+        thread("lateness", this::measureLateness);
     }
 
     private void changed(JobId id) {
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -225,7 +225,7 @@
         }
         Delivery.Sent sent = delivery.unanswered().orElseGet(() -> sending(order));
         try {
-            WorkerPort.Answer answer = port.send(worker, order, owner.token(), sent.leaseUntilMs(), ANSWER);
+            WorkerPort.Answer answer = port.send(worker, order, owner.token(), sent.leaseUntilMs(), answerTime());
             boolean settled = settle(order, answer, delivery.unanswered().isPresent());
             return settled ? Optional.empty() : Optional.of(delivery.again());
         } catch (OutcomeUnknownException e) {
@@ -241,6 +241,10 @@
         }
     }
 
+    private Duration answerTime() {
+        return ANSWER.plus(owner.lateness());
+    }
+
     private Delivery.Sent sending(Order order) {
         // Only starts extend leases; those of a worker that is silent must run out while stops for it are repeated.
         long leaseUntil = order instanceof Order.Start ? extend() : -1;
@@ -304,7 +308,7 @@
         long leaseUntil = reachable() ? extend() : -1;
         try {
             WorkerPort.Answer answer =
-                    port.hold(worker, owner.token(), leaseUntil, acknowledge, wait, wait.plus(ANSWER));
+                    port.hold(worker, owner.token(), leaseUntil, acknowledge, wait, wait.plus(answerTime()));
             countLate(sent, wait);
             return held(answer, sent);
         } catch (OutcomeUnknownException | NotRunException e) {
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -75,6 +75,7 @@
     private static final class WithoutStore implements Owner {
         volatile boolean active = true;
         volatile boolean extending;
+        volatile Duration late = Duration.ZERO;
 
         @Override
         public long token() {
@@ -95,6 +96,11 @@
         @Override
         public void holdLate(Duration time) {}
 
+        @Override
+        public Duration lateness() {
+            return late;
+        }
+
         @Override
         public void heard(TaskRecord.Location life) {}
 
@@ -118,6 +124,7 @@
         volatile List<WorkerReport.Running> running = List.of();
         volatile boolean unreachable;
         volatile boolean full;
+        volatile Duration longest = Duration.ZERO;
 
         @Override
         public Answer send(WorkerEntry to, Order order, long token, long leaseUntilMs, Duration timeout)
@@ -140,6 +147,7 @@
             if (unreachable) {
                 throw new NotRunException("unreachable", "try again");
             }
+            longest = timeout.minus(wait);
             Pauses.sleep(wait);
             return new Listed(new WorkerReport(to.id(), to.born(), running, List.of()), 1000);
         }
@@ -387,6 +395,15 @@
         assertTrue(cell.charged(start), "the task could be placed anew");
     }
 
+    /** Guards against workers that count as silent while their answers lie unread in a node that runs late. */
+    @Test
+    public void aLateNodeWaitsLongerForAnswers() throws InterruptedException {
+        owner.late = Duration.ofMillis(400);
+        lanes.add(Thread.ofVirtual().start(link::hold));
+        await("the worker is held", link::heard);
+        assertEquals(port.longest, Duration.ofMillis(650));
+    }
+
     /** Guards against runs that are never given up because stops for their silent worker are repeated. */
     @Test
     public void repeatedStopsDoNotExtendLeases() throws InterruptedException {
