--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -71,6 +71,7 @@
     private final NodeMetrics metrics;
     private final Supplier<Duration> inputsAge;
     private final SilentLives silentLives;
+    private final Lateness lateness = new Lateness();
     private final Cell cell;
     private final SequencedWriter writer;
     private final EndedJobs endedJobs;
@@ -151,6 +152,29 @@
         metrics.ended(how);
     }
 
+    @Override
+    public void orderWaited(Duration waited) {
+        metrics.orderWaited(waited);
+    }
+
+    @Override
+    public void holdLate(Duration late) {
+        metrics.holdLate(late);
+    }
+
+    @Override
+    public Duration lateness() {
+        return lateness.now();
+    }
+
+    private void measureLateness() {
+        while (active.get()) {
+            long before = time.nanos();
+            Pauses.sleep(Lateness.INTERVAL);
+            lateness.paused(Duration.ofNanos(time.nanos() - before));
+        }
+    }
+
     @Override
     public void heard(TaskRecord.Location life) {
         silentLives.heard(life);
@@ -219,6 +243,7 @@
         thread("plans", this::planLoop);
         thread("ended-jobs", () -> endedJobs.run(active::get));
         thread("confirmation", this::confirmLoop);
+        thread("lateness", this::measureLateness);
     }
 
     private void changed(JobId id) {
