Close a drained connection only after it was idle or told its caller so

HttpServerTest.drainAnswersARequestThatIsOnItsWay failed in a run beside other builds: when draining began between the write of an answer and its completion, the connection was closed at once, although the answer had offered to keep it. Such a connection now stays open until the idle connections are closed, and one that is busy then closes after its answer.

--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -59,10 +59,6 @@
         return open.size();
     }
 
-    boolean draining() {
-        return draining;
-    }
-
     /** Whether each answer ends its connection, because the server stops soon. */
     boolean leaving() {
         return leaving || draining;
--- a/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerExchange.java
@@ -110,7 +110,7 @@
     private void finish(ChannelHandlerContext ctx, boolean close) {
         busy = false;
         connections.ended();
-        if (close || closeAfterAnswer || connections.draining()) {
+        if (close || closeAfterAnswer) {
             ctx.close();
         } else {
             ctx.channel().config().setAutoRead(true);
@@ -160,7 +160,12 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event == ServerConnections.DrainEvent.DRAIN && !busy && !timeout.receiving()) {
+        if (event != ServerConnections.DrainEvent.DRAIN) {
+            return;
+        }
+        if (busy || timeout.receiving()) {
+            closeAfterAnswer = true;
+        } else {
             ctx.close();
         }
     }
