--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -185,8 +185,13 @@
 
     /** Number of jobs of a queue that have not started. */
     int pending(String queueKey) {
-        return all(k -> k.state() == JobState.QUEUED && k.spec().queue().key().equals(queueKey))
-                .size();
+        int sum = 0;
+        for (Shard shard : shards) {
+            synchronized (shard) {
+                sum += shard.pending.getOrDefault(queueKey, 0);
+            }
+        }
+        return sum;
     }
 
     /** All jobs of which {@code which} holds. */
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -1,10 +1,14 @@
 package org.chestnutbarrow.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
+import com.sun.management.ThreadMXBean;
+import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -49,30 +53,86 @@
         return new StateStore.Entry(entry.key(), Optional.empty());
     }
 
+    /** What the records say, kept apart from the code under test. */
+    private static final class Recount {
+        private final Map<String, Queue> queues = new HashMap<>();
+        private final Set<String> cancelled = new HashSet<>();
+        private final Map<String, JobState> states = new HashMap<>();
+
+        void take(Kind kind, String id, Queue queue, JobState state, boolean dropped) {
+            switch (kind) {
+                case JOB -> queues.compute(id, (_, _) -> dropped ? null : queue);
+                case CANCEL -> {
+                    if (dropped) {
+                        cancelled.remove(id);
+                    } else {
+                        cancelled.add(id);
+                    }
+                }
+                default -> {
+                    states.compute(id, (_, _) -> dropped ? null : state);
+                    if (dropped) {
+                        queues.remove(id);
+                        cancelled.remove(id);
+                    }
+                }
+            }
+        }
+
+        long pending(Queue queue) {
+            return queues.entrySet().stream()
+                    .filter(job -> job.getValue().equals(queue))
+                    .filter(job -> !cancelled.contains(job.getKey()))
+                    .filter(job -> states.getOrDefault(job.getKey(), JobState.QUEUED) == JobState.QUEUED)
+                    .count();
+        }
+    }
+
+    private enum Kind {
+        JOB,
+        CANCEL,
+        PROGRESS
+    }
+
     /** Guards against numbers of pending jobs that drift from the jobs, whatever the order of the records. */
     @Test
     public void pendingFollowsTheRecordsInAnyOrder() {
         Random random = new Random(5);
         JobState[] states = JobState.values();
+        Recount recount = new Recount();
         for (int i = 0; i < 4000; i++) {
             String id = "j" + random.nextInt(40);
-            JobSpec job = job(id, id.hashCode() % 2 == 0 ? A : B);
-            StateStore.Entry entry = switch (random.nextInt(3)) {
-                case 0 -> JobReplica.jobEntry(job);
-                case 1 -> JobReplica.cancelEntry(job.id());
-                default -> progress(id, states[random.nextInt(states.length)]);
+            Queue queue = id.hashCode() % 2 == 0 ? A : B;
+            Kind kind = Kind.values()[random.nextInt(3)];
+            JobState state = states[random.nextInt(states.length)];
+            boolean dropped = random.nextInt(4) == 0;
+            StateStore.Entry entry = switch (kind) {
+                case JOB -> JobReplica.jobEntry(job(id, queue));
+                case CANCEL -> JobReplica.cancelEntry(new JobId(id));
+                case PROGRESS -> progress(id, state);
             };
-            StateStore.Stored stored = new StateStore.Stored(i, random.nextInt(4) == 0 ? without(entry) : entry);
-            (entry.key().contains("/") ? replica.jobs() : replica.progress()).changed(stored);
-            assertEquals(replica.pending(A.key()), counted(A));
-            assertEquals(replica.pending(B.key()), counted(B));
+            StateStore.Stored stored = new StateStore.Stored(i, dropped ? without(entry) : entry);
+            (kind == Kind.PROGRESS ? replica.progress() : replica.jobs()).changed(stored);
+            recount.take(kind, id, queue, state, dropped);
+            assertEquals(replica.pending(A.key()), recount.pending(A));
+            assertEquals(replica.pending(B.key()), recount.pending(B));
         }
     }
 
-    private int counted(Queue queue) {
-        return replica.all(known ->
-                        known.state() == JobState.QUEUED && known.spec().queue().equals(queue))
-                .size();
+    /** Guards against calls for the number of pending jobs whose cost grows with all jobs of the day. */
+    @Test
+    public void pendingDoesNotVisitEachJob() {
+        JobReplica copy = new JobReplica();
+        int jobs = 20_000;
+        for (int i = 0; i < jobs; i++) {
+            copy.accepted(job("j" + i, A));
+        }
+        ThreadMXBean threads = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = threads.getCurrentThreadAllocatedBytes();
+        int pending = copy.pending(A.key());
+        long allocated = threads.getCurrentThreadAllocatedBytes() - before;
+        assertEquals(pending, jobs);
+        assertTrue(allocated < jobs, "the call allocated " + allocated + " bytes for " + jobs + " jobs");
     }
 
     private static StateStore.Snapshot snapshot(long next, StateStore.Entry... entries) {
