Give up reads of the store for silence instead of a fixed time

After a kill of all processes the nodes read the topics at the same time. Each read had 1.5 s and each page of newest values 4.5 s, whatever came meanwhile: a read of a slow link or a crowded store was cut off though its bytes kept coming, and asked for again, which loads the store more. On a connection that has fallen silent for good the same bounds were too long: three tries for a page, so up to 13.8 s without a topic.

The client's exchanges take these bounds as Timeouts; callers that give one Duration get the same bound as before.

The tests of HttpClient guard the new bounds.

--- a/http/src/main/java/org/chestnutbarrow/http/ClientExchange.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ClientExchange.java
@@ -84,6 +84,7 @@
             fail(ctx.channel(), new ProtocolException("unexpected or malformed bytes from the other side"));
             return;
         }
+        pending.received(System.nanoTime());
         if (message instanceof io.netty.handler.codec.http.HttpResponse start) {
             head = start;
             body = new ByteArrayOutputStream();
--- a/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
@@ -81,45 +81,59 @@
         return send(to, request, timeout, SendGate.OPEN);
     }
 
+    /** As {@link #send(Address, HttpRequest, Timeouts, SendGate)} with one bound for the whole exchange. */
+    public HttpResponse send(Address to, HttpRequest request, Duration timeout, SendGate gate)
+            throws NotRunException, OutcomeUnknownException {
+        return send(to, request, Timeouts.total(timeout), gate);
+    }
+
+    /** As {@link #send(Address, HttpRequest, Timeouts, SendGate)} without a gate. */
+    public HttpResponse send(Address to, HttpRequest request, Timeouts timeouts)
+            throws NotRunException, OutcomeUnknownException {
+        return send(to, request, timeouts, SendGate.OPEN);
+    }
+
     /**
      * Sends a request and waits for the whole answer. Nothing is ever sent twice.
      *
-     * @param timeout longest time for connecting, sending and receiving together
+     * @param timeouts bounds of the exchange
      * @param gate checked on the event loop right before the first byte is written
      * @throws NotRunException if no byte was written
      * @throws OutcomeUnknownException if bytes were written and no whole answer came
      */
-    public HttpResponse send(Address to, HttpRequest request, Duration timeout, SendGate gate)
+    public HttpResponse send(Address to, HttpRequest request, Timeouts timeouts, SendGate gate)
             throws NotRunException, OutcomeUnknownException {
         exchanges.increment();
-        long end = System.nanoTime() + timeout.toNanos();
+        long end = System.nanoTime() + timeouts.total().toNanos();
         Channel kept = idle.take(to);
         while (kept != null) {
-            Optional<HttpResponse> response = exchange(kept, new PendingExchange(to, request, gate), end);
+            Optional<HttpResponse> response = exchange(kept, new PendingExchange(to, request, gate), timeouts, end);
             if (response.isPresent()) {
                 return response.get();
             }
             kept = idle.take(to);
         }
-        return exchange(connect(to, end), new PendingExchange(to, request, gate), end)
+        long connected = Math.min(end, System.nanoTime() + timeouts.silence().toNanos());
+        return exchange(connect(to, connected), new PendingExchange(to, request, gate), timeouts, end)
                 .orElseThrow(() -> notRun(to, "connection was closed before the request", null));
     }
 
     /** The answer, or nothing if the connection had been closed before any byte was written. */
-    private Optional<HttpResponse> exchange(Channel channel, PendingExchange pending, long end)
+    private Optional<HttpResponse> exchange(Channel channel, PendingExchange pending, Timeouts timeouts, long end)
             throws NotRunException, OutcomeUnknownException {
         Address to = pending.to();
         ClientExchange exchange = channel.pipeline().get(ClientExchange.class);
         if (exchange == null) {
             return Optional.empty();
         }
+        pending.received(System.nanoTime() + timeouts.held().toNanos());
         try {
             exchange.begin(channel, pending);
         } catch (RejectedExecutionException e) {
             throw notRun(to, "the client is closed", e);
         }
         try {
-            HttpResponse response = pending.result().get(end - System.nanoTime(), TimeUnit.NANOSECONDS);
+            HttpResponse response = await(pending, timeouts.silence().toNanos(), end);
             if (pending.reusable()) {
                 idle.put(to, channel);
             }
@@ -140,6 +154,23 @@
         }
     }
 
+    /** Waits until the end, or until no byte has come for {@code silence} ns. */
+    private static HttpResponse await(PendingExchange pending, long silence, long end)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        while (true) {
+            long now = System.nanoTime();
+            long left = Math.min(end - now, pending.received() + silence - now);
+            try {
+                return pending.result().get(left, TimeUnit.NANOSECONDS);
+            } catch (TimeoutException e) {
+                long over = System.nanoTime();
+                if (over - end >= 0 || over - pending.received() >= silence) {
+                    throw e;
+                }
+            }
+        }
+    }
+
     /** Bytes received from all addresses so far. */
     public long bytesIn() {
         return traffic.in();
--- a/http/src/main/java/org/chestnutbarrow/http/PendingExchange.java
+++ b/http/src/main/java/org/chestnutbarrow/http/PendingExchange.java
@@ -26,6 +26,7 @@
     private Stage stage = Stage.WAITING;
     private boolean written;
     private volatile boolean reusable;
+    private volatile long received;
 
     PendingExchange(Address to, HttpRequest request, SendGate gate) {
         this.to = to;
@@ -45,6 +46,15 @@
         return result;
     }
 
+    /** Time of the last received part of the answer, or up to which none is expected, ns. */
+    long received() {
+        return received;
+    }
+
+    void received(long at) {
+        received = at;
+    }
+
     /** Moves to writing unless the caller has gone or the gate is shut. */
     synchronized boolean startWriting() {
         if (stage != Stage.WAITING) {
--- a/http/src/test/java/org/chestnutbarrow/http/HttpClientTest.java
+++ b/http/src/test/java/org/chestnutbarrow/http/HttpClientTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
 
 import java.net.ServerSocket;
 import java.time.Duration;
@@ -66,6 +67,62 @@
         }
     }
 
+    /** Guards against answers that are given up although their bytes keep coming over a slow link. */
+    @Test
+    void answerThatKeepsComingIsNotSilent() throws Exception {
+        try (RawServer server = new RawServer((peer, _) -> {
+            peer.request();
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n");
+            for (int i = 0; i < 20; i++) {
+                Thread.sleep(SHORT.dividedBy(4));
+                peer.send("x");
+            }
+        })) {
+            assertEquals(get(server, new Timeouts(LONG, Duration.ZERO, SHORT)).text(), "x".repeat(20));
+        }
+    }
+
+    @DataProvider
+    Object[][] silentAfter() {
+        return new Object[][] {
+            {""},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n"},
+            {"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf"}
+        };
+    }
+
+    /** Guards against a wait for the total time on a connection that has fallen silent. */
+    @Test(dataProvider = "silentAfter")
+    void silenceEndsTheExchange(String start) throws Exception {
+        CountDownLatch end = new CountDownLatch(1);
+        try (RawServer server = new RawServer((peer, _) -> {
+            peer.request();
+            peer.send(start);
+            end.await();
+        })) {
+            long begin = System.nanoTime();
+            assertThrows(OutcomeUnknownException.class, () -> get(server, new Timeouts(LONG, Duration.ZERO, SHORT)));
+            Duration waited = Duration.ofNanos(System.nanoTime() - begin);
+            assertTrue(waited.compareTo(SHORT.multipliedBy(10)) < 0, "the client waited for " + waited);
+            end.countDown();
+        }
+    }
+
+    /** Guards against a held request that is taken for a silent one. */
+    @Test
+    void heldAnswerIsNotSilent() throws Exception {
+        try (RawServer server = new RawServer((peer, _) -> {
+            peer.request();
+            Thread.sleep(SHORT.multipliedBy(3));
+            peer.ok("held");
+        })) {
+            assertEquals(
+                    get(server, new Timeouts(LONG, SHORT.multipliedBy(3), SHORT))
+                            .text(),
+                    "held");
+        }
+    }
+
     @DataProvider
     Object[][] brokenAnswers() {
         return new Object[][] {
@@ -172,6 +229,10 @@
         }
     }
 
+    private HttpResponse get(RawServer server, Timeouts timeouts) throws NotRunException, OutcomeUnknownException {
+        return client.send(server.address(), HttpRequest.get("/"), timeouts);
+    }
+
     private HttpResponse get(RawServer server, Duration timeout) throws NotRunException, OutcomeUnknownException {
         return client.send(server.address(), HttpRequest.get("/"), timeout);
     }
