--- a/http/src/main/java/org/chestnutbarrow/http/Timeouts.java
+++ b/http/src/main/java/org/chestnutbarrow/http/Timeouts.java
@@ -16,7 +16,7 @@
     }
 
     /** One bound for the whole exchange. */
-    static Timeouts total(Duration total) {
+    public static Timeouts total(Duration total) {
         return new Timeouts(total, Duration.ZERO, total);
     }
 }
