--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -9,7 +9,9 @@
 import java.util.Optional;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
 import org.chestnutbarrow.batch.Cell;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.Order;
@@ -38,6 +40,17 @@
     private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
     /** An owner that has not reached the store for this time stops extending leases; outages of 9 s are expected. */
     private static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(12);
+    /** An owner that has stored nothing for this time asks the store whether it still is the owner. */
+    private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(2);
+    /** Pause between two looks at whether the store has to be asked. */
+    private static final Duration CONFIRM_PAUSE = Duration.ofMillis(500);
+
+    private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
+    /**
+     * Nothing new is started by what callers, operators and workers said longer ago than this. The bounds for draining
+     * workers and evacuated zones begin at 2 s, and a copy that is read in time is up to 1.2 s old.
+     */
+    private static final Duration OLDEST_INPUTS = Duration.ofSeconds(2);
     /**
      * An owner without the store extends leases only while it hears more than half of the workers within this time. A
      * newer owner that holds more than half of them is therefore heard of by one of them at the latest.
@@ -50,12 +63,15 @@
     private static final Duration LEARNED_INTERVAL = Duration.ofSeconds(2);
 
     private final long token;
+    private final StateStore store;
     private final WorkerPort port;
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration longestLease;
     private final NodeMetrics metrics;
+    private final Supplier<Duration> inputsAge;
     private final SilentLives silentLives;
+    private final Lateness lateness = new Lateness();
     private final Cell cell;
     private final SequencedWriter writer;
     private final EndedJobs endedJobs;
@@ -65,14 +81,21 @@
     /** Used by the thread of the plans only. */
     private final PlanGap gap = new PlanGap();
 
-    private volatile boolean active = true;
+    private final AtomicBoolean active = new AtomicBoolean(true);
     /** When what was learned was stored last, ns; used by the thread of the plans only. */
     private long learnedAt;
 
     private volatile long storeSeenAt;
     /** Whether more than half of the workers have answered under this token; used by the thread of the plans only. */
     private boolean mostHeld;
+    /** Whether the last plan could start tasks; used by the thread of the plans only. */
+    private boolean starting = true;
 
+    /**
+     * Prepares an ownership.
+     *
+     * @param inputsAge age of the oldest copy among those of jobs, workers and declarations
+     */
     Reign(
             long token,
             StateStore store,
@@ -80,8 +103,11 @@
             JobReplica replica,
             TimeSource time,
             Duration longestLease,
-            NodeMetrics metrics) {
+            NodeMetrics metrics,
+            Supplier<Duration> inputsAge) {
         this.token = token;
+        this.store = store;
+        this.inputsAge = inputsAge;
         this.port = port;
         this.replica = replica;
         this.time = time;
@@ -102,13 +128,13 @@
 
     @Override
     public boolean active() {
-        return active;
+        return active.get();
     }
 
     @Override
     public boolean extending(TaskRecord.Location life) {
         long silent = time.nanos() - storeSeenAt;
-        return active
+        return active.get()
                 && silentLives.mayExtend(life)
                 && silent < EXTEND_WITHOUT_STORE.toNanos()
                 && (silent < HEARD.toNanos() || mostWorkers(link -> link.heardWithin(HEARD)));
@@ -126,6 +152,29 @@
         metrics.ended(how);
     }
 
+    @Override
+    public void orderWaited(Duration waited) {
+        metrics.orderWaited(waited);
+    }
+
+    @Override
+    public void holdLate(Duration late) {
+        metrics.holdLate(late);
+    }
+
+    @Override
+    public Duration lateness() {
+        return lateness.now();
+    }
+
+    private void measureLateness() {
+        while (active.get()) {
+            long before = time.nanos();
+            Pauses.sleep(Lateness.INTERVAL);
+            lateness.paused(Duration.ofNanos(time.nanos() - before));
+        }
+    }
+
     @Override
     public void heard(TaskRecord.Location life) {
         silentLives.heard(life);
@@ -147,7 +196,7 @@
 
     @Override
     public void fenced(String by) {
-        if (active) {
+        if (active.get()) {
             Events.warn("ownership-lost", "token", token, "by", by);
         }
         end();
@@ -184,18 +233,21 @@
         cell.restore(replica.learned());
         // Workers are asked only after all jobs are known: what a worker lists and no job explains is stopped.
         cell.updateWorkers(workers);
+        // A job that is read meanwhile is taken by one of the two.
+        replica.onChange(this::changed);
         for (JobReplica.Known known : replica.all(k -> true)) {
             add(known);
         }
-        replica.onChange(this::changed);
         silentLives.begin(replica.silent(), cell.inherited());
         workers(workers);
         thread("plans", this::planLoop);
-        thread("ended-jobs", () -> endedJobs.run(() -> active));
+        thread("ended-jobs", () -> endedJobs.run(active::get));
+        thread("confirmation", this::confirmLoop);
+        thread("lateness", this::measureLateness);
     }
 
     private void changed(JobId id) {
-        if (active) {
+        if (active.get()) {
             replica.find(id).ifPresent(this::add);
             wake();
         }
@@ -258,7 +310,7 @@
     }
 
     private void planLoop() {
-        while (active) {
+        while (active.get()) {
             try {
                 if (signal.tryAcquire(PLAN_INTERVAL.toMillis(), TimeUnit.MILLISECONDS)) {
                     Duration left = gap.left(time.nanos());
@@ -269,7 +321,7 @@
                 }
                 gap.begin(time.nanos());
                 settleSilent();
-                carryOut(cell.plan());
+                carryOut(cell.plan(mayStart()));
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
@@ -280,6 +332,41 @@
         }
     }
 
+    private boolean mayStart() {
+        Duration age = inputsAge.get();
+        boolean recent = age.compareTo(OLDEST_INPUTS) < 0;
+        if (recent && !starting) {
+            Events.info("starts-resumed", "token", token, "inputsAgeMs", age.toMillis());
+        } else if (!recent && starting) {
+            Events.warn("starts-suspended", "token", token, "inputsAgeMs", age.toMillis());
+        }
+        starting = recent;
+        return recent;
+    }
+
+    /** Keeps the ownership confirmed while there is nothing to store and topics cannot be read. */
+    private void confirmLoop() {
+        while (active.get()) {
+            if (time.nanos() - storeSeenAt > CONFIRM_INTERVAL.toNanos()) {
+                confirm();
+            }
+            Pauses.sleep(CONFIRM_PAUSE);
+        }
+    }
+
+    private void confirm() {
+        try {
+            long sent = time.nanos();
+            store.append(
+                    StateStore.Topic.PROGRESS, List.of(), new StateStore.Writer(WRITER, token, 0), CONFIRM_TIMEOUT);
+            confirmed(sent);
+        } catch (NotRunException | OutcomeUnknownException e) {
+            Events.warn("ownership-unconfirmed", "token", token, "cause", e.getMessage());
+        } catch (StaleEpochException e) {
+            fenced("store: " + e.getMessage());
+        }
+    }
+
     private void carryOut(Plan plan) {
         List<StateStore.Entry> entries = new ArrayList<>();
         plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
@@ -365,10 +452,10 @@
 
     /** Stores entries, the changes among them, repeating the call until the store has answered or a newer owner exists. */
     private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
-        while (active) {
+        while (active.get()) {
             try {
                 long sent = time.nanos();
-                long offset = writer.append(entries, () -> active);
+                long offset = writer.append(entries, active::get);
                 confirmed(sent);
                 replica.stored(entries, offset);
                 for (JobProgress change : changes) {
@@ -392,7 +479,10 @@
 
     /** Ends this ownership; nothing is ordered any more. */
     void end() {
-        active = false;
+        // A late answer must not take the listener away from a later ownership of this node.
+        if (!active.getAndSet(false)) {
+            return;
+        }
         replica.onChange(_ -> {});
         synchronized (links) {
             links.values().forEach(WorkerLink::close);
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -220,9 +220,12 @@
 
     private Optional<Delivery> call(Delivery delivery) {
         Order order = delivery.order();
+        if (!delivery.repeated()) {
+            owner.orderWaited(Duration.ofNanos(time.nanos() - delivery.queuedAt()));
+        }
         Delivery.Sent sent = delivery.unanswered().orElseGet(() -> sending(order));
         try {
-            WorkerPort.Answer answer = port.send(worker, order, owner.token(), sent.leaseUntilMs(), ANSWER);
+            WorkerPort.Answer answer = port.send(worker, order, owner.token(), sent.leaseUntilMs(), answerTime());
             boolean settled = settle(order, answer, delivery.unanswered().isPresent());
             return settled ? Optional.empty() : Optional.of(delivery.again());
         } catch (OutcomeUnknownException e) {
@@ -238,6 +241,10 @@
         }
     }
 
+    private Duration answerTime() {
+        return ANSWER.plus(owner.lateness());
+    }
+
     private Delivery.Sent sending(Order order) {
         // Only starts extend leases; those of a worker that is silent must run out while stops for it are repeated.
         long leaseUntil = order instanceof Order.Start ? extend() : -1;
@@ -301,9 +308,11 @@
         long leaseUntil = reachable() ? extend() : -1;
         try {
             WorkerPort.Answer answer =
-                    port.hold(worker, owner.token(), leaseUntil, acknowledge, wait, wait.plus(ANSWER));
+                    port.hold(worker, owner.token(), leaseUntil, acknowledge, wait, wait.plus(answerTime()));
+            countLate(sent, wait);
             return held(answer, sent);
         } catch (OutcomeUnknownException | NotRunException e) {
+            countLate(sent, wait);
             if (!unreachable && !reachable()) {
                 unreachable = true;
                 Events.warn("worker-lost", "worker", worker.id(), "cause", e.getMessage());
@@ -312,6 +321,10 @@
         }
     }
 
+    private void countLate(long sent, Duration wait) {
+        owner.holdLate(Duration.ofNanos(Math.max(0, time.nanos() - sent - wait.toNanos())));
+    }
+
     private boolean held(WorkerPort.Answer answer, long sent) {
         if (answer instanceof WorkerPort.Refused refused && refused.why() == WorkerPort.Refusal.FENCED) {
             owner.fenced("worker " + worker.id().value());
