--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
@@ -0,0 +1,52 @@
+package org.chestnutbarrow.node;
+
+import org.chestnutbarrow.batch.Order;
+import org.chestnutbarrow.logging.Events;
+
+/** The log lines of orders that are given. Stateless. */
+final class OrderEvents {
+    private OrderEvents() {}
+
+    static void log(Order order) {
+        String task = order.task().step() + "/" + order.task().index();
+        switch (order) {
+            case Order.Start start ->
+                Events.info(
+                        "task-start",
+                        "job",
+                        start.task().job(),
+                        "task",
+                        task,
+                        "run",
+                        start.run(),
+                        "worker",
+                        start.worker());
+            case Order.Stop stop ->
+                Events.info(
+                        "task-stop",
+                        "job",
+                        stop.task().job(),
+                        "task",
+                        task,
+                        "run",
+                        stop.run(),
+                        "worker",
+                        stop.worker(),
+                        "reason",
+                        stop.reason());
+            case Order.Pace pace ->
+                Events.info(
+                        "task-pace",
+                        "job",
+                        pace.task().job(),
+                        "task",
+                        task,
+                        "run",
+                        pace.run(),
+                        "worker",
+                        pace.worker(),
+                        "percent",
+                        pace.percent());
+        }
+    }
+}
--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -400,76 +400,43 @@
         if (link == null || link.worker().born() != order.born()) {
             return;
         }
-        log(order);
+        OrderEvents.log(order);
         if (order instanceof Order.Start) {
             metrics.started();
         }
         link.send(order);
     }
 
-    private static void log(Order order) {
-        String task = order.task().step() + "/" + order.task().index();
-        switch (order) {
-            case Order.Start start ->
-                Events.info(
-                        "task-start",
-                        "job",
-                        start.task().job(),
-                        "task",
-                        task,
-                        "run",
-                        start.run(),
-                        "worker",
-                        start.worker());
-            case Order.Stop stop ->
-                Events.info(
-                        "task-stop",
-                        "job",
-                        stop.task().job(),
-                        "task",
-                        task,
-                        "run",
-                        stop.run(),
-                        "worker",
-                        stop.worker(),
-                        "reason",
-                        stop.reason());
-            case Order.Pace pace ->
-                Events.info(
-                        "task-pace",
-                        "job",
-                        pace.task().job(),
-                        "task",
-                        task,
-                        "run",
-                        pace.run(),
-                        "worker",
-                        pace.worker(),
-                        "percent",
-                        pace.percent());
+    /** Stores entries, the changes among them; returns false if a newer owner exists. */
+    private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
+        for (List<StateStore.Entry> part : SequencedWriter.parts(entries)) {
+            if (!persist(part)) {
+                return false;
+            }
+        }
+        for (JobProgress change : changes) {
+            if (change.state().isFinal() && change.steps().isEmpty()) {
+                metrics.jobEnded(change.state());
+                Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
+            }
         }
+        return true;
     }
 
-    /** Stores entries, the changes among them, repeating the call until the store has answered or a newer owner exists. */
-    private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
+    /** Repeats an append until the store has answered or a newer owner exists. */
+    private boolean persist(List<StateStore.Entry> entries) {
         while (active.get()) {
             try {
                 long sent = time.nanos();
                 long offset = writer.append(entries, active::get);
                 confirmed(sent);
                 replica.stored(entries, offset);
-                for (JobProgress change : changes) {
-                    if (change.state().isFinal() && change.steps().isEmpty()) {
-                        metrics.jobEnded(change.state());
-                        Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
-                    }
-                }
                 return true;
             } catch (NotRunException e) {
-                Events.warn("progress-delayed", "jobs", changes.size(), "cause", e.getMessage());
+                Events.warn("progress-delayed", "entries", entries.size(), "cause", e.getMessage());
                 Pauses.sleep(Duration.ofMillis(100));
             } catch (OutcomeUnknownException e) {
-                Events.warn("progress-unknown", "jobs", changes.size(), "cause", e.getMessage());
+                Events.warn("progress-unknown", "entries", entries.size(), "cause", e.getMessage());
             } catch (StaleEpochException e) {
                 fenced("store: " + e.getMessage());
             }
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -42,6 +42,7 @@
     private int firstHolder;
     private long firstKept;
     private Fault fault = Fault.NONE;
+    private Duration lastTimeout = Duration.ZERO;
     private final Set<Topic> refused = EnumSet.noneOf(Topic.class);
     private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
     private final Map<Topic, Integer> delivered = new EnumMap<>(Topic.class);
@@ -57,6 +58,11 @@
         this.parts = parts;
     }
 
+    /** Time-out of the last append. */
+    synchronized Duration lastTimeout() {
+        return lastTimeout;
+    }
+
     synchronized void fault(Fault next) {
         fault = next;
     }
@@ -126,6 +132,7 @@
     @Override
     public synchronized long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
             throws NotRunException, OutcomeUnknownException, StaleEpochException {
+        lastTimeout = timeout;
         if (fault == Fault.REFUSES) {
             throw new NotRunException("refused", "try again");
         }
