Retry reads of the store with growing pauses, and go on with a load

After a kill of all processes 31 of 37 nodes never loaded the jobs: all of them read two topics at once, each refusal was followed by the next try after 150 ms on all nodes, and a load that failed part-way began again at its first key. A read that is given up costs the store as much as one that is used.

The pause after a failure is now drawn between zero and a bound that doubles from 150 ms to 2 s and starts anew with a success; the owner's bound and that of the small feeds ends at 300 ms. Callers share a refusal for such a pause.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -34,10 +34,19 @@
     /** Oldest copy that answers are made from. Callers are promised 2 s, of which the answer's way needs a part. */
     private static final Duration OLDEST_COPY = Duration.ofMillis(1500);
 
-    private static final TopicFollower.Pace LIVE = new TopicFollower.Pace(Duration.ofSeconds(1), Duration.ZERO);
-    private static final TopicFollower.Pace STANDBY = new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(500));
-    private static final TopicFollower.Pace OWN_WRITES = new TopicFollower.Pace(Duration.ZERO, Duration.ofSeconds(1));
-    private static final TopicFollower.Pace IDLE = new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(600));
+    /** Longest pause of the owner, whose plans wait for the store, and of the few records of the configuration. */
+    private static final Duration OWNER_RETRY = Duration.ofMillis(300);
+    /** Longest pause of the many other nodes, which share the store's rate of reads with the owner. */
+    private static final Duration STANDBY_RETRY = Duration.ofSeconds(2);
+
+    private static final TopicFollower.Pace LIVE =
+            new TopicFollower.Pace(Duration.ofSeconds(1), Duration.ZERO, OWNER_RETRY);
+    private static final TopicFollower.Pace STANDBY =
+            new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(500), STANDBY_RETRY);
+    private static final TopicFollower.Pace OWN_WRITES =
+            new TopicFollower.Pace(Duration.ZERO, Duration.ofSeconds(1), OWNER_RETRY);
+    private static final TopicFollower.Pace IDLE =
+            new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(600), OWNER_RETRY);
 
     private final NodeSettings settings;
     private final StateStore store;
--- a/node/src/main/java/org/chestnutbarrow/node/StateStore.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateStore.java
@@ -54,7 +54,18 @@
     record Page(List<Stored> entries, long next, long end) {}
 
     /**
-     * The newest value of each key. Changes made during the call may be missing and are read from {@code next} on.
+     * Newest values of the keys that follow another one. Pages are not a snapshot: changes made between them may be
+     * missing and are read from the end of the first page on.
+     *
+     * @param values newest values
+     * @param after last key of the page; the next page follows it
+     * @param more whether there are more pages
+     * @param end offset after the last entry of the topic at the time of the answer
+     */
+    record NewestPage(Map<String, byte[]> values, String after, boolean more, long end) {}
+
+    /**
+     * The newest value of each key. Changes made while it was read may be missing and are read from {@code next} on.
      *
      * @param values newest values
      * @param next where to read on
@@ -117,8 +128,13 @@
      */
     Page read(Topic topic, long from, Duration wait) throws NotRunException, HistoryLostException;
 
-    /** Reads the newest value of each key. */
-    Snapshot newest(Topic topic) throws NotRunException;
+    /**
+     * Reads the newest values of the keys after {@code after}, which is empty for the first page. The store may take
+     * {@code wait} longer than usual before it answers.
+     *
+     * @throws NotRunException if the store does not answer
+     */
+    NewestPage newest(Topic topic, String after, Duration wait) throws NotRunException;
 
     /** Joins the group or stays in it for {@code ttl}. */
     Membership join(String member, Duration ttl, long generation) throws NotRunException;
--- a/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
@@ -1,12 +1,20 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.TimeSource;
@@ -15,8 +23,10 @@
  * Reads a topic from its newest values on and keeps reading. One thread reads at a time; safe for use by several threads.
  */
 final class TopicFollower {
-    /** Pause after a call that failed. */
-    private static final Duration RETRY = Duration.ofMillis(150);
+    /** Tries for a page of newest values by a read to the end, so that one refusal does not end a takeover. */
+    private static final int PAGE_TRIES = 3;
+    /** Longest pause between these tries. */
+    private static final Duration PAGE_RETRY = Duration.ofMillis(150);
 
     /** Takes what the topic holds. Called by one thread at a time. */
     interface Listener {
@@ -35,22 +45,63 @@
      *
      * @param longest time that the store may hold the call; zero if it answers at once
      * @param pause time between two calls
+     * @param longestRetry bound of the pause after a call that failed
      */
-    record Pace(Duration longest, Duration pause) {}
+    record Pace(Duration longest, Duration pause, Duration longestRetry) {}
 
     /**
-     * A read to the end of the topic for callers.
+     * Pages of newest values read so far.
      *
-     * @param sent when it began, ns
-     * @param done ends with the read
+     * @param number tells loads apart
+     * @param sent when the first page was asked for, ns
+     * @param next end of the topic at the first page, where to read on
+     * @param pages what was read, in order
+     * @param after where the next page begins; empty before the first page
+     * @param patience time that the store may take before it answers; grows when a page fails, since a store that all nodes
+     *     read at once answers late, and a read that is given up costs it as much
      */
-    private record Attempt(long sent, CompletableFuture<Void> done) {}
+    private record Load(
+            long number, long sent, long next, List<Map<String, byte[]>> pages, String after, Duration patience) {
+        private static final Duration FIRST_PATIENCE = Duration.ofSeconds(1);
+        /** Two pages of 1.3 MB for each of 37 nodes take 2.4 s at 40 MB/s. */
+        private static final Duration LONGEST_PATIENCE = Duration.ofSeconds(4);
+
+        private static Load begin(long number) {
+            return new Load(number, 0, 0, List.of(), "", Duration.ZERO);
+        }
+
+        /** Whether the same load has reached the same page. */
+        boolean at(Load other) {
+            return number == other.number && pages.size() == other.pages.size();
+        }
+
+        Load with(StateStore.NewestPage page, long asked) {
+            List<Map<String, byte[]>> all = new ArrayList<>(pages);
+            all.add(page.values());
+            boolean first = pages.isEmpty();
+            return new Load(number, first ? asked : sent, first ? page.end() : next, all, page.after(), patience);
+        }
+
+        Load failed() {
+            Duration more = patience.isZero() ? FIRST_PATIENCE : patience.multipliedBy(2);
+            return new Load(
+                    number, sent, next, pages, after, more.compareTo(LONGEST_PATIENCE) < 0 ? more : LONGEST_PATIENCE);
+        }
+
+        StateStore.Snapshot whole() {
+            Map<String, byte[]> values = new HashMap<>();
+            pages.forEach(values::putAll);
+            return new StateStore.Snapshot(values, next);
+        }
+    }
 
     private final StateStore store;
     private final StateStore.Topic topic;
     private final Listener listener;
     private final Supplier<Pace> pace;
     private final TimeSource time;
+    private final Consumer<Duration> sleep;
+    private final Backoff backoff;
     private final Object reading = new Object();
     private final Object attempts = new Object();
     private final CompletableFuture<Void> firstLoad = new CompletableFuture<>();
@@ -59,15 +110,34 @@
     private volatile boolean failing;
     /** Guarded by {@code reading}. */
     private long next;
+    /** What is being loaded; kept when a page fails. Guarded by {@code reading}. */
+    private Optional<Load> load = Optional.empty();
+    /** Number of loads begun; guarded by {@code reading}. */
+    private long loads;
     /** The newest read for callers; guarded by {@code attempts}. */
-    private Attempt last;
+    private CompletableFuture<Void> last = CompletableFuture.completedFuture(null);
+    /** Until then callers share the refusal of the newest read, ns; guarded by {@code attempts}. */
+    private long refusedUntil;
 
     TopicFollower(StateStore store, StateStore.Topic topic, Listener listener, Supplier<Pace> pace, TimeSource time) {
+        this(store, topic, listener, pace, time, Pauses::sleep, new Random());
+    }
+
+    TopicFollower(
+            StateStore store,
+            StateStore.Topic topic,
+            Listener listener,
+            Supplier<Pace> pace,
+            TimeSource time,
+            Consumer<Duration> sleep,
+            RandomGenerator random) {
         this.store = store;
         this.topic = topic;
         this.listener = listener;
         this.pace = pace;
         this.time = time;
+        this.sleep = sleep;
+        this.backoff = new Backoff(random);
     }
 
     /** Whether the topic was read to its end since the start. */
@@ -98,14 +168,14 @@
             try {
                 boolean more = step(wait);
                 if (!more && wait.isZero()) {
-                    Pauses.sleep(now.pause());
+                    sleep.accept(now.pause());
                 }
             } catch (NotRunException e) {
                 if (!failing) {
                     failing = true;
                     Events.warn("store-lost", "topic", topic, "ageMs", age().toMillis(), "cause", e.getMessage());
                 }
-                Pauses.sleep(RETRY);
+                sleep.accept(backoff.failed(now.longestRetry()));
             }
         }
     }
@@ -113,14 +183,24 @@
     /** Reads to the present end. */
     void catchUp() throws NotRunException {
         boolean more = true;
+        int failures = 0;
         while (more) {
-            more = step(Duration.ZERO);
+            try {
+                more = step(Duration.ZERO);
+                failures = 0;
+            } catch (NotRunException e) {
+                failures++;
+                if (!loading() || failures == PAGE_TRIES) {
+                    throw e;
+                }
+                sleep.accept(backoff.failed(PAGE_RETRY));
+            }
         }
     }
 
     /**
      * Makes sure that what is known is no older than {@code mostAge}: zero means that the store is asked after this call
-     * began. Callers at the same time share one read, and a refusal for {@link #RETRY}.
+     * began. Callers at the same time share one read, and a refusal for as long as a pause after a failure.
      *
      * @throws NotRunException if the store does not answer in time or the first read has not ended in time
      */
@@ -129,17 +209,15 @@
         long needed = begin - mostAge.toNanos();
         await(firstLoad, within);
         while (freshAt - needed < 0) {
-            await(attempt().done(), within.minusNanos(time.nanos() - begin));
+            await(attempt(), within.minusNanos(time.nanos() - begin));
         }
     }
 
-    private Attempt attempt() {
+    private CompletableFuture<Void> attempt() {
         synchronized (attempts) {
-            long now = time.nanos();
-            boolean over = last == null || last.done().isDone();
-            boolean refused = last != null && last.done().isCompletedExceptionally();
-            if (over && !(refused && now - last.sent() < RETRY.toNanos())) {
-                Attempt next = new Attempt(now, new CompletableFuture<>());
+            boolean refused = last.isCompletedExceptionally() && time.nanos() - refusedUntil < 0;
+            if (last.isDone() && !refused) {
+                CompletableFuture<Void> next = new CompletableFuture<>();
                 last = next;
                 Thread.ofVirtual().name("refresh").start(() -> carryOut(next));
             }
@@ -147,12 +225,16 @@
         }
     }
 
-    private void carryOut(Attempt attempt) {
+    private void carryOut(CompletableFuture<Void> attempt) {
         try {
             catchUp();
-            attempt.done().complete(null);
+            attempt.complete(null);
         } catch (NotRunException | RuntimeException e) {
-            attempt.done().completeExceptionally(e);
+            Duration pause = backoff.failed(pace.get().longestRetry());
+            synchronized (attempts) {
+                refusedUntil = time.nanos() + pause.toNanos();
+            }
+            attempt.completeExceptionally(e);
         }
     }
 
@@ -179,11 +261,17 @@
         }
     }
 
+    private boolean loading() {
+        synchronized (reading) {
+            return !loaded || load.isPresent();
+        }
+    }
+
     /** Reads one page; returns whether more is known to be there. A waiting read does not hold the lock. */
     private boolean step(Duration wait) throws NotRunException {
         long sent = time.nanos();
-        if (!loaded) {
-            return load(sent);
+        if (loading()) {
+            return loadPage(sent);
         }
         long from;
         synchronized (reading) {
@@ -194,7 +282,12 @@
             page = store.read(topic, from, wait);
         } catch (HistoryLostException e) {
             Events.warn("history-lost", "topic", topic, "offset", from, "cause", e.getMessage());
-            return load(sent);
+            synchronized (reading) {
+                if (load.isEmpty() && next == from) {
+                    load = Optional.of(Load.begin(++loads));
+                }
+            }
+            return true;
         }
         synchronized (reading) {
             for (StateStore.Stored stored : page.entries()) {
@@ -217,25 +310,59 @@
         }
     }
 
-    private boolean load(long sent) throws NotRunException {
-        StateStore.Snapshot snapshot = store.newest(topic);
+    /** Reads the next page of newest values; one that another thread has read meanwhile is dropped. */
+    private boolean loadPage(long sent) throws NotRunException {
+        Load before = currentLoad();
+        StateStore.NewestPage page;
+        try {
+            page = store.newest(topic, before.after(), before.patience());
+        } catch (NotRunException e) {
+            synchronized (reading) {
+                load = load.map(now -> now.at(before) ? before.failed() : now);
+            }
+            throw e;
+        }
         synchronized (reading) {
-            if (loaded && snapshot.next() < next) {
+            if (load.isEmpty() || !load.get().at(before)) {
                 return true;
             }
-            listener.replaced(snapshot);
-            listener.settled();
-            next = snapshot.next();
-            fresh(sent);
-            loaded = true;
-            firstLoad.complete(null);
-            Events.info(
-                    "topic-loaded", "topic", topic, "keys", snapshot.values().size(), "offset", next);
-            regained();
-            return false;
+            backoff.succeeded();
+            Load now = before.with(page, sent);
+            if (page.more()) {
+                load = Optional.of(now);
+                return true;
+            }
+            load = Optional.empty();
+            if (loaded && now.next() < next) {
+                return true;
+            }
+            replace(now);
+            // What was stored between the first page and the last is read from the topic.
+            return !before.pages().isEmpty();
         }
     }
 
+    private Load currentLoad() {
+        synchronized (reading) {
+            Load now = load.orElseGet(() -> Load.begin(++loads));
+            load = Optional.of(now);
+            return now;
+        }
+    }
+
+    /** Called with the monitor of {@code reading}. */
+    private void replace(Load all) {
+        StateStore.Snapshot snapshot = all.whole();
+        listener.replaced(snapshot);
+        listener.settled();
+        next = snapshot.next();
+        fresh(all.sent());
+        loaded = true;
+        firstLoad.complete(null);
+        Events.info("topic-loaded", "topic", topic, "keys", snapshot.values().size(), "offset", next);
+        regained();
+    }
+
     /** Called with the monitor of {@code reading}; of two reads at a time the later one counts. */
     private void fresh(long sent) {
         if (!loaded || sent - freshAt > 0) {
@@ -244,6 +371,7 @@
     }
 
     private void regained() {
+        backoff.succeeded();
         if (failing) {
             failing = false;
             Events.info("store-regained", "topic", topic);
--- a/node/src/test/java/org/chestnutbarrow/node/EndedJobsTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EndedJobsTest.java
@@ -44,7 +44,11 @@
 
     private TopicFollower follower(StateStore.Topic topic, TopicFollower.Listener listener) {
         return new TopicFollower(
-                store, topic, listener, () -> new TopicFollower.Pace(Duration.ZERO, Duration.ZERO), time);
+                store,
+                topic,
+                listener,
+                () -> new TopicFollower.Pace(Duration.ZERO, Duration.ZERO, Duration.ZERO),
+                time);
     }
 
     private void job(String id, JobState state, List<List<TaskRecord>> steps) {
@@ -63,7 +67,7 @@
     }
 
     private Set<String> kept(StateStore.Topic topic) throws NotRunException {
-        return store.newest(topic).values().keySet();
+        return store.values(topic).keySet();
     }
 
     /** Guards against jobs that are unknown too early or kept for good, and against progress dropped before its job. */
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -11,6 +11,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SortedMap;
+import java.util.TreeMap;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import org.chestnutbarrow.model.NotRunException;
@@ -45,6 +47,9 @@
     private final Set<Topic> refused = EnumSet.noneOf(Topic.class);
     private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
     private final Map<Topic, Integer> delivered = new EnumMap<>(Topic.class);
+    private int refusedAfter = Integer.MAX_VALUE;
+    private int refusedOnce;
+    private volatile int pageKeys = Integer.MAX_VALUE;
     private volatile Duration readTime = Duration.ZERO;
     private volatile Optional<Consumer<Duration>> held = Optional.empty();
 
@@ -67,6 +72,16 @@
         refused.addAll(topics);
     }
 
+    /** Refuses all reads of a topic after that many. */
+    synchronized void refuseAfter(int count) {
+        refusedAfter = count;
+    }
+
+    /** Refuses one read of a topic, counted from 1. */
+    synchronized void refuseOnce(int number) {
+        refusedOnce = number;
+    }
+
     /** Each read takes this time from now on. */
     void readTime(Duration time) {
         readTime = time;
@@ -105,7 +120,8 @@
 
     private synchronized void countRead(Topic topic) throws NotRunException {
         reads.merge(topic, 1, Integer::sum);
-        if (fault == Fault.REFUSES || refused.contains(topic)) {
+        int number = reads.get(topic);
+        if (fault == Fault.REFUSES || refused.contains(topic) || number > refusedAfter || number == refusedOnce) {
             throw new NotRunException("refused", "try again");
         }
     }
@@ -186,14 +202,36 @@
         return new Page(page, records.size(), records.size());
     }
 
-    @Override
-    public synchronized Snapshot newest(Topic topic) throws NotRunException {
-        countRead(topic);
-        Map<String, byte[]> values = new HashMap<>();
+    /** Keys of a page of newest values from now on. */
+    void pageKeys(int keys) {
+        pageKeys = keys;
+    }
+
+    /** Newest values of all keys, in the order of keys. */
+    synchronized SortedMap<String, byte[]> values(Topic topic) {
+        SortedMap<String, byte[]> values = new TreeMap<>();
         for (Entry entry : records(topic)) {
             entry.value().ifPresentOrElse(v -> values.put(entry.key(), v), () -> values.remove(entry.key()));
         }
-        return new Snapshot(values, records(topic).size());
+        return values;
+    }
+
+    @Override
+    public synchronized NewestPage newest(Topic topic, String after, Duration wait) throws NotRunException {
+        countRead(topic);
+        // The least key above another one is that key and a zero character.
+        SortedMap<String, byte[]> left = values(topic).tailMap(after.isEmpty() ? "" : after + '\0');
+        Map<String, byte[]> page = new HashMap<>();
+        String last = after;
+        for (Map.Entry<String, byte[]> value : left.entrySet()) {
+            if (page.size() == pageKeys) {
+                break;
+            }
+            last = value.getKey();
+            page.put(last, value.getValue());
+        }
+        return new NewestPage(
+                page, last, page.size() < left.size(), records(topic).size());
     }
 
     /** Runs something once while a call to join is under way. */
--- a/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
@@ -149,7 +149,7 @@
                     store,
                     StateStore.Topic.PROGRESS,
                     replica.progress(),
-                    () -> new TopicFollower.Pace(Duration.ZERO, Duration.ZERO),
+                    () -> new TopicFollower.Pace(Duration.ZERO, Duration.ZERO, Duration.ZERO),
                     time);
         }
     }
--- a/node/src/test/java/org/chestnutbarrow/node/TopicFollowerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TopicFollowerTest.java
@@ -29,7 +29,8 @@
     private final List<String> taken = Collections.synchronizedList(new ArrayList<>());
     private FakeStore store;
     private ManualTime time;
-    private TopicFollower.Pace pace = new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(10));
+    private TopicFollower.Pace pace =
+            new TopicFollower.Pace(Duration.ZERO, Duration.ofMillis(10), Duration.ofMillis(150));
     private TopicFollower follower;
 
     @BeforeMethod
@@ -149,8 +150,36 @@
         follower.catchUp();
         store.whileHeld(time::advance);
         AtomicInteger rounds = new AtomicInteger(1);
-        pace = new TopicFollower.Pace(Duration.ofSeconds(1), Duration.ZERO);
+        pace = new TopicFollower.Pace(Duration.ofSeconds(1), Duration.ZERO, Duration.ofMillis(150));
         follower.run(() -> rounds.getAndDecrement() > 0);
         assertEquals(follower.age(), Duration.ZERO);
     }
+
+    /** Guards against a topic that is read from its first key on again after each refusal. */
+    @Test
+    public void aLoadGoesOnFromThePageThatWasRefused() throws NotRunException {
+        List.of("a", "b", "c").forEach(this::put);
+        store.pageKeys(1);
+        store.refuseAfter(2);
+        assertThrows(NotRunException.class, follower::catchUp);
+        int refused = store.reads(StateStore.Topic.JOBS);
+        put("d");
+        store.refuseAfter(Integer.MAX_VALUE);
+        follower.catchUp();
+        assertEquals(Set.copyOf(taken), Set.of("a", "b", "c", "d"));
+        // The third and fourth page, and what was stored since the first one.
+        assertEquals(store.reads(StateStore.Topic.JOBS) - refused, 3);
+        assertTrue(follower.loaded(), "the topic is not loaded");
+    }
+
+    /** Guards against a takeover that fails because one page is refused. */
+    @Test
+    public void aRefusedPageIsAskedForAgain() throws NotRunException {
+        List.of("a", "b").forEach(this::put);
+        store.pageKeys(1);
+        store.refuseOnce(2);
+        follower.catchUp();
+        assertEquals(Set.copyOf(taken), Set.of("a", "b"));
+        assertEquals(store.reads(StateStore.Topic.JOBS), 4);
+    }
 }
