--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
@@ -23,7 +22,6 @@
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.Resources;
-import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
@@ -54,26 +52,13 @@
         }
     };
 
-    /** The system's clocks, moved ahead by {@link #ahead}. */
-    private final TimeSource clock = new TimeSource() {
-        @Override
-        public Instant now() {
-            return Instant.now().plusNanos(ahead.get());
-        }
-
-        @Override
-        public long nanos() {
-            return System.nanoTime() + ahead.get();
-        }
-    };
-
-    private final AtomicLong ahead = new AtomicLong();
+    private AdvancedClock clock;
     private FakeStore store;
     private FakeWorkers workers;
 
     @BeforeMethod
     public void begin() {
-        ahead.set(0);
+        clock = new AdvancedClock();
         store = new FakeStore();
         workers = new FakeWorkers();
     }
@@ -181,10 +166,10 @@
         assertEquals(node.pending(QUEUE.key(), WITHIN), 0);
         store.refuseReads(Set.of(StateStore.Topic.JOBS));
         store.put(StateStore.Topic.JOBS, JobReplica.jobEntry(job("a")));
-        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        clock.advance(Duration.ofSeconds(2));
         assertThrows(NotRunException.class, () -> node.pending(QUEUE.key(), WITHIN));
         store.refuseReads(Set.of(StateStore.Topic.PROGRESS));
-        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        clock.advance(Duration.ofSeconds(2));
         assertThrows(NotRunException.class, () -> node.pending(QUEUE.key(), WITHIN));
         store.refuseReads(Set.of());
         await("the store is read again", () -> pending(node) == 1);
@@ -236,7 +221,7 @@
         store.refuseReads(Set.of(StateStore.Topic.PROGRESS));
         store.put(StateStore.Topic.PROGRESS, completed("a"));
         assertEquals(node.cancel(new JobId("a"), WITHIN), JobService.Receipt.STORED);
-        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        clock.advance(Duration.ofSeconds(2));
         assertThrows(NotRunException.class, () -> node.state(new JobId("a"), WITHIN));
         store.refuseReads(Set.of());
         await("the end is read", () -> shows(node, new JobId("a"), JobState.COMPLETED));
@@ -251,7 +236,7 @@
         Node node = start("node");
         await("node is ready", node::ready);
         store.refuseReads(Set.of(StateStore.Topic.JOBS, StateStore.Topic.PROGRESS));
-        ahead.addAndGet(Duration.ofSeconds(2).toNanos());
+        clock.advance(Duration.ofSeconds(2));
         assertEquals(node.state(new JobId("a"), WITHIN), Optional.of(JobState.QUEUED));
         assertThrows(NotRunException.class, () -> node.state(new JobId("b"), WITHIN));
         node.close();
@@ -335,7 +320,7 @@
                 List.of(StateStore.Topic.CONTROL, StateStore.Topic.WORKERS, StateStore.Topic.JOBS)) {
             int before = workers.starts();
             store.refuseReads(Set.of(topic));
-            ahead.addAndGet(Duration.ofSeconds(4).toNanos());
+            clock.advance(Duration.ofSeconds(4));
             // The copies that can be read are recent again by the time at which the worker has answered.
             Thread.sleep(Duration.ofMillis(1500));
             assertEquals(node.submit(job("b" + topic), WITHIN), JobService.Receipt.STORED);
--- a/node/src/test/java/org/chestnutbarrow/node/ReignTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/ReignTest.java
@@ -4,13 +4,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicLong;
 import org.chestnutbarrow.batch.TaskRecord;
-import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
@@ -18,18 +15,7 @@
 public class ReignTest {
     private static final TaskRecord.Location LIFE = new TaskRecord.Location(new WorkerId("w"), 1);
 
-    private final AtomicLong ahead = new AtomicLong();
-    private final TimeSource clock = new TimeSource() {
-        @Override
-        public Instant now() {
-            return Instant.now().plusNanos(ahead.get());
-        }
-
-        @Override
-        public long nanos() {
-            return System.nanoTime() + ahead.get();
-        }
-    };
+    private final AdvancedClock clock = new AdvancedClock();
 
     private Reign reign(StateStore store) {
         Reign reign = new Reign(
@@ -49,7 +35,7 @@
     @Test
     public void aQuietOwnerStaysConfirmedByTheStore() throws InterruptedException {
         Reign reign = reign(new FakeStore());
-        ahead.addAndGet(Duration.ofSeconds(20).toNanos());
+        clock.advance(Duration.ofSeconds(20));
         for (int i = 0; i < 100 && !reign.extending(LIFE); i++) {
             Thread.sleep(100);
         }
@@ -63,7 +49,7 @@
         FakeStore store = new FakeStore();
         Reign reign = reign(store);
         store.fault(FakeStore.Fault.REFUSES);
-        ahead.addAndGet(Duration.ofSeconds(20).toNanos());
+        clock.advance(Duration.ofSeconds(20));
         Thread.sleep(1000);
         assertFalse(reign.extending(LIFE));
         reign.end();
--- a/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SuccessionTest.java
@@ -214,15 +214,7 @@
             if (choice instanceof Succession.TakeOver take) {
                 String other = chosen.putIfAbsent(take.token(), actor.self.id());
                 assertTrue(other == null || other.equals(actor.self.id()), "token " + take.token() + " of " + other);
-                actor.next = Optional.of(new Reign(
-                        take.token(),
-                        store,
-                        new FakeWorkers(),
-                        actor.replica,
-                        time,
-                        Duration.ofSeconds(6),
-                        new NodeMetrics(() -> true, () -> Duration.ZERO),
-                        () -> Duration.ZERO));
+                actor.next = Optional.of(reign(take.token(), store, actor.replica, time));
             }
         }
 
@@ -284,18 +276,22 @@
         List<Reign> reigns = new ArrayList<>();
         List<Actor> actors = List.of(new Actor(STRONG, store, time), new Actor(WEAK, store, time));
         for (Actor actor : actors) {
-            reigns.add(new Reign(
-                    7,
-                    store,
-                    new FakeWorkers(),
-                    actor.replica,
-                    time,
-                    Duration.ofSeconds(6),
-                    new NodeMetrics(() -> true, () -> Duration.ZERO),
-                    () -> Duration.ZERO));
+            reigns.add(reign(7, store, actor.replica, time));
         }
         reigns.getFirst().fenceEarlier(STRONG.id(), actors.getFirst().progress);
         assertThrows(
                 StaleEpochException.class, () -> reigns.getLast().fenceEarlier(WEAK.id(), actors.getLast().progress));
     }
+
+    private static Reign reign(long token, FakeStore store, JobReplica replica, ManualTime time) {
+        return new Reign(
+                token,
+                store,
+                new FakeWorkers(),
+                replica,
+                time,
+                Duration.ofSeconds(6),
+                new NodeMetrics(() -> true, () -> Duration.ZERO),
+                () -> Duration.ZERO);
+    }
 }
