--- a/node/src/main/java/org/chestnutbarrow/node/Reign.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Reign.java
@@ -40,12 +40,6 @@
     private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
     /** An owner that has not reached the store for this time stops extending leases; outages of 9 s are expected. */
     private static final Duration EXTEND_WITHOUT_STORE = Duration.ofSeconds(12);
-    /** An owner that has stored nothing for this time asks the store whether it still is the owner. */
-    private static final Duration CONFIRM_INTERVAL = Duration.ofSeconds(2);
-    /** Pause between two looks at whether the store has to be asked. */
-    private static final Duration CONFIRM_PAUSE = Duration.ofMillis(500);
-
-    private static final Duration CONFIRM_TIMEOUT = Duration.ofMillis(900);
     /**
      * Nothing new is started by what callers, operators and workers said longer ago than this. The bounds for draining
      * workers and evacuated zones begin at 2 s, and a copy that is read in time is up to 1.2 s old.
@@ -63,13 +57,13 @@
     private static final Duration LEARNED_INTERVAL = Duration.ofSeconds(2);
 
     private final long token;
-    private final StateStore store;
     private final WorkerPort port;
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration longestLease;
     private final NodeMetrics metrics;
     private final Supplier<Duration> inputsAge;
+    private final StoreContact contact;
     private final SilentLives silentLives;
     private final Lateness lateness = new Lateness();
     private final Cell cell;
@@ -85,7 +79,6 @@
     /** When what was learned was stored last, ns; used by the thread of the plans only. */
     private long learnedAt;
 
-    private volatile long storeSeenAt;
     /** Whether more than half of the workers have answered under this token; used by the thread of the plans only. */
     private boolean mostHeld;
     /** Whether the last plan could start tasks; used by the thread of the plans only. */
@@ -106,14 +99,13 @@
             NodeMetrics metrics,
             Supplier<Duration> inputsAge) {
         this.token = token;
-        this.store = store;
+        this.contact = new StoreContact(store, new StateStore.Writer(WRITER, token, 0), time);
         this.inputsAge = inputsAge;
         this.port = port;
         this.replica = replica;
         this.time = time;
         this.longestLease = longestLease;
         this.metrics = metrics;
-        this.storeSeenAt = time.nanos();
         this.cell = new Cell(time);
         Duration longest = HEARD.plus(STANDSTILL).plus(WorkerLink.longest(WorkerLink.lease(longestLease)));
         this.silentLives = new SilentLives(time, longest);
@@ -133,11 +125,11 @@
 
     @Override
     public boolean extending(TaskRecord.Location life) {
-        long silent = time.nanos() - storeSeenAt;
+        Duration silence = contact.silence();
         return active.get()
                 && silentLives.mayExtend(life)
-                && silent < EXTEND_WITHOUT_STORE.toNanos()
-                && (silent < HEARD.toNanos() || mostWorkers(link -> link.heardWithin(HEARD)));
+                && silence.compareTo(EXTEND_WITHOUT_STORE) < 0
+                && (silence.compareTo(HEARD) < 0 || mostWorkers(link -> link.heardWithin(HEARD)));
     }
 
     private boolean mostWorkers(Predicate<WorkerLink> which) {
@@ -204,7 +196,7 @@
 
     /** The store has confirmed this ownership with a call sent at that time. */
     void confirmed(long sentAt) {
-        storeSeenAt = Math.max(storeSeenAt, sentAt);
+        contact.confirmed(sentAt);
     }
 
     /**
@@ -242,7 +234,7 @@
         workers(workers);
         thread("plans", this::planLoop);
         thread("ended-jobs", () -> endedJobs.run(active::get));
-        thread("confirmation", this::confirmLoop);
+        thread("confirmation", this::stayConfirmed);
         thread("lateness", this::measureLateness);
     }
 
@@ -344,24 +336,9 @@
         return recent;
     }
 
-    /** Keeps the ownership confirmed while there is nothing to store and topics cannot be read. */
-    private void confirmLoop() {
-        while (active.get()) {
-            if (time.nanos() - storeSeenAt > CONFIRM_INTERVAL.toNanos()) {
-                confirm();
-            }
-            Pauses.sleep(CONFIRM_PAUSE);
-        }
-    }
-
-    private void confirm() {
+    private void stayConfirmed() {
         try {
-            long sent = time.nanos();
-            store.append(
-                    StateStore.Topic.PROGRESS, List.of(), new StateStore.Writer(WRITER, token, 0), CONFIRM_TIMEOUT);
-            confirmed(sent);
-        } catch (NotRunException | OutcomeUnknownException e) {
-            Events.warn("ownership-unconfirmed", "token", token, "cause", e.getMessage());
+            contact.run(active::get);
         } catch (StaleEpochException e) {
             fenced("store: " + e.getMessage());
         }
