--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -67,8 +67,8 @@
     private volatile boolean leaving;
     /** Used by the thread of the membership only. */
     private Succession succession;
-    /** The last choice that was logged as declined; used by the thread of the membership only. */
-    private Optional<Succession.Why> declined = Optional.empty();
+
+    private final SuccessionEvents successionEvents = new SuccessionEvents();
 
     private Node(NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
         this.settings = settings;
@@ -196,9 +196,9 @@
         }
         switch (choice) {
             case Succession.Look _ -> {}
-            case Succession.Rest rest -> declined(rest.grounds(), now);
+            case Succession.Rest rest -> successionEvents.declined(rest.grounds(), now.generation(), replica.owner());
             case Succession.TakeOver next -> {
-                log(true, next.grounds(), now);
+                SuccessionEvents.taken(next.grounds(), now.generation(), replica.owner());
                 takeOver(next.token(), sent);
             }
         }
@@ -209,38 +209,6 @@
         return succession.choose(now, replica.owner(), time.nanos());
     }
 
-    private void declined(Succession.Grounds grounds, StateStore.Membership now) {
-        switch (grounds.why()) {
-            case OWNER_SUFFICES -> declined = Optional.empty();
-            case MEMBERS_UNKNOWN -> {}
-            default -> {
-                if (!declined.equals(Optional.of(grounds.why()))) {
-                    declined = Optional.of(grounds.why());
-                    log(false, grounds, now);
-                }
-            }
-        }
-    }
-
-    private void log(boolean takes, Succession.Grounds grounds, StateStore.Membership now) {
-        Events.info(
-                "takeover-weighed",
-                "takes",
-                takes,
-                "why",
-                grounds.why(),
-                "rank",
-                grounds.rank(),
-                "milliCores",
-                grounds.milliCores(),
-                "ownerMilliCores",
-                grounds.ownerMilliCores(),
-                "generation",
-                now.generation(),
-                "owner",
-                replica.owner().map(OwnerRecord::member).orElse("none"));
-    }
-
     private void supervise(Reign current) {
         current.confirmed(progressFeed.freshAt());
         Optional<OwnerRecord> owner = replica.owner();
