Keep an overloaded owner in its role and pace its holds

Cause: the membership thread carried out the takeover itself, which took 1.0 to 2.2 s, longer than the membership of 1.5 s, so each new owner was replaced before it held the workers. After that the owner opened 135 connections at once and sent 270 holds a second, more than its processor and link bear, and its own delay let calls time out, which closed the connections.

Reviews of the ownership now run beside the renewal of the membership. At most as many workers as the processor bears are contacted for the first time at once, with a longer timeout. Holds are spaced by the capacity of the machine for the number of workers; on machines of the earlier sites the interval is unchanged.

NodeTest.membershipIsRenewedDuringATakeover fails if the review runs on the membership thread.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -50,6 +51,11 @@
         registry.setEvacuatedZones(zones);
     }
 
+    /** Sets the longest time between two reports of a worker that responds. */
+    public synchronized void expectReportsEvery(Duration interval) {
+        registry.index().setReportInterval(interval);
+    }
+
     /** Restores the interference estimates that an earlier owner stored. */
     public synchronized void restoreSensitivities(List<Sensitivity> sensitivities) {
         interferenceModel.restore(sensitivities);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -20,6 +21,7 @@
  */
 final class WorkerIndex {
     private static final Pool EMPTY_POOL = new Pool();
+    private static final Duration DEFAULT_REPORT_INTERVAL = Duration.ofMillis(500);
 
     /** Free or spare CPU of a worker as a fraction of its capacity; the worker ID breaks ties. */
     private record SortKey(double fraction, String workerId) {
@@ -93,6 +95,7 @@
     /** Workers that are quarantined after failures. */
     private final Set<WorkerNode> quarantinedWorkers = new LinkedHashSet<>();
 
+    private Duration reportInterval = DEFAULT_REPORT_INTERVAL;
     private long latestChange;
     private long freeMilliCores;
     private long capacityMilliCores;
@@ -101,6 +104,15 @@
         return pools.getOrDefault(service, EMPTY_POOL);
     }
 
+    /** Returns the longest time between two reports of a worker that responds. */
+    Duration reportInterval() {
+        return reportInterval;
+    }
+
+    void setReportInterval(Duration interval) {
+        reportInterval = interval;
+    }
+
     /** Returns the number of the latest change. */
     long latestChange() {
         return latestChange;
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -17,11 +17,8 @@
     /** Latency-critical tasks use about half of the CPU that they reserve. */
     private static final double LATENCY_CRITICAL_IDLE_FRACTION = 0.5;
 
-    /**
-     * A worker that has not responded for this time gets no new tasks; hold requests are answered at least every 600
-     * ms.
-     */
-    private static final Duration UNRESPONSIVE_AFTER = Duration.ofMillis(1500);
+    /** A worker whose next report is late by this time gets no new tasks. */
+    private static final Duration MAX_REPORT_DELAY = Duration.ofSeconds(1);
     /** Silence assumed for a worker before its first response, so that it counts as unresponsive. */
     private static final Duration INITIAL_SILENCE = Duration.ofHours(1);
 
@@ -126,7 +123,8 @@
     }
 
     private boolean isUnresponsive(long now) {
-        return now - lastResponseAt >= UNRESPONSIVE_AFTER.toNanos();
+        return now - lastResponseAt
+                >= index.reportInterval().plus(MAX_REPORT_DELAY).toNanos();
     }
 
     /** Records a failed or stuck run of a job. */
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
@@ -0,0 +1,129 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.TimeSource;
+
+/**
+ * Keeps a node a member of the store's group. Reviews of the ownership run on a thread of their own, because a takeover
+ * can take longer than a membership lasts, and an owner that is no member any more is replaced. Safe for use by several
+ * threads.
+ *
+ * <p>Invariant: at most one method of {@link Ownership} runs at a time.
+ */
+final class GroupMembership {
+    /** Ratio of the membership timeout to the shortest that the store allows, so that one lost call is tolerated. */
+    private static final double TTL_FACTOR = 1.5;
+    /** Number of calls to join within one membership timeout. */
+    private static final int JOINS_PER_TTL = 6;
+    /** Time between two checks whether the node has loaded its copies. */
+    private static final Duration LOAD_CHECK_INTERVAL = Duration.ofMillis(50);
+
+    /** What a node decides by its membership. */
+    interface Ownership {
+        /** Returns whether a term under the current member id has ended, after which the id is not used any more. */
+        boolean termEnded();
+
+        /** Called when the node gets its first or another member id. */
+        void memberChanged(Member member);
+
+        /** Reviews the ownership after a call to join that was sent at {@code sentAt}, ns. */
+        void review(StateStore.Membership membership, long sentAt) throws NotRunException;
+    }
+
+    private final NodeSettings settings;
+    private final StateStore store;
+    private final TimeSource time;
+    private final Ownership ownership;
+    private final AtomicBoolean reviewing = new AtomicBoolean();
+    private volatile Member member;
+    private volatile boolean left;
+    /** Whether the last call to join or leave has failed; accessed only by the thread of {@link #run}. */
+    private boolean unconfirmed;
+
+    /** Creates a membership that is not joined yet and passes the first member id to {@code ownership}. */
+    GroupMembership(NodeSettings settings, StateStore store, TimeSource time, Ownership ownership) {
+        this.settings = settings;
+        this.store = store;
+        this.time = time;
+        this.ownership = ownership;
+        changeMember();
+    }
+
+    /** Returns the id under which the node joins. */
+    String memberId() {
+        return member.id();
+    }
+
+    private void changeMember() {
+        member = new Member(settings.name(), settings.capacity().milliCores(), time.now());
+        ownership.memberChanged(member);
+    }
+
+    /** Joins, and renews the membership until {@link #leave} is called; waits until {@code loaded} at first. */
+    void run(BooleanSupplier loaded) {
+        Duration ttl = Duration.ofMillis((long) (settings.membershipTtl().toMillis() * TTL_FACTOR));
+        long generation = 0;
+        while (!left) {
+            if (!loaded.getAsBoolean()) {
+                Threads.sleep(LOAD_CHECK_INTERVAL);
+                continue;
+            }
+            generation = renew(ttl, generation);
+            Threads.sleep(ttl.dividedBy(JOINS_PER_TTL));
+        }
+        // A call to join that was in flight while the node left may have made it a member again.
+        callLeave();
+    }
+
+    /** Renews the membership once and returns the last known generation of the group. */
+    private long renew(Duration ttl, long generation) {
+        try {
+            if (!reviewing.get() && ownership.termEnded()) {
+                // Rejoins under another id, so that the member whose term has ended does not count as alive.
+                store.leave(member.id());
+                changeMember();
+            }
+            long sentAt = time.nanos();
+            StateStore.Membership membership = store.join(member.id(), ttl, generation);
+            unconfirmed = false;
+            if (!left && reviewing.compareAndSet(false, true)) {
+                Thread.ofVirtual().name("ownership").start(() -> review(membership, sentAt));
+            }
+            return membership.generation();
+        } catch (NotRunException e) {
+            if (!unconfirmed) {
+                unconfirmed = true;
+                Events.warn("membership-unconfirmed", "generation", generation, "cause", e.getMessage());
+            }
+            return generation;
+        }
+    }
+
+    private void review(StateStore.Membership membership, long sentAt) {
+        try {
+            ownership.review(membership, sentAt);
+        } catch (NotRunException | RuntimeException e) {
+            Events.warn("ownership-review-failed", "generation", membership.generation(), "cause", e);
+        } finally {
+            reviewing.set(false);
+        }
+    }
+
+    /** Ends the membership for good. */
+    void leave() {
+        left = true;
+        callLeave();
+    }
+
+    private void callLeave() {
+        try {
+            store.leave(member.id());
+        } catch (NotRunException e) {
+            Events.warn("leave-failed", "cause", e.getMessage());
+        }
+    }
+}
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -27,10 +27,6 @@
  * }</pre>
  */
 public final class Node implements JobService, AutoCloseable {
-    /** Ratio of the membership timeout to the shortest that the store allows, so that one lost call is tolerated. */
-    private static final double MEMBERSHIP_TTL_FACTOR = 1.5;
-    /** Number of calls to join within one membership timeout. */
-    private static final int JOINS_PER_TTL = 6;
     /** Maximum age of the copy of the jobs at which the node still reports that it is ready. */
     private static final Duration MAX_READY_AGE = Duration.ofMillis(2500);
     /** Maximum age of a copy that is used for answers. Callers are promised 2 s, part of which is network latency. */
@@ -66,25 +62,22 @@
     private final TopicFollower controlFollower;
     private final TopicFollower jobFollower;
     private final TopicFollower progressFollower;
-    private volatile String memberId;
+    private final GroupMembership membership;
+    private final TakeoverEvents takeoverEvents = new TakeoverEvents();
     private volatile OwnershipTerm term;
     private volatile boolean leaving;
-    /** Accessed only by the membership thread. */
-    private TakeoverPolicy takeoverPolicy;
-
-    private final TakeoverEvents takeoverEvents = new TakeoverEvents();
+    /** Accessed only by the methods of {@link GroupMembership.Ownership}, of which one runs at a time. */
+    private volatile TakeoverPolicy takeoverPolicy;
 
     private Node(NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
         this.settings = settings;
         this.store = store;
         this.port = port;
         this.time = time;
-        Member self = newMember();
-        this.memberId = self.id();
-        this.takeoverPolicy = new TakeoverPolicy(self, time.nanos());
+        this.membership = new GroupMembership(settings, store, time, new MembershipOwnership());
         this.control = new ControlTable(codec);
         this.workers = new WorkerTable(codec);
-        this.writer = new JobWriter(store, memberId);
+        this.writer = new JobWriter(store, membership.memberId());
         this.controlFollower = new TopicFollower(store, StateStore.Topic.CONTROL, control, () -> LONG_POLL, time);
         this.jobFollower = new TopicFollower(
                 store, StateStore.Topic.JOBS, replica.jobsListener(), () -> isOwner() ? LONG_POLL : STANDBY_POLL, time);
@@ -117,7 +110,11 @@
         startThread("jobs", jobFollower::run);
         startThread("progress", progressFollower::run);
         startThread("writer", writer::run);
-        startThread("membership", this::maintainMembership);
+        startThread("membership", () -> membership.run(this::copiesLoaded));
+    }
+
+    private boolean copiesLoaded() {
+        return controlFollower.loaded() && jobFollower.loaded() && progressFollower.loaded();
     }
 
     private static void startThread(String name, Runnable task) {
@@ -129,93 +126,52 @@
         return current != null && current.active();
     }
 
-    private void maintainMembership() {
-        Duration ttl = Duration.ofMillis((long) (settings.membershipTtl().toMillis() * MEMBERSHIP_TTL_FACTOR));
-        Duration pause = ttl.dividedBy(JOINS_PER_TTL);
-        long generation = 0;
-        boolean unconfirmed = false;
-        while (!leaving) {
-            if (!controlFollower.loaded() || !jobFollower.loaded() || !progressFollower.loaded()) {
-                Threads.sleep(Duration.ofMillis(50));
-                continue;
-            }
-            try {
-                renewMember();
-                long sentAt = time.nanos();
-                StateStore.Membership membership = store.join(memberId, ttl, generation);
-                generation = membership.generation();
-                unconfirmed = false;
-                if (leaving) {
-                    break;
-                }
-                reviewOwnership(membership, sentAt);
-            } catch (NotRunException e) {
-                if (!unconfirmed) {
-                    unconfirmed = true;
-                    Events.warn("membership-unconfirmed", "generation", generation, "cause", e.getMessage());
-                }
-            }
-            Threads.sleep(pause);
-        }
-        // A call to join that was in flight while the node left may have made it a member again.
-        leave();
-    }
-
-    private void leave() {
-        try {
-            store.leave(memberId);
-        } catch (NotRunException e) {
-            Events.warn("leave-failed", "cause", e.getMessage());
+    /** Decides by the membership whether this node takes over the ownership. */
+    private final class MembershipOwnership implements GroupMembership.Ownership {
+        @Override
+        public boolean termEnded() {
+            OwnershipTerm current = term;
+            return current != null && !current.active();
         }
-    }
 
-    /** Rejoins under a new member id after a term has ended, so that the ended one does not count as alive. */
-    private void renewMember() throws NotRunException {
-        OwnershipTerm previous = term;
-        if (previous == null || previous.active()) {
-            return;
+        @Override
+        public void memberChanged(Member member) {
+            takeoverPolicy = new TakeoverPolicy(member, time.nanos());
+            term = null;
         }
-        store.leave(memberId);
-        Member self = newMember();
-        memberId = self.id();
-        takeoverPolicy = new TakeoverPolicy(self, time.nanos());
-        term = null;
-    }
 
-    private Member newMember() {
-        return new Member(settings.name(), settings.milliCores(), time.now());
-    }
-
-    /** Takes over the ownership if the policy says so; an owner stays the owner when partitions are reassigned. */
-    private void reviewOwnership(StateStore.Membership membership, long sentAt) throws NotRunException {
-        OwnershipTerm current = term;
-        if (current != null) {
-            checkSuperseded(current);
-            return;
-        }
-        TakeoverPolicy.Decision decision = takeoverPolicy.decide(membership, replica.owner(), time.nanos());
-        if (decision instanceof TakeoverPolicy.RefreshMembers) {
-            decision = refreshAndDecide(membership);
-        }
-        if (decision instanceof TakeoverPolicy.TakeOver) {
-            // The inputs may be outdated, so the decision is repeated with the latest owner and members.
-            progressFollower.catchUp();
-            decision = refreshAndDecide(membership);
-        }
-        switch (decision) {
-            case TakeoverPolicy.RefreshMembers _ -> {}
-            case TakeoverPolicy.Decline decline ->
-                takeoverEvents.declined(decline.assessment(), membership.generation(), replica.owner());
-            case TakeoverPolicy.TakeOver takeOver -> {
-                TakeoverEvents.taken(takeOver.assessment(), membership.generation(), replica.owner());
-                takeOver(takeOver.token(), sentAt);
+        /** Takes over the ownership if the policy says so; an owner stays the owner when partitions are reassigned. */
+        @Override
+        public void review(StateStore.Membership joined, long sentAt) throws NotRunException {
+            OwnershipTerm current = term;
+            if (current != null) {
+                checkSuperseded(current);
+                return;
+            }
+            TakeoverPolicy.Decision decision = takeoverPolicy.decide(joined, replica.owner(), time.nanos());
+            if (decision instanceof TakeoverPolicy.RefreshMembers) {
+                decision = refreshAndDecide(joined);
+            }
+            if (decision instanceof TakeoverPolicy.TakeOver) {
+                // The inputs may be outdated, so the decision is repeated with the latest owner and members.
+                progressFollower.catchUp();
+                decision = refreshAndDecide(joined);
+            }
+            switch (decision) {
+                case TakeoverPolicy.RefreshMembers _ -> {}
+                case TakeoverPolicy.Decline decline ->
+                    takeoverEvents.declined(decline.assessment(), joined.generation(), replica.owner());
+                case TakeoverPolicy.TakeOver takeOver -> {
+                    TakeoverEvents.taken(takeOver.assessment(), joined.generation(), replica.owner());
+                    takeOver(takeOver.token(), sentAt);
+                }
             }
         }
-    }
 
-    private TakeoverPolicy.Decision refreshAndDecide(StateStore.Membership membership) throws NotRunException {
-        takeoverPolicy.updateMembers(membership.generation(), store.members());
-        return takeoverPolicy.decide(membership, replica.owner(), time.nanos());
+        private TakeoverPolicy.Decision refreshAndDecide(StateStore.Membership joined) throws NotRunException {
+            takeoverPolicy.updateMembers(joined.generation(), store.members());
+            return takeoverPolicy.decide(joined, replica.owner(), time.nanos());
+        }
     }
 
     private void checkSuperseded(OwnershipTerm current) {
@@ -235,7 +191,7 @@
                 port,
                 replica,
                 time,
-                settings.maxLease(),
+                settings,
                 metrics,
                 () -> Collections.max(List.of(controlFollower.age(), jobFollower.age(), workerFollower.age())));
         workers.onChange(_ -> {});
@@ -243,7 +199,7 @@
         try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
             Future<?> jobsCaughtUp = executor.submit(() -> catchUp(jobFollower));
             Future<?> workersCaughtUp = executor.submit(() -> catchUp(workerFollower));
-            next.fenceEarlierOwners(memberId, progressFollower);
+            next.fenceEarlierOwners(membership.memberId(), progressFollower);
             jobsCaughtUp.get();
             workersCaughtUp.get();
             term = next;
@@ -392,7 +348,7 @@
         if (current != null) {
             current.end();
         }
-        leave();
-        Events.info("node-left", "member", memberId);
+        membership.leave();
+        Events.info("node-left", "member", membership.memberId());
     }
 }
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeCapacity.java
@@ -0,0 +1,58 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import org.chestnutbarrow.model.Checks;
+
+/**
+ * The processing and transmission capacity of the machine of a node, and how much of it the holds of an owner take.
+ * Immutable.
+ *
+ * @param milliCores processing capacity; 0 if unknown
+ * @param linkBytesPerSecond capacity of the network link in each direction; 0 if unknown
+ */
+public record NodeCapacity(int milliCores, long linkBytesPerSecond) {
+    /** More than any machine has, and short enough to be parsed from a member id. */
+    private static final int MAX_MILLI_CORES = 100_000_000;
+    /** Shortest wait of a hold; interference is recognized from reports that arrive twice a second. */
+    static final Duration MIN_HOLD_WAIT = Duration.ofMillis(500);
+    /** Longest wait of a hold. Leases are extended with each hold and last 4 s. */
+    static final Duration MAX_HOLD_WAIT = Duration.ofMillis(1200);
+    /** Processor time that one hold with its report takes on a whole core. */
+    private static final double HOLD_MICROS = 250;
+    /** Bytes of one hold and its answer on the link, with headers and about ten running tasks. */
+    private static final double HOLD_BYTES = 1000;
+    /** Part of the capacity that holds may take; orders, reads and appends need the rest. */
+    private static final double HOLD_FRACTION = 0.25;
+    /** One first contact takes about 2 ms of a whole core; 20 mCore bear one at a time without a visible delay. */
+    private static final int MILLI_CORES_PER_FIRST_CONTACT = 20;
+
+    private static final int MIN_FIRST_CONTACTS = 4;
+    private static final int MAX_FIRST_CONTACTS = 64;
+
+    public NodeCapacity {
+        Checks.require(
+                milliCores >= 0 && milliCores <= MAX_MILLI_CORES,
+                "the capacity of a node must be between 0 and 100000 cores");
+        Checks.require(linkBytesPerSecond >= 0, "the capacity of a link must not be negative");
+    }
+
+    /** Returns how long the workers may delay their answers to holds if this node holds that many of them. */
+    Duration holdWait(int workers) {
+        double millis = (double) MIN_HOLD_WAIT.toMillis();
+        if (milliCores > 0) {
+            // Microseconds of a whole core divided by thousandths of a core give milliseconds.
+            millis = Math.max(millis, workers * HOLD_MICROS / (HOLD_FRACTION * milliCores));
+        }
+        if (linkBytesPerSecond > 0) {
+            millis = Math.max(millis, workers * HOLD_BYTES * 1e3 / (HOLD_FRACTION * (double) linkBytesPerSecond));
+        }
+        return Duration.ofMillis(Math.min((long) millis, MAX_HOLD_WAIT.toMillis()));
+    }
+
+    /** Returns how many workers an owner contacts for the first time at once. */
+    int concurrentFirstContacts() {
+        return milliCores == 0
+                ? MIN_FIRST_CONTACTS
+                : Math.clamp(milliCores / MILLI_CORES_PER_FIRST_CONTACT, MIN_FIRST_CONTACTS, MAX_FIRST_CONTACTS);
+    }
+}
--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.concurrent.Semaphore;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.batch.WorkerReport;
 
@@ -21,6 +22,12 @@
     /** Records by how much the answer or the timeout of a hold exceeded the wait that the hold asked for. */
     void recordHoldDelay(Duration delay);
 
+    /** Returns how long a worker may delay the answer to a hold. */
+    Duration holdWait();
+
+    /** Limits how many workers are contacted for the first time at once; a contact takes one permit. */
+    Semaphore firstContacts();
+
     /** Returns the estimated delay of this node's own threads, for which an answer may remain unread. */
     Duration threadDelay();
 
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -63,6 +63,8 @@
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration maxLease;
+    private final NodeCapacity capacity;
+    private final Semaphore firstContacts;
     private final NodeMetrics metrics;
     private final Supplier<Duration> inputsAge;
     private final OwnershipConfirmation confirmation;
@@ -78,6 +80,7 @@
     private final PlanRateLimiter planRateLimiter = new PlanRateLimiter();
 
     private final AtomicBoolean active = new AtomicBoolean(true);
+    private volatile Duration holdWait = NodeCapacity.MIN_HOLD_WAIT;
     /** Time of the last write of the measured sensitivities, ns; accessed only by the planning thread. */
     private long sensitivitiesStoredAt;
 
@@ -90,7 +93,6 @@
      * Creates a term that is not started yet.
      *
      * @param token fencing token of this term
-     * @param maxLease longest lease that a worker grants
      * @param inputsAge age of the oldest copy among those of jobs, workers and declarations
      */
     OwnershipTerm(
@@ -99,7 +101,7 @@
             WorkerPort port,
             JobReplica replica,
             TimeSource time,
-            Duration maxLease,
+            NodeSettings settings,
             NodeMetrics metrics,
             Supplier<Duration> inputsAge) {
         this.token = token;
@@ -108,7 +110,9 @@
         this.port = port;
         this.replica = replica;
         this.time = time;
-        this.maxLease = maxLease;
+        this.maxLease = settings.maxLease();
+        this.capacity = settings.capacity();
+        this.firstContacts = new Semaphore(capacity.concurrentFirstContacts(), true);
         this.metrics = metrics;
         this.scheduler = new BatchScheduler(time);
         Duration maxSilence = ANSWER_WINDOW
@@ -166,6 +170,16 @@
         return threadDelayEstimator.current();
     }
 
+    @Override
+    public Duration holdWait() {
+        return holdWait;
+    }
+
+    @Override
+    public Semaphore firstContacts() {
+        return firstContacts;
+    }
+
     private void measureThreadDelay() {
         while (active.get()) {
             long start = time.nanos();
@@ -268,6 +282,8 @@
 
     /** Applies the current worker list; opens a new link for each worker that is new or has restarted. */
     void updateWorkers(Collection<WorkerRegistration> entries) {
+        holdWait = capacity.holdWait(entries.size());
+        scheduler.expectReportsEvery(holdWait);
         scheduler.updateWorkers(entries);
         synchronized (links) {
             for (WorkerRegistration entry : entries) {
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -22,10 +22,10 @@
 final class WorkerLink {
     /** Lease of the runs on a worker; longer than a change of owner, which takes about 2.5 s. */
     private static final Duration DEFAULT_LEASE = Duration.ofSeconds(4);
-    /** How long a hold waits for the end of a run. Latencies and progress are reported at least twice a second. */
-    private static final Duration HOLD_WAIT = Duration.ofMillis(500);
     /** Time for an answer; a healthy worker answers within a few milliseconds. */
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(250);
+    /** Time for the answer to the first call, for which a connection is opened and which often is one of many. */
+    private static final Duration FIRST_ANSWER_TIMEOUT = Duration.ofSeconds(1);
     /** Delay after a failed hold and before the retry of an order. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(100);
     /**
@@ -129,9 +129,10 @@
      * Waits until the reported ends may be acknowledged; an earlier hold would return immediately with the same ends.
      */
     private void awaitAcknowledge() {
-        long deadline = time.nanos() + HOLD_WAIT.toNanos();
+        Duration maxWait = owner.holdWait();
+        long deadline = time.nanos() + maxWait.toNanos();
         synchronized (acknowledgeLock) {
-            long remainingMs = HOLD_WAIT.toMillis();
+            long remainingMs = maxWait.toMillis();
             while (isOpen() && acknowledgedUpTo < lastReportedSequence && remainingMs > 0) {
                 try {
                     acknowledgeLock.wait(remainingMs);
@@ -304,23 +305,37 @@
 
     /** Repeats hold calls until the link is closed. */
     void runHolds() {
-        boolean first = true;
+        boolean held = makeFirstContact();
         while (isOpen()) {
-            if (first ? holdOnce(Duration.ZERO) : holdOnce(HOLD_WAIT)) {
-                first = false;
-            } else if (isOpen()) {
+            if (!held) {
                 expireLeasesIfDue();
                 Threads.sleep(RETRY_DELAY);
             }
+            held = answered ? holdOnce(owner.holdWait(), answerTimeout()) : holdOnce(Duration.ZERO, answerTimeout());
         }
     }
 
-    private boolean holdOnce(Duration wait) {
+    /** Makes the first hold. All links of a new owner do so at once, which delays the answers on a small machine. */
+    private boolean makeFirstContact() {
+        try {
+            owner.firstContacts().acquire();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+        try {
+            return isOpen() && holdOnce(Duration.ZERO, FIRST_ANSWER_TIMEOUT);
+        } finally {
+            owner.firstContacts().release();
+        }
+    }
+
+    private boolean holdOnce(Duration wait, Duration answerTimeout) {
         long sentAt = time.nanos();
         long leaseUntil = isReachable() ? extendLeases() : -1;
         try {
             WorkerPort.Answer answer =
-                    port.hold(worker, owner.token(), leaseUntil, acknowledgedUpTo, wait, wait.plus(answerTimeout()));
+                    port.hold(worker, owner.token(), leaseUntil, acknowledgedUpTo, wait, wait.plus(answerTimeout));
             recordHoldDelay(sentAt, wait);
             return handleHoldAnswer(answer, sentAt);
         } catch (OutcomeUnknownException | NotRunException e) {
@@ -394,7 +409,7 @@
     }
 
     private boolean isReachable() {
-        return time.nanos() - lastAnswerAt < MAX_SILENCE.plus(HOLD_WAIT).toNanos();
+        return time.nanos() - lastAnswerAt < MAX_SILENCE.plus(owner.holdWait()).toNanos();
     }
 
     private void updateWorkerClock(long clockMs) {
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -41,6 +41,8 @@
     private final AtomicReference<Runnable> duringNextJoin = new AtomicReference<>(() -> {});
     private final int partitions;
     private long generation;
+    private long lastJoinAt;
+    private Duration longestJoinGap = Duration.ZERO;
     private int rotation;
     private long firstRetained;
     private Fault fault = Fault.NONE;
@@ -246,8 +248,27 @@
         duringNextJoin.set(action);
     }
 
+    /** Returns the longest time without a call to join so far, by any member, since the first call. */
+    synchronized Duration longestJoinGap() {
+        recordJoinGap();
+        return longestJoinGap;
+    }
+
+    private synchronized void recordJoinGap() {
+        long now = System.nanoTime();
+        if (lastJoinAt != 0 && now - lastJoinAt > longestJoinGap.toNanos()) {
+            longestJoinGap = Duration.ofNanos(now - lastJoinAt);
+        }
+    }
+
+    private synchronized void recordJoin() {
+        recordJoinGap();
+        lastJoinAt = System.nanoTime();
+    }
+
     @Override
     public Membership join(String member, Duration ttl, long known) {
+        recordJoin();
         duringNextJoin.getAndSet(() -> {}).run();
         return register(member);
     }
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -80,7 +80,7 @@
 
     private Node start(String name, int milliCores) {
         return Node.start(
-                new NodeSettings(name, milliCores, Duration.ofMillis(300), Duration.ofSeconds(6)),
+                new NodeSettings(name, new NodeCapacity(milliCores, 0), Duration.ofMillis(300), Duration.ofSeconds(6)),
                 store,
                 workers,
                 CODEC,
@@ -128,6 +128,19 @@
         second.close();
     }
 
+    /** Guards against an owner that is replaced by the next member because its own takeover takes long. */
+    @Test
+    public void membershipIsRenewedDuringATakeover() throws InterruptedException {
+        store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
+        store.put(StateStore.Topic.WORKERS, new StateStore.Entry("w1", Optional.of(new byte[] {1})));
+        store.readLatency(Duration.ofSeconds(1));
+        Node node = start("first");
+        await("the node is the owner", () -> owns(node));
+        // The membership lasts for 450 ms.
+        assertTrue(store.longestJoinGap().toMillis() < 450, "gap of " + store.longestJoinGap());
+        node.close();
+    }
+
     /** Guards against a job that is lost or run twice when the owner leaves and another node takes over. */
     @Test
     public void jobsContinueUnderTheNextOwner() throws InterruptedException {
--- a/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
@@ -25,7 +25,7 @@
                 new FakeWorkers(),
                 new JobReplica(),
                 clock,
-                Duration.ofSeconds(6),
+                new NodeSettings("node", new NodeCapacity(0, 0), Duration.ofSeconds(1), Duration.ofSeconds(6)),
                 new NodeMetrics(() -> true, () -> Duration.ZERO),
                 () -> Duration.ZERO);
         term.start(new ControlState(1, Map.of(), Set.of()), List.of());
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -306,7 +306,7 @@
                 new FakeWorkers(),
                 replica,
                 time,
-                Duration.ofSeconds(6),
+                new NodeSettings("node", new NodeCapacity(0, 0), Duration.ofSeconds(1), Duration.ofSeconds(6)),
                 new NodeMetrics(() -> true, () -> Duration.ZERO),
                 () -> Duration.ZERO);
     }
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -77,51 +77,6 @@
         }
     }
 
-    /** An owner without a store. It does not extend leases unless a test sets {@code extending}. */
-    private static final class DisconnectedOwner implements Owner {
-        volatile boolean active = true;
-        volatile boolean extending;
-        volatile Duration lateness = Duration.ZERO;
-
-        @Override
-        public long token() {
-            return 2;
-        }
-
-        @Override
-        public boolean mayExtendLeases(TaskRecord.WorkerIncarnation incarnation) {
-            return extending;
-        }
-
-        @Override
-        public void runEnded(WorkerReport.EndKind how) {}
-
-        @Override
-        public void recordOrderWait(Duration time) {}
-
-        @Override
-        public void recordHoldDelay(Duration time) {}
-
-        @Override
-        public Duration threadDelay() {
-            return lateness;
-        }
-
-        @Override
-        public void workerAnswered(TaskRecord.WorkerIncarnation incarnation) {}
-
-        @Override
-        public boolean active() {
-            return active;
-        }
-
-        @Override
-        public void fenced(String by) {}
-
-        @Override
-        public void wake() {}
-    }
-
     /** A worker that records orders and does not answer those of selected tasks. Thread-safe. */
     private static final class RecordingWorker implements WorkerPort {
         final List<Order> sent = new CopyOnWriteArrayList<>();
