Let an owner call workers through other nodes

One owner calls all workers.

An owner whose capacity does not suffice for the holds of its workers now passes its calls to the other nodes of the group over one connection each (module relay, on the peer link). Only the transport changes: decisions, leases, tokens and retries stay with the owner, and a call that a relay may have received counts as unanswered. Member ids carry zone and address of the relay; each owner stores a new key with its record, so a former owner is not accepted. Strong owners call workers directly as before.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/PeerDispatcher.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/PeerDispatcher.java
@@ -48,6 +48,7 @@
                     PeerMessage.ShardTasks _,
                     PeerMessage.CatalogSnapshot _,
                     PeerMessage.Explanation _,
+                    PeerMessage.Custom _,
                     PeerMessage.Position _,
                     PeerMessage.Failure _ ->
                 new PeerMessage.Failure("not a request: " + request.getClass().getSimpleName());
--- a/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
+++ b/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
@@ -59,7 +59,7 @@
     }
 
     private void changeMember() {
-        member = new Member(settings.name(), settings.capacity().milliCores(), time.now());
+        member = new Member(settings.name(), settings.capacity().milliCores(), time.now(), settings.relay());
         ownership.memberChanged(member);
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/Member.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Member.java
@@ -3,8 +3,11 @@
 import java.time.Instant;
 import java.time.temporal.ChronoUnit;
 import java.util.Comparator;
+import java.util.Optional;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import org.chestnutbarrow.model.Address;
+import org.chestnutbarrow.model.AvailabilityZone;
 
 /**
  * A node as a member of the group. The group returns only ids, so the id encodes what other members need to know.
@@ -12,21 +15,27 @@
  * @param node name of the node
  * @param milliCores processing capacity
  * @param since when the node joined under this id, by its own clock
+ * @param relay where the node passes calls on to workers; empty if it does not
  */
-record Member(String node, int milliCores, Instant since) {
+record Member(String node, int milliCores, Instant since, Optional<RelayEndpoint> relay) {
     /** Order of preference for a takeover: higher capacity first, then the earlier start. */
     static final Comparator<Member> STRONGEST_FIRST = Comparator.comparingInt(Member::milliCores)
             .reversed()
             .thenComparing(Member::since)
             .thenComparing(Member::node);
 
-    private static final Pattern ID = Pattern.compile("(.+)-(\\d{1,9})m-(\\d{1,15})");
+    private static final Pattern ID = Pattern.compile("(.+)-(\\d{1,9})m-(\\d{1,15})(?:@([^/@]+)/([^/@]+))?");
 
     Member {
         // An id has millisecond precision, and a member must equal the one that is parsed from its id.
         since = since.truncatedTo(ChronoUnit.MILLIS);
     }
 
+    /** Creates a member that is no relay. */
+    Member(String node, int milliCores, Instant since) {
+        this(node, milliCores, since, Optional.empty());
+    }
+
     /** Parses an id; one of an unknown format yields a member without capacity that comes last. */
     static Member parse(String id) {
         Matcher matcher = ID.matcher(id);
@@ -36,11 +45,25 @@
         return new Member(
                 matcher.group(1),
                 Integer.parseInt(matcher.group(2)),
-                Instant.ofEpochMilli(Long.parseLong(matcher.group(3))));
+                Instant.ofEpochMilli(Long.parseLong(matcher.group(3))),
+                parseRelay(matcher.group(4), matcher.group(5)));
+    }
+
+    private static Optional<RelayEndpoint> parseRelay(String zone, String address) {
+        try {
+            return zone == null
+                    ? Optional.empty()
+                    : Optional.of(new RelayEndpoint(new AvailabilityZone(zone), Address.parse(address)));
+        } catch (IllegalArgumentException e) {
+            // The id of a member of another version; it is a member, but no relay.
+            return Optional.empty();
+        }
     }
 
     /** Returns the id under which the member joins the group. */
     String id() {
-        return node + "-" + milliCores + "m-" + since.toEpochMilli();
+        String suffix = relay.map(endpoint -> "@" + endpoint.zone() + "/" + endpoint.address())
+                .orElse("");
+        return node + "-" + milliCores + "m-" + since.toEpochMilli() + suffix;
     }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -2,8 +2,11 @@
 
 import java.time.Duration;
 import java.util.Collections;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -53,6 +56,7 @@
     private final NodeSettings settings;
     private final StateStore store;
     private final WorkerPort port;
+    private final RelayNetwork relays;
     private final TimeSource time;
     private final JobReplica replica = new JobReplica();
     private final ControlTable control;
@@ -69,8 +73,15 @@
     /** Accessed only by the methods of {@link GroupMembership.Ownership}, of which one runs at a time. */
     private volatile TakeoverPolicy takeoverPolicy;
 
-    private Node(NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
+    private Node(
+            NodeSettings settings,
+            StateStore store,
+            WorkerPort port,
+            RelayNetwork relays,
+            RecordCodec codec,
+            TimeSource time) {
         this.settings = settings;
+        this.relays = relays;
         this.store = store;
         this.port = port;
         this.time = time;
@@ -91,10 +102,22 @@
         replica.onStored((entries, offset) -> progressFollower.skip(offset, entries.size()));
     }
 
-    /** Starts a node. */
+    /** Starts a node that calls all workers itself if it owns them. */
     public static Node start(
             NodeSettings settings, StateStore store, WorkerPort port, RecordCodec codec, TimeSource time) {
-        Node node = new Node(settings, store, port, codec, time);
+        return start(settings, store, port, RelayNetwork.NONE, codec, time);
+    }
+
+    /** Starts a node; {@code port} sends calls through the relays while they are used. */
+    public static Node start(
+            NodeSettings settings,
+            StateStore store,
+            WorkerPort port,
+            RelayNetwork relays,
+            RecordCodec codec,
+            TimeSource time) {
+        Node node = new Node(settings, store, port, relays, codec, time);
+        relays.attach(node.new Host());
         node.startThreads();
         return node;
     }
@@ -128,6 +151,9 @@
 
     /** Decides by the membership whether this node takes over the ownership. */
     private final class MembershipOwnership implements GroupMembership.Ownership {
+        /** Generation of the group whose members were last set as relays. */
+        private long relayGeneration = -1;
+
         @Override
         public boolean termEnded() {
             OwnershipTerm current = term;
@@ -138,6 +164,7 @@
         public void memberChanged(Member member) {
             takeoverPolicy = new TakeoverPolicy(member, time.nanos());
             term = null;
+            relays.setRelays(Map.of());
         }
 
         /** Takes over the ownership if the policy says so; an owner stays the owner when partitions are reassigned. */
@@ -146,6 +173,10 @@
             OwnershipTerm current = term;
             if (current != null) {
                 checkSuperseded(current);
+                if (current.active() && relayGeneration != joined.generation()) {
+                    updateRelays(joined.generation(), store.members());
+                    current.adaptHolds();
+                }
                 return;
             }
             TakeoverPolicy.Decision decision = takeoverPolicy.decide(joined, replica.owner(), time.nanos());
@@ -169,9 +200,38 @@
         }
 
         private TakeoverPolicy.Decision refreshAndDecide(StateStore.Membership joined) throws NotRunException {
-            takeoverPolicy.updateMembers(joined.generation(), store.members());
+            Set<String> members = store.members();
+            takeoverPolicy.updateMembers(joined.generation(), members);
+            updateRelays(joined.generation(), members);
             return takeoverPolicy.decide(joined, replica.owner(), time.nanos());
         }
+
+        private void updateRelays(long generation, Set<String> members) {
+            relayGeneration = generation;
+            Map<String, RelayEndpoint> others = new HashMap<>();
+            for (String id : members) {
+                Member other = Member.parse(id);
+                if (!other.node().equals(settings.name())) {
+                    other.relay().ifPresent(endpoint -> others.put(other.node(), endpoint));
+                }
+            }
+            relays.setRelays(others);
+        }
+    }
+
+    /** What relays have to know of this node. */
+    private final class Host implements RelayNetwork.Host {
+        @Override
+        public Optional<RelayNetwork.RelayOwner> owner() {
+            return replica.owner()
+                    .map(owner -> new RelayNetwork.RelayOwner(
+                            Member.parse(owner.member()).node(), owner.token(), owner.relayKey()));
+        }
+
+        @Override
+        public Optional<String> payload(JobId job, Duration timeout) throws NotRunException {
+            return findJob(job, timeout).map(view -> view.spec().payload());
+        }
     }
 
     private void checkSuperseded(OwnershipTerm current) {
@@ -192,6 +252,7 @@
                 replica,
                 time,
                 settings,
+                relays,
                 metrics,
                 () -> Collections.max(List.of(controlFollower.age(), jobFollower.age(), workerFollower.age())));
         workers.onChange(_ -> {});
--- a/node/src/main/java/org/chestnutbarrow/node/NodeCapacity.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeCapacity.java
@@ -17,10 +17,10 @@
     static final Duration MIN_HOLD_WAIT = Duration.ofMillis(500);
     /** Longest wait of a hold. Leases are extended with each hold and last 4 s. */
     static final Duration MAX_HOLD_WAIT = Duration.ofMillis(1200);
-    /** Processor time that one hold with its report takes on a whole core. */
-    private static final double HOLD_MICROS = 250;
-    /** Bytes of one hold and its answer on the link, with headers and about ten running tasks. */
-    private static final double HOLD_BYTES = 1000;
+    /** Cost of a hold that the owner sends itself, as an HTTP request on a connection to the worker. */
+    private static final HoldCost DIRECT = new HoldCost(250, 1000);
+    /** Cost of a hold that a relay sends; the owner exchanges frames with the relay on one connection. */
+    private static final HoldCost RELAYED = new HoldCost(100, 450);
     /** Part of the capacity that holds may take; orders, reads and appends need the rest. */
     private static final double HOLD_FRACTION = 0.25;
     /** One first contact takes about 2 ms of a whole core; 20 mCore bear one at a time without a visible delay. */
@@ -29,6 +29,14 @@
     private static final int MIN_FIRST_CONTACTS = 4;
     private static final int MAX_FIRST_CONTACTS = 64;
 
+    /**
+     * What one hold costs the owner.
+     *
+     * @param micros processor time of the call with its report, in microseconds of a whole core
+     * @param bytes bytes of the call and its answer on the link, with about ten running tasks
+     */
+    private record HoldCost(double micros, double bytes) {}
+
     public NodeCapacity {
         Checks.require(
                 milliCores >= 0 && milliCores <= MAX_MILLI_CORES,
@@ -38,13 +46,27 @@
 
     /** Returns how long the workers may delay their answers to holds if this node holds that many of them. */
     Duration holdWait(int workers) {
+        return holdWait(workers, DIRECT);
+    }
+
+    /** Like {@link #holdWait(int)} for holds that relays send. */
+    Duration relayedHoldWait(int workers) {
+        return holdWait(workers, RELAYED);
+    }
+
+    /** Returns whether this node can send the holds of that many workers at the shortest interval itself. */
+    boolean bearsDirectHolds(int workers) {
+        return holdWait(workers).equals(MIN_HOLD_WAIT);
+    }
+
+    private Duration holdWait(int workers, HoldCost cost) {
         double millis = (double) MIN_HOLD_WAIT.toMillis();
         if (milliCores > 0) {
             // Microseconds of a whole core divided by thousandths of a core give milliseconds.
-            millis = Math.max(millis, workers * HOLD_MICROS / (HOLD_FRACTION * milliCores));
+            millis = Math.max(millis, workers * cost.micros() / (HOLD_FRACTION * milliCores));
         }
         if (linkBytesPerSecond > 0) {
-            millis = Math.max(millis, workers * HOLD_BYTES * 1e3 / (HOLD_FRACTION * (double) linkBytesPerSecond));
+            millis = Math.max(millis, workers * cost.bytes() * 1e3 / (HOLD_FRACTION * (double) linkBytesPerSecond));
         }
         return Duration.ofMillis(Math.min((long) millis, MAX_HOLD_WAIT.toMillis()));
     }
--- a/node/src/main/java/org/chestnutbarrow/node/NodeSettings.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeSettings.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.Optional;
 import org.chestnutbarrow.model.Checks;
 
 /**
@@ -8,10 +9,12 @@
  *
  * @param name name of this node, unique among the running nodes
  * @param capacity capacity of the machine of this node
+ * @param relay where this node passes calls of the owner on to workers; empty if it does not
  * @param membershipTtl shortest time after which the store may reassign the partitions of a silent member
  * @param maxLease longest lease that a worker grants
  */
-public record NodeSettings(String name, NodeCapacity capacity, Duration membershipTtl, Duration maxLease) {
+public record NodeSettings(
+        String name, NodeCapacity capacity, Optional<RelayEndpoint> relay, Duration membershipTtl, Duration maxLease) {
     public NodeSettings {
         Checks.require(name != null && !name.isEmpty(), "the name of a node must not be empty");
         Checks.require(capacity != null, "the capacity of a node must be given");
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -1,7 +1,9 @@
 package org.chestnutbarrow.node;
 
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Base64;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -58,12 +60,15 @@
     /** Time between two writes of the measured sensitivities, which a new owner can measure again in a few seconds. */
     private static final Duration SENSITIVITIES_INTERVAL = Duration.ofSeconds(2);
 
+    private static final int RELAY_KEY_BYTES = 32;
+
     private final long token;
     private final WorkerPort port;
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration maxLease;
     private final NodeCapacity capacity;
+    private final RelayNetwork relays;
     private final Semaphore firstContacts;
     private final NodeMetrics metrics;
     private final Supplier<Duration> inputsAge;
@@ -81,6 +86,7 @@
 
     private final AtomicBoolean active = new AtomicBoolean(true);
     private volatile Duration holdWait = NodeCapacity.MIN_HOLD_WAIT;
+    private volatile int workerCount;
     /** Time of the last write of the measured sensitivities, ns; accessed only by the planning thread. */
     private long sensitivitiesStoredAt;
 
@@ -102,6 +108,7 @@
             JobReplica replica,
             TimeSource time,
             NodeSettings settings,
+            RelayNetwork relays,
             NodeMetrics metrics,
             Supplier<Duration> inputsAge) {
         this.token = token;
@@ -112,6 +119,7 @@
         this.time = time;
         this.maxLease = settings.maxLease();
         this.capacity = settings.capacity();
+        this.relays = relays;
         this.firstContacts = new Semaphore(capacity.concurrentFirstContacts(), true);
         this.metrics = metrics;
         this.scheduler = new BatchScheduler(time);
@@ -227,7 +235,7 @@
      */
     void fenceEarlierOwners(String member, TopicFollower progress)
             throws NotRunException, OutcomeUnknownException, StaleEpochException {
-        OwnerRecord self = new OwnerRecord(member, token);
+        OwnerRecord self = new OwnerRecord(member, token, newRelayKey());
         writer.append(List.of(JobReplica.ownerEntry(self)), () -> false);
         progress.catchUp();
         // If two owners share a token, the store takes the first append of the second for a retry and reports success.
@@ -239,6 +247,12 @@
         }
     }
 
+    private static String newRelayKey() {
+        byte[] key = new byte[RELAY_KEY_BYTES];
+        new SecureRandom().nextBytes(key);
+        return Base64.getEncoder().encodeToString(key);
+    }
+
     /** Connects to the workers and starts to place tasks. */
     void start(ControlState control, Collection<WorkerRegistration> workers) {
         scheduler.configure(control.queues());
@@ -282,8 +296,8 @@
 
     /** Applies the current worker list; opens a new link for each worker that is new or has restarted. */
     void updateWorkers(Collection<WorkerRegistration> entries) {
-        holdWait = capacity.holdWait(entries.size());
-        scheduler.expectReportsEvery(holdWait);
+        workerCount = entries.size();
+        adaptHolds();
         scheduler.updateWorkers(entries);
         synchronized (links) {
             for (WorkerRegistration entry : entries) {
@@ -300,6 +314,13 @@
         wake();
     }
 
+    /** Decides by the number of workers how they are held; called after a change of the workers or the relays. */
+    synchronized void adaptHolds() {
+        boolean relayed = relays.use(!capacity.bearsDirectHolds(workerCount));
+        holdWait = relayed ? capacity.relayedHoldWait(workerCount) : capacity.holdWait(workerCount);
+        scheduler.expectReportsEvery(holdWait);
+    }
+
     private WorkerLink createLink(WorkerRegistration entry) {
         WorkerLink link = new WorkerLink(entry, port, scheduler, this, time, maxLease);
         startThread("hold", link::runHolds);
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -146,11 +146,18 @@
     }
 
     static byte[] encode(OwnerRecord owner) {
-        return encodeRecord(packer -> packer.packString(owner.member()).packLong(owner.token()));
+        return encodeRecord(packer ->
+                packer.packString(owner.member()).packLong(owner.token()).packString(owner.relayKey()));
     }
 
     static OwnerRecord decodeOwner(byte[] bytes) throws InvalidInputException {
-        return decodeRecord(bytes, (_, unpacker) -> new OwnerRecord(unpacker.unpackString(), unpacker.unpackLong()));
+        // Nodes of earlier builds store no key.
+        return decodeRecord(
+                bytes,
+                (_, unpacker) -> new OwnerRecord(
+                        unpacker.unpackString(),
+                        unpacker.unpackLong(),
+                        unpacker.hasNext() ? unpacker.unpackString() : ""));
     }
 
     static byte[] encode(Map<TaskRecord.WorkerIncarnation, Duration> silences) {
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -80,7 +80,12 @@
 
     private Node start(String name, int milliCores) {
         return Node.start(
-                new NodeSettings(name, new NodeCapacity(milliCores, 0), Duration.ofMillis(300), Duration.ofSeconds(6)),
+                new NodeSettings(
+                        name,
+                        new NodeCapacity(milliCores, 0),
+                        Optional.empty(),
+                        Duration.ofMillis(300),
+                        Duration.ofSeconds(6)),
                 store,
                 workers,
                 CODEC,
--- a/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.WorkerId;
@@ -25,7 +26,9 @@
                 new FakeWorkers(),
                 new JobReplica(),
                 clock,
-                new NodeSettings("node", new NodeCapacity(0, 0), Duration.ofSeconds(1), Duration.ofSeconds(6)),
+                new NodeSettings(
+                        "node", new NodeCapacity(0, 0), Optional.empty(), Duration.ofSeconds(1), Duration.ofSeconds(6)),
+                RelayNetwork.NONE,
                 new NodeMetrics(() -> true, () -> Duration.ZERO),
                 () -> Duration.ZERO);
         term.start(new ControlState(1, Map.of(), Set.of()), List.of());
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -306,7 +306,9 @@
                 new FakeWorkers(),
                 replica,
                 time,
-                new NodeSettings("node", new NodeCapacity(0, 0), Duration.ofSeconds(1), Duration.ofSeconds(6)),
+                new NodeSettings(
+                        "node", new NodeCapacity(0, 0), Optional.empty(), Duration.ofSeconds(1), Duration.ofSeconds(6)),
+                RelayNetwork.NONE,
                 new NodeMetrics(() -> true, () -> Duration.ZERO),
                 () -> Duration.ZERO);
     }
--- a/peer/src/main/java/org/chestnutbarrow/peer/Handshake.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/Handshake.java
@@ -3,6 +3,7 @@
 import java.security.GeneralSecurityException;
 import java.security.MessageDigest;
 import java.security.SecureRandom;
+import java.util.function.Supplier;
 import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 import org.chestnutbarrow.model.DaemonId;
@@ -30,12 +31,17 @@
     private static final String ALGORITHM = "HmacSHA256";
 
     private final SecureRandom random = new SecureRandom();
-    private final SecretKeySpec key;
+    private final Supplier<byte[]> key;
     private final DaemonId self;
     private final long incarnation;
 
     Handshake(byte[] key, DaemonId self, long incarnation) {
-        this.key = new SecretKeySpec(key, ALGORITHM);
+        this(() -> key, self, incarnation);
+    }
+
+    /** Creates the handshakes of a daemon; {@code key} returns the shared key that is valid at the time of a proof. */
+    Handshake(Supplier<byte[]> key, DaemonId self, long incarnation) {
+        this.key = key;
         this.self = self;
         this.incarnation = incarnation;
     }
@@ -66,7 +72,7 @@
         return party;
     }
 
-    byte[] challenge(Party connecting, Party accepting) {
+    byte[] challenge(Party connecting, Party accepting) throws FrameException {
         return writeParty(CHALLENGE, CHALLENGE_FIELDS, accepting)
                 .writeBytes(computeProof(Role.ACCEPTS, connecting, accepting))
                 .toBytes();
@@ -81,7 +87,7 @@
         return accepting;
     }
 
-    byte[] proof(Party connecting, Party accepting) {
+    byte[] proof(Party connecting, Party accepting) throws FrameException {
         return new FieldWriter()
                 .writeArrayHeader(PROOF_FIELDS)
                 .writeLong(PROOF)
@@ -133,7 +139,11 @@
         }
     }
 
-    private byte[] computeProof(Role role, Party connecting, Party accepting) {
+    private byte[] computeProof(Role role, Party connecting, Party accepting) throws FrameException {
+        byte[] currentKey = key.get();
+        if (currentKey.length == 0) {
+            throw new FrameException("the shared key is not known yet");
+        }
         FieldWriter macInput = new FieldWriter().writeEnum(role);
         for (Party party : new Party[] {connecting, accepting}) {
             macInput.writeString(party.daemon().value())
@@ -142,7 +152,7 @@
         }
         try {
             Mac mac = Mac.getInstance(ALGORITHM);
-            mac.init(key);
+            mac.init(new SecretKeySpec(currentKey, ALGORITHM));
             return mac.doFinal(macInput.toBytes());
         } catch (GeneralSecurityException e) {
             throw new IllegalStateException("missing algorithm that every Java platform must support: " + ALGORITHM, e);
--- a/peer/src/main/java/org/chestnutbarrow/peer/NettyPeerLink.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/NettyPeerLink.java
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.lang.System.Logger;
@@ -56,7 +57,7 @@
     private final EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
     private final ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
     private final ChannelGroup acceptedChannels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
-    private final Map<DaemonId, OutgoingConnection> connections = new ConcurrentHashMap<>();
+    private final Map<DaemonId, OutgoingConnection> connections;
     private final TrafficCounter received = new TrafficCounter();
     private final TrafficCounter sent = new TrafficCounter();
     private final LongAdder messagesDropped = new LongAdder();
@@ -65,9 +66,15 @@
     private Channel listener;
     private final AtomicBoolean closed = new AtomicBoolean();
 
-    private NettyPeerLink(DaemonId self, long incarnation, byte[] key, PeerHandler handler) {
-        handshake = new Handshake(key, self, incarnation);
-        incomingConnections = new IncomingConnections(handler, executor, connections::containsKey);
+    private NettyPeerLink(
+            Map<DaemonId, OutgoingConnection> connections,
+            DaemonId self,
+            long incarnation,
+            PeerAccess access,
+            PeerHandler handler) {
+        this.connections = connections;
+        handshake = new Handshake(access.key(), self, incarnation);
+        incomingConnections = new IncomingConnections(handler, executor, access.accepts());
     }
 
     /**
@@ -81,7 +88,33 @@
     public static NettyPeerLink start(DaemonId self, long incarnation, Address bind, byte[] key, PeerHandler handler)
             throws InvalidInputException {
         Checks.require(key.length > 0, "shared key must not be empty");
-        NettyPeerLink link = new NettyPeerLink(self, incarnation, key, handler);
+        Map<DaemonId, OutgoingConnection> connections = new ConcurrentHashMap<>();
+        return start(
+                connections, self, incarnation, bind, new PeerAccess(() -> key, connections::containsKey), handler);
+    }
+
+    /**
+     * Binds and starts accepting the peers that {@code access} allows.
+     *
+     * @param incarnation identifies this run of the daemon process; different after every start
+     * @param bind address to listen on; port 0 selects a free port
+     * @throws InvalidInputException if the address cannot be bound
+     */
+    public static NettyPeerLink start(
+            DaemonId self, long incarnation, Address bind, PeerAccess access, PeerHandler handler)
+            throws InvalidInputException {
+        return start(new ConcurrentHashMap<>(), self, incarnation, bind, access, handler);
+    }
+
+    private static NettyPeerLink start(
+            Map<DaemonId, OutgoingConnection> connections,
+            DaemonId self,
+            long incarnation,
+            Address bind,
+            PeerAccess access,
+            PeerHandler handler)
+            throws InvalidInputException {
+        NettyPeerLink link = new NettyPeerLink(connections, self, incarnation, access, handler);
         try {
             link.listener = link.serverBootstrap()
                     .bind(new InetSocketAddress(bind.ip(), bind.port()))
@@ -107,6 +140,14 @@
         connections.computeIfAbsent(peer, _ -> newConnection(peer, address)).updateAddress(address);
     }
 
+    /** Closes the connection to a peer and forgets its address. */
+    public void disconnect(DaemonId peer) {
+        OutgoingConnection connection = connections.remove(peer);
+        if (connection != null) {
+            connection.close();
+        }
+    }
+
     @Override
     public PeerMessage call(DaemonId peer, PeerMessage request, Duration timeout)
             throws NotRunException, OutcomeUnknownException {
@@ -180,6 +221,7 @@
                         acceptedChannels.add(channel);
                         FrameDecoder decoder = new FrameDecoder(received);
                         channel.pipeline()
+                                .addLast(flushConsolidation())
                                 .addLast(idleStateHandler())
                                 .addLast(decoder)
                                 .addLast(new IncomingHandler(incomingConnections, handshake, decoder, sent));
@@ -199,6 +241,7 @@
             protected void initChannel(SocketChannel channel) {
                 FrameDecoder decoder = new FrameDecoder(received);
                 channel.pipeline()
+                        .addLast(flushConsolidation())
                         .addLast(idleStateHandler())
                         .addLast(decoder)
                         .addLast(new OutgoingHandler(connection, handshake, decoder, sent));
@@ -207,6 +250,11 @@
         return connection;
     }
 
+    /** Writes the frames of concurrent calls with one system call. */
+    private static FlushConsolidationHandler flushConsolidation() {
+        return new FlushConsolidationHandler(FlushConsolidationHandler.DEFAULT_EXPLICIT_FLUSH_AFTER_FLUSHES, true);
+    }
+
     private static IdleStateHandler idleStateHandler() {
         return new IdleStateHandler(Frames.PING_AFTER_IDLE_MILLIS, 0, 0, TimeUnit.MILLISECONDS);
     }
--- a/peer/src/main/java/org/chestnutbarrow/peer/PeerCodec.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/PeerCodec.java
@@ -4,6 +4,7 @@
 import org.chestnutbarrow.peer.PeerMessage.CatalogSnapshot;
 import org.chestnutbarrow.peer.PeerMessage.ConfirmPosition;
 import org.chestnutbarrow.peer.PeerMessage.ControlTask;
+import org.chestnutbarrow.peer.PeerMessage.Custom;
 import org.chestnutbarrow.peer.PeerMessage.Explain;
 import org.chestnutbarrow.peer.PeerMessage.Explanation;
 import org.chestnutbarrow.peer.PeerMessage.Failure;
@@ -59,7 +60,8 @@
         POSITION(22, 1),
         FAILURE(23, 1),
         EXPLAIN(24, 1),
-        EXPLANATION(25, 1);
+        EXPLANATION(25, 1),
+        CUSTOM(26, 1);
 
         private static final Type[] ALL = values();
 
@@ -130,6 +132,7 @@
             case Failure _ -> Type.FAILURE;
             case Explain _ -> Type.EXPLAIN;
             case Explanation _ -> Type.EXPLANATION;
+            case Custom _ -> Type.CUSTOM;
         };
     }
 
@@ -151,6 +154,7 @@
             case Failure(String reason) -> writer.writeString(reason);
             case Explain(String id) -> writer.writeString(id);
             case Explanation(List<String> lines) -> writer.writeList(lines, FieldWriter::writeString);
+            case Custom(byte[] content) -> writer.writeBytes(content);
         }
     }
 
@@ -172,6 +176,7 @@
             case FAILURE -> new Failure(reader.readString());
             case EXPLAIN -> new Explain(reader.readString());
             case EXPLANATION -> new Explanation(reader.readList(FieldReader::readString, MAX_EXPLANATION_LINES));
+            case CUSTOM -> new Custom(reader.readBytes());
         };
     }
 }
--- a/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
+++ b/peer/src/main/java/org/chestnutbarrow/peer/PeerMessage.java
@@ -172,6 +172,9 @@
         }
     }
 
+    /** A message of a protocol that another module defines; the content is opaque to the link. */
+    record Custom(byte[] content) implements PeerMessage {}
+
     /** Reports that the receiver could not handle the request; nothing was done. */
     record Failure(String reason) implements PeerMessage {}
 }
--- a/peer/src/test/java/org/chestnutbarrow/peer/SampleMessages.java
+++ b/peer/src/test/java/org/chestnutbarrow/peer/SampleMessages.java
@@ -77,6 +77,7 @@
             new PeerMessage.Position(Long.MAX_VALUE),
             new PeerMessage.Explain("job-1"),
             new PeerMessage.Explanation(List.of("state: waiting", "")),
+            new PeerMessage.Custom(new byte[] {1, 2, 3}),
             new PeerMessage.Failure("reason \u00e9"));
 
     private SampleMessages() {}
