Keep a run assigned when a late retry of its unanswered start is refused

The retry asked for the same lease, which had ended by then, and the worker refused it as late. The refusal was taken as proof that the run had not started, and the task was placed on another worker.

A late refusal says nothing about an earlier attempt, so the run now stays assigned until a report of the worker shows whether it exists. WorkerLinkTest.lateRetryDoesNotReleaseARunThatMayHaveStarted failed before.

--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -294,7 +294,7 @@
         }
         if (reason == WorkerPort.Refusal.FENCED) {
             owner.fenced("worker " + worker.id().value());
-        } else if (start && reason != WorkerPort.Refusal.OLD_RUN) {
+        } else if (start && reason != WorkerPort.Refusal.OLD_RUN && !mayHaveStarted(reason, hasUnansweredAttempt)) {
             scheduler.rejectStart(order.task(), order.run(), reason == WorkerPort.Refusal.UNHEALTHY);
         } else {
             scheduler.abandonStart(order.task(), order.run());
@@ -303,6 +303,11 @@
         return true;
     }
 
+    /** A worker refuses a start whose lease is over without looking whether an earlier attempt has started the run. */
+    private static boolean mayHaveStarted(WorkerPort.Refusal reason, boolean hasUnansweredAttempt) {
+        return reason == WorkerPort.Refusal.LATE && hasUnansweredAttempt;
+    }
+
     /** Repeats hold calls until the link is closed. */
     void runHolds() {
         boolean held = makeFirstContact();
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -84,7 +84,7 @@
         final AtomicInteger attempts = new AtomicInteger();
         volatile List<WorkerReport.Running> running = List.of();
         volatile boolean unreachable;
-        volatile boolean rejecting;
+        volatile Optional<Refusal> refusal = Optional.empty();
         volatile Duration answerTimeout = Duration.ZERO;
 
         @Override
@@ -98,7 +98,7 @@
             if (tasksWithoutAnswer.contains(order.task())) {
                 throw new OutcomeUnknownException("no answer", "repeat it");
             }
-            return rejecting ? new Refused(Refusal.REJECTED) : new Done(1000);
+            return refusal.isPresent() ? new Refused(refusal.get()) : new Done(1000);
         }
 
         @Override
@@ -363,7 +363,7 @@
         Order.Start start = queueStart("a");
         startDelivery();
         await("the start is retried", () -> port.startCount(start) >= 2);
-        port.rejecting = true;
+        port.refusal = Optional.of(WorkerPort.Refusal.REJECTED);
         port.tasksWithoutAnswer.clear();
         long before = port.startCount(start);
         await(
@@ -372,6 +372,29 @@
         assertTrue(scheduler.isAssigned(start), "the task could be placed again");
     }
 
+    /**
+     * A task must not run twice: an unanswered start may have taken effect although its retry arrived after the end of
+     * the lease that the start asked for.
+     */
+    @Test
+    public void lateRetryDoesNotReleaseARunThatMayHaveStarted() throws InterruptedException {
+        port.tasksWithoutAnswer.add(new TaskName(new JobId("a"), 0, 0));
+        Order.Start start = queueStart("a");
+        startDelivery();
+        await("the start is retried", () -> port.startCount(start) >= 2);
+        port.refusal = Optional.of(WorkerPort.Refusal.LATE);
+        port.tasksWithoutAnswer.clear();
+        long before = port.startCount(start);
+        await("the worker refuses the retry", () -> port.startCount(start) > before);
+        Thread.sleep(50);
+        assertTrue(scheduler.isAssigned(start), "the task could be placed again");
+        await("reports show that the run was not started", () -> {
+            time.advance(Duration.ofMillis(100));
+            reportIdle(scheduler, "w1");
+            return !scheduler.isAssigned(start);
+        });
+    }
+
     /** Workers must not be treated as unreachable because a delayed node has not yet read their answers. */
     @Test
     public void lateNodeWaitsLongerForAnswers() throws InterruptedException {
