Skip what other writers get wrong, and restart loops that fail

A loop of the node that fails unexpectedly is logged, counted in chestnutbarrow_node_thread_failures_total and started again.

--- a/daemon/src/test/java/org/chestnutbarrow/daemon/DocumentedNamesTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/DocumentedNamesTest.java
@@ -17,7 +17,7 @@
 public class DocumentedNamesTest {
     private static final Path ROOT = Path.of(System.getProperty("chestnutbarrow.root"));
     private static final List<String> DAEMON_MODULES = List.of("daemon", "peer", "http", "ports", "logging");
-    private static final List<String> NODE_MODULES = List.of("node", "platform");
+    private static final List<String> NODE_MODULES = List.of("node", "relay", "platform");
     private static final Pattern EVENT =
             Pattern.compile("(?:Events\\s*\\.(?:info|warn|line)|unanswered)\\(\\s*\"([a-z-]+)\"|\"event=([a-z-]+)");
     private static final Pattern METRIC = Pattern.compile("\"(chestnutbarrow_[a-z_]+)\"");
--- a/model/src/main/java/org/chestnutbarrow/model/Address.java
+++ b/model/src/main/java/org/chestnutbarrow/model/Address.java
@@ -1,5 +1,7 @@
 package org.chestnutbarrow.model;
 
+import java.net.InetAddress;
+
 /**
  * An IP address and a port, written {@code IP:PORT}.
  *
@@ -12,10 +14,16 @@
     public Address {
         Checks.require(ip != null && !ip.isEmpty(), "address needs an IP address");
         Checks.require(port >= 0 && port <= MAX_PORT, "port must be from 0 to " + MAX_PORT);
-        for (int i = 0; i < ip.length(); i++) {
-            char c = ip.charAt(i);
-            boolean numeric = Character.digit(c, 16) >= 0 || c == '.' || c == ':';
-            Checks.require(numeric, "address must be numeric, not a host name: " + ip);
+        Checks.require(isLiteral(ip), "address must be numeric, not a host name: " + ip);
+    }
+
+    /** A text such as {@code beef} or {@code 1.2.3} would be looked up as a host name, which blocks the caller. */
+    private static boolean isLiteral(String ip) {
+        try {
+            InetAddress.ofLiteral(ip);
+            return true;
+        } catch (IllegalArgumentException e) {
+            return false;
         }
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/ControlTable.java
+++ b/node/src/main/java/org/chestnutbarrow/node/ControlTable.java
@@ -39,11 +39,21 @@
                         () -> records.remove(stored.entry().key()));
     }
 
+    /** Decodes the records; the state in force stays if that fails. */
+    private ControlState decode() {
+        try {
+            return codec.decodeControl(records, state);
+        } catch (RuntimeException | StackOverflowError e) {
+            Events.warn("record-unreadable", "topic", StateStore.Topic.CONTROL, "key", "", "cause", e);
+            return state;
+        }
+    }
+
     @Override
     public void onPageApplied() {
         ControlState latest;
         synchronized (this) {
-            latest = codec.decodeControl(records, state);
+            latest = decode();
             if (latest.equals(state)) {
                 return;
             }
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -331,7 +331,7 @@
             } else if (key.startsWith(JOB_PREFIX)) {
                 applyJob(StateCodec.decodeJob(value.get()));
             }
-        } catch (InvalidInputException | IllegalArgumentException | IndexOutOfBoundsException e) {
+        } catch (InvalidInputException | RuntimeException e) {
             logUnreadable(StateStore.Topic.JOBS, key, e);
         }
     }
@@ -387,7 +387,7 @@
             } else {
                 removeJob(id);
             }
-        } catch (InvalidInputException | IllegalArgumentException e) {
+        } catch (InvalidInputException | RuntimeException e) {
             logUnreadable(StateStore.Topic.PROGRESS, key, e);
         }
     }
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -140,8 +140,10 @@
         return controlFollower.loaded() && jobFollower.loaded() && progressFollower.loaded();
     }
 
-    private static void startThread(String name, Runnable task) {
-        Thread.ofVirtual().name(name).start(task);
+    private void startThread(String name, Runnable loop) {
+        Thread.ofVirtual()
+                .name(name)
+                .start(() -> Threads.runSupervised(name, loop, () -> !leaving, metrics::threadFailed));
     }
 
     private boolean isOwner() {
--- a/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
@@ -48,6 +48,11 @@
             .labelNames("state")
             .register(registry);
 
+    private final Counter threadFailures = Counter.builder()
+            .name("chestnutbarrow_node_thread_failures_total")
+            .help("Loops that were started again after an unexpected exception")
+            .register(registry);
+
     private final Histogram orderWaits = Histogram.builder()
             .name("chestnutbarrow_node_order_wait_seconds")
             .help("Time from the storing of an order's progress to its first attempt")
@@ -91,6 +96,10 @@
         submissionTime.observe(duration.toNanos() / NANOS_PER_SECOND);
     }
 
+    void threadFailed() {
+        threadFailures.inc();
+    }
+
     void runStarted() {
         runStarts.inc();
     }
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -330,7 +330,9 @@
     }
 
     private void startThread(String name, Runnable task) {
-        Thread thread = Thread.ofVirtual().name(name).unstarted(task);
+        Thread thread = Thread.ofVirtual()
+                .name(name)
+                .unstarted(() -> Threads.runSupervised(name, task, active::get, metrics::threadFailed));
         synchronized (threads) {
             threads.removeIf(t -> !t.isAlive());
             thread.start();
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -167,7 +167,7 @@
                     Threads.sleep(RETRY_DELAY);
                 }
                 Delivery delivery = next.get();
-                deliver(delivery).ifPresentOrElse(orders::requeue, () -> orders.complete(delivery));
+                attempt(delivery).ifPresentOrElse(orders::requeue, () -> orders.complete(delivery));
                 next = orders.take(retry);
             }
         } catch (InterruptedException e) {
@@ -175,6 +175,16 @@
         }
     }
 
+    /** An order whose delivery fails unexpectedly is retried, since no other order of its task is sent before it. */
+    private Optional<Delivery> attempt(Delivery delivery) {
+        try {
+            return deliver(delivery);
+        } catch (RuntimeException e) {
+            Events.warn("order-failed", "task", taskName(delivery.order()), "worker", worker.id(), "cause", e);
+            return Optional.of(delivery.nextAttempt());
+        }
+    }
+
     /** Sends an order if it is still wanted. Returns the delivery to retry; empty if the order is complete. */
     private Optional<Delivery> deliver(Delivery delivery) {
         return switch (delivery.order()) {
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerTable.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerTable.java
@@ -33,14 +33,13 @@
         entries.clear();
         changed = true;
         snapshot.values()
-                .forEach((key, value) ->
-                        codec.decodeWorker(key, value).ifPresent(entry -> entries.put(entry.id(), entry)));
+                .forEach((key, value) -> decode(key, value).ifPresent(entry -> entries.put(entry.id(), entry)));
     }
 
     @Override
     public synchronized void onEntry(StateStore.StoredEntry stored) {
         String key = stored.entry().key();
-        Optional<WorkerRegistration> entry = stored.entry().value().flatMap(value -> codec.decodeWorker(key, value));
+        Optional<WorkerRegistration> entry = stored.entry().value().flatMap(value -> decode(key, value));
         if (entry.isPresent()) {
             WorkerRegistration previous = entries.put(entry.get().id(), entry.get());
             if (!entry.get().equals(previous)) {
@@ -62,6 +61,16 @@
         }
     }
 
+    /** Any process can write entries, so one that cannot be read must not keep the others from being applied. */
+    private Optional<WorkerRegistration> decode(String key, byte[] value) {
+        try {
+            return codec.decodeWorker(key, value);
+        } catch (RuntimeException | StackOverflowError e) {
+            Events.warn("record-unreadable", "topic", StateStore.Topic.WORKERS, "key", key, "cause", e);
+            return Optional.empty();
+        }
+    }
+
     private boolean remove(String key) {
         try {
             return entries.remove(new WorkerId(key)) != null;
