Send orders through relays side by side

Up to eight orders to a worker are now under way at once through relays; the orders of one task still follow each other.

WorkerLinkTest.relayedOrdersDoNotWaitForEachOther fails if they are sent one after the other.

--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -25,6 +25,9 @@
     /** Returns how long a worker may delay the answer to a hold. */
     Duration holdWait();
 
+    /** Returns whether calls to workers are made by relays. */
+    boolean callsRelayed();
+
     /** Limits how many workers are contacted for the first time at once; a contact takes one permit. */
     Semaphore firstContacts();
 
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -87,6 +87,7 @@
     private final AtomicBoolean active = new AtomicBoolean(true);
     private volatile Duration holdWait = NodeCapacity.MIN_HOLD_WAIT;
     private volatile int workerCount;
+    private volatile boolean callsRelayed;
     /** Time of the last write of the measured sensitivities, ns; accessed only by the planning thread. */
     private long sensitivitiesStoredAt;
 
@@ -183,6 +184,11 @@
         return holdWait;
     }
 
+    @Override
+    public boolean callsRelayed() {
+        return callsRelayed;
+    }
+
     @Override
     public Semaphore firstContacts() {
         return firstContacts;
@@ -316,8 +322,8 @@
 
     /** Decides by the number of workers how they are held; called after a change of the workers or the relays. */
     synchronized void adaptHolds() {
-        boolean relayed = relays.use(!capacity.bearsDirectHolds(workerCount));
-        holdWait = relayed ? capacity.relayedHoldWait(workerCount) : capacity.holdWait(workerCount);
+        callsRelayed = relays.use(!capacity.bearsDirectHolds(workerCount));
+        holdWait = callsRelayed ? capacity.relayedHoldWait(workerCount) : capacity.holdWait(workerCount);
         scheduler.expectReportsEvery(holdWait);
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.Semaphore;
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.TaskRecord;
@@ -39,6 +40,8 @@
      * 2 s.
      */
     private static final Duration MAX_START_AGE = Duration.ofSeconds(1);
+    /** Orders to one worker that are sent at once through relays; a worker takes few tasks within such a call. */
+    private static final int MAX_CONCURRENT_ORDERS = 8;
     /** The clock of a worker may run up to 2% slow. */
     private static final double MAX_CLOCK_SLOWDOWN = 1.02;
     /** Added to computed expiry times to allow for transmission and timer delays. */
@@ -52,6 +55,9 @@
     private final TimeSource time;
     private final Duration lease;
     private final OrderQueue orders = new OrderQueue();
+    /** Limits the first attempts that are made at once through relays. */
+    private final Semaphore concurrentOrders = new Semaphore(MAX_CONCURRENT_ORDERS);
+
     private volatile boolean closed;
     private final Object acknowledgeLock = new Object();
     private volatile long acknowledgedUpTo;
@@ -167,7 +173,16 @@
                     Threads.sleep(RETRY_DELAY);
                 }
                 Delivery delivery = next.get();
-                attempt(delivery).ifPresentOrElse(orders::requeue, () -> orders.complete(delivery));
+                if (retry || !owner.callsRelayed()) {
+                    finish(delivery);
+                } else {
+                    // A relay takes much longer than the worker, so the next order does not wait for it.
+                    concurrentOrders.acquire();
+                    Thread.ofVirtual().name("order").start(() -> {
+                        finish(delivery);
+                        concurrentOrders.release();
+                    });
+                }
                 next = orders.take(retry);
             }
         } catch (InterruptedException e) {
@@ -175,6 +190,10 @@
         }
     }
 
+    private void finish(Delivery delivery) {
+        attempt(delivery).ifPresentOrElse(orders::requeue, () -> orders.complete(delivery));
+    }
+
     /** An order whose delivery fails unexpectedly is retried, since no other order of its task is sent before it. */
     private Optional<Delivery> attempt(Delivery delivery) {
         try {
--- a/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
+++ b/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
@@ -9,6 +9,7 @@
 final class DisconnectedOwner implements Owner {
     volatile boolean active = true;
     volatile boolean extending;
+    volatile boolean relayed;
     volatile Duration lateness = Duration.ZERO;
     final Semaphore firstContacts = new Semaphore(2);
 
@@ -36,6 +37,11 @@
         return Duration.ofMillis(500);
     }
 
+    @Override
+    public boolean callsRelayed() {
+        return relayed;
+    }
+
     @Override
     public Semaphore firstContacts() {
         return firstContacts;
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -86,11 +86,13 @@
         volatile boolean unreachable;
         volatile Optional<Refusal> refusal = Optional.empty();
         volatile Duration answerTimeout = Duration.ZERO;
+        volatile Duration sendDelay = Duration.ZERO;
 
         @Override
         public Answer send(WorkerRegistration worker, Order order, long token, long leaseUntilMs, Duration timeout)
                 throws NotRunException, OutcomeUnknownException {
             attempts.incrementAndGet();
+            Threads.sleep(sendDelay);
             if (unreachable) {
                 throw new NotRunException("unreachable", "try again");
             }
@@ -395,6 +397,22 @@
         });
     }
 
+    /** Orders must not expire in the queue of a worker because each call through a relay takes long. */
+    @Test
+    public void relayedOrdersDoNotWaitForEachOther() throws InterruptedException {
+        owner.relayed = true;
+        port.sendDelay = Duration.ofMillis(300);
+        List<Order.Start> starts = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            starts.add(queueStart("j" + i));
+        }
+        long begin = System.nanoTime();
+        startDelivery();
+        await("all are started", () -> starts.stream().allMatch(start -> port.startCount(start) == 1));
+        long elapsedMs = Duration.ofNanos(System.nanoTime() - begin).toMillis();
+        assertTrue(elapsedMs < 900, "four calls of 300 ms took " + elapsedMs + " ms");
+    }
+
     /** Workers must not be treated as unreachable because a delayed node has not yet read their answers. */
     @Test
     public void lateNodeWaitsLongerForAnswers() throws InterruptedException {
