Let the membership of weak machines last longer

Machines of less than a quarter of a core or 5 Mbit/s now ask for twice that time; others are unchanged. A change of owner there takes more than a second anyway.

--- a/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
+++ b/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
@@ -15,8 +15,6 @@
  * <p>Invariant: at most one method of {@link Ownership} runs at a time.
  */
 final class GroupMembership {
-    /** Ratio of the membership timeout to the shortest that the store allows, so that one lost call is tolerated. */
-    private static final double TTL_FACTOR = 1.5;
     /** Number of calls to join within one membership timeout. */
     private static final int JOINS_PER_TTL = 6;
     /** Time between two checks whether the node has loaded its copies. */
@@ -65,7 +63,7 @@
 
     /** Joins, and renews the membership until {@link #leave} is called; waits until {@code loaded} at first. */
     void run(BooleanSupplier loaded) {
-        Duration ttl = Duration.ofMillis((long) (settings.membershipTtl().toMillis() * TTL_FACTOR));
+        Duration ttl = settings.capacity().membershipTtl(settings.membershipTtl());
         long generation = 0;
         while (!left) {
             if (!loaded.getAsBoolean()) {
--- a/node/src/main/java/org/chestnutbarrow/node/NodeCapacity.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeCapacity.java
@@ -27,6 +27,15 @@
     private static final int MILLI_CORES_PER_FIRST_CONTACT = 20;
 
     private static final int MIN_FIRST_CONTACTS = 4;
+    /** Below these, a takeover delays the calls of the node itself by more than a second. */
+    private static final int WEAK_MILLI_CORES = 250;
+
+    private static final long WEAK_LINK_BYTES_PER_SECOND = 625_000;
+    /** Ratio of the membership timeout to the shortest that the store allows, so that one lost call is tolerated. */
+    private static final double TTL_FACTOR = 1.5;
+    /** The same for a weak machine, whose calls to join are late while it takes hold of the workers. */
+    private static final double WEAK_TTL_FACTOR = 3;
+
     private static final int MAX_FIRST_CONTACTS = 64;
 
     /**
@@ -71,6 +80,13 @@
         return Duration.ofMillis(Math.min((long) millis, MAX_HOLD_WAIT.toMillis()));
     }
 
+    /** Returns the membership timeout of this node, given the shortest that the store allows. */
+    Duration membershipTtl(Duration shortest) {
+        boolean weak = (milliCores > 0 && milliCores < WEAK_MILLI_CORES)
+                || (linkBytesPerSecond > 0 && linkBytesPerSecond < WEAK_LINK_BYTES_PER_SECOND);
+        return Duration.ofMillis((long) ((weak ? WEAK_TTL_FACTOR : TTL_FACTOR) * shortest.toMillis()));
+    }
+
     /** Returns how many workers an owner contacts for the first time at once. */
     int concurrentFirstContacts() {
         return milliCores == 0
--- a/node/src/test/java/org/chestnutbarrow/node/NodeCapacityTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeCapacityTest.java
@@ -45,6 +45,17 @@
         assertEquals(new NodeCapacity(64_000, 0).concurrentFirstContacts(), 64);
     }
 
+    /** Guards against a weak owner that is replaced while it takes hold of the workers. */
+    @Test
+    public void membershipOfWeakMachinesLastsLonger() {
+        Duration shortest = Duration.ofSeconds(1);
+        assertEquals(new NodeCapacity(750, 1000 * MEGABIT).membershipTtl(shortest), Duration.ofMillis(1500));
+        assertEquals(new NodeCapacity(360, 14 * MEGABIT).membershipTtl(shortest), Duration.ofMillis(1500));
+        assertEquals(new NodeCapacity(120, 1000 * MEGABIT).membershipTtl(shortest), Duration.ofSeconds(3));
+        assertEquals(new NodeCapacity(750, 2 * MEGABIT).membershipTtl(shortest), Duration.ofSeconds(3));
+        assertEquals(new NodeCapacity(0, 0).membershipTtl(shortest), Duration.ofMillis(1500));
+    }
+
     @Test
     public void impossibleFiguresAreRefused() {
         assertThrows(IllegalArgumentException.class, () -> new NodeCapacity(-1, 0));
