Count the time of a suspension in the age of permissions

The monotonic clock stands still while a machine is suspended. An owner that was suspended for seconds therefore took its copies of jobs, declarations and workers for recent, and planned and sent starts from them before it had read the store again: into a zone evacuated meanwhile, for a job cancelled meanwhile.

The age of copies and of the confirmation of a term is now measured by PermissionTime, which adds what the wall clock has advanced more than the monotonic one. Right before a start is sent, the age is checked again. Leases and silences, after which something is certainly over, are still measured by the monotonic clock, since a wall clock set forward must not end them early.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -58,6 +58,7 @@
     private final WorkerPort port;
     private final RelayNetwork relays;
     private final TimeSource time;
+    private final PermissionTime permissionTime;
     private final JobReplica replica = new JobReplica();
     private final ControlTable control;
     private final WorkerTable workers;
@@ -85,20 +86,26 @@
         this.store = store;
         this.port = port;
         this.time = time;
+        this.permissionTime = new PermissionTime(time);
         this.membership = new GroupMembership(settings, store, time, new MembershipOwnership());
         this.control = new ControlTable(codec);
         this.workers = new WorkerTable(codec);
         this.writer = new JobWriter(store, membership.memberId());
-        this.controlFollower = new TopicFollower(store, StateStore.Topic.CONTROL, control, () -> LONG_POLL, time);
+        this.controlFollower =
+                new TopicFollower(store, StateStore.Topic.CONTROL, control, () -> LONG_POLL, permissionTime);
         this.jobFollower = new TopicFollower(
-                store, StateStore.Topic.JOBS, replica.jobsListener(), () -> isOwner() ? LONG_POLL : STANDBY_POLL, time);
+                store,
+                StateStore.Topic.JOBS,
+                replica.jobsListener(),
+                () -> isOwner() ? LONG_POLL : STANDBY_POLL,
+                permissionTime);
         this.metrics = new NodeMetrics(this::isOwner, jobFollower::age);
         this.progressFollower = new TopicFollower(
                 store,
                 StateStore.Topic.PROGRESS,
                 replica.progressListener(),
                 () -> isOwner() ? OWNER_PROGRESS_POLL : STANDBY_POLL,
-                time);
+                permissionTime);
         replica.onStored((entries, offset) -> progressFollower.skip(offset, entries.size()));
     }
 
@@ -246,13 +253,13 @@
 
     private void takeOver(long token, long sentAt) {
         TopicFollower workerFollower =
-                new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> WORKERS_POLL, time);
+                new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> WORKERS_POLL, permissionTime);
         OwnershipTerm next = new OwnershipTerm(
                 token,
                 store,
                 port,
                 replica,
-                time,
+                permissionTime,
                 settings,
                 relays,
                 metrics,
--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -13,6 +13,9 @@
     /** Whether leases of a worker incarnation may be extended. */
     boolean mayExtendLeases(TaskRecord.WorkerIncarnation incarnation);
 
+    /** Returns whether the copies from which starts are decided are recent enough to send one now. */
+    boolean mayStart();
+
     /** Called when a worker reports the end of a run for the first time. */
     void runEnded(WorkerReport.EndKind kind);
 
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -66,6 +66,7 @@
     private final WorkerPort port;
     private final JobReplica replica;
     private final TimeSource time;
+    private final PermissionTime permissionTime;
     private final Duration maxLease;
     private final NodeCapacity capacity;
     private final RelayNetwork relays;
@@ -100,6 +101,7 @@
      * Creates a term that is not started yet.
      *
      * @param token fencing token of this term
+     * @param permissionTime measures the age of confirmations and inputs
      * @param inputsAge age of the oldest copy among those of jobs, workers and declarations
      */
     OwnershipTerm(
@@ -107,17 +109,18 @@
             StateStore store,
             WorkerPort port,
             JobReplica replica,
-            TimeSource time,
+            PermissionTime permissionTime,
             NodeSettings settings,
             RelayNetwork relays,
             NodeMetrics metrics,
             Supplier<Duration> inputsAge) {
         this.token = token;
-        this.confirmation = new OwnershipConfirmation(store, new StateStore.Writer(WRITER, token, 0), time);
+        this.confirmation = new OwnershipConfirmation(store, new StateStore.Writer(WRITER, token, 0), permissionTime);
+        this.permissionTime = permissionTime;
         this.inputsAge = inputsAge;
         this.port = port;
         this.replica = replica;
-        this.time = time;
+        this.time = permissionTime.source();
         this.maxLease = settings.maxLease();
         this.capacity = settings.capacity();
         this.relays = relays;
@@ -184,6 +187,11 @@
         return holdWait;
     }
 
+    @Override
+    public boolean mayStart() {
+        return active.get() && inputsAge.get().compareTo(MAX_INPUT_AGE) < 0;
+    }
+
     @Override
     public boolean callsRelayed() {
         return callsRelayed;
@@ -229,7 +237,7 @@
         end();
     }
 
-    /** Records that the store confirmed this term in a call sent at {@code sentAt}, ns. */
+    /** Records that the store confirmed this term in a call sent at {@code sentAt}, ns of the permission time. */
     void confirmed(long sentAt) {
         confirmation.confirmed(sentAt);
     }
@@ -457,7 +465,7 @@
     private boolean persist(List<StateStore.Entry> entries) {
         while (active.get()) {
             try {
-                long sentAt = time.nanos();
+                long sentAt = permissionTime.nanos();
                 long offset = writer.append(entries, active::get);
                 confirmed(sentAt);
                 replica.applyStored(entries, offset);
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -219,7 +219,8 @@
     }
 
     private Optional<Delivery> deliverStart(Order.Start start, Delivery delivery) {
-        if (scheduler.isWanted(start) && time.nanos() - delivery.queuedAtNanos() < MAX_START_AGE.toNanos()) {
+        boolean recent = time.nanos() - delivery.queuedAtNanos() < MAX_START_AGE.toNanos();
+        if (recent && owner.mayStart() && scheduler.isWanted(start)) {
             return send(delivery);
         }
         Events.info("start-withdrawn", "task", taskName(start), "run", start.run(), "worker", worker.id());
@@ -230,7 +231,7 @@
 
     /** Retries a start that may have reached the worker; workers ignore repeated starts of the same run. */
     private Optional<Delivery> retryUnansweredStart(Order.Start start, Delivery delivery, Delivery.Attempt attempt) {
-        if (scheduler.isWanted(start) && time.nanos() - attempt.expiresAtNanos() < 0) {
+        if (owner.mayStart() && scheduler.isWanted(start) && time.nanos() - attempt.expiresAtNanos() < 0) {
             return send(delivery);
         }
         // A worker that is told to stop a run rejects a later start of that run.
--- a/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
+++ b/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
@@ -10,6 +10,7 @@
     volatile boolean active = true;
     volatile boolean extending;
     volatile boolean relayed;
+    volatile boolean mayStart = true;
     volatile Duration lateness = Duration.ZERO;
     final Semaphore firstContacts = new Semaphore(2);
 
@@ -37,6 +38,11 @@
         return Duration.ofMillis(500);
     }
 
+    @Override
+    public boolean mayStart() {
+        return mayStart;
+    }
+
     @Override
     public boolean callsRelayed() {
         return relayed;
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -333,6 +333,16 @@
     /** Guards against starts by an owner that cannot see cancellations, evacuated zones and draining workers. */
     @Test
     public void nothingIsStartedFromStaleCopies() throws InterruptedException {
+        checkNothingIsStartedAfter(() -> clock.advance(Duration.ofSeconds(4)));
+    }
+
+    /** The same for an owner whose machine was suspended, which its monotonic clock does not show. */
+    @Test
+    public void nothingIsStartedFromCopiesReadBeforeASuspension() throws InterruptedException {
+        checkNothingIsStartedAfter(() -> clock.suspend(Duration.ofSeconds(4)));
+    }
+
+    private void checkNothingIsStartedAfter(Runnable pause) throws InterruptedException {
         store.put(StateStore.Topic.CONTROL, new StateStore.Entry("config", Optional.of(new byte[] {1})));
         store.put(StateStore.Topic.WORKERS, new StateStore.Entry("w1", Optional.of(new byte[] {1})));
         Node node = start("node");
@@ -342,7 +352,7 @@
                 List.of(StateStore.Topic.CONTROL, StateStore.Topic.WORKERS, StateStore.Topic.JOBS)) {
             int before = workers.startedTaskCount();
             store.refuseReads(Set.of(topic));
-            clock.advance(Duration.ofSeconds(4));
+            pause.run();
             // By now the other copies are recent again and the worker has answered.
             Thread.sleep(Duration.ofMillis(1500));
             assertEquals(node.submit(job("b" + topic), TIMEOUT), JobService.Receipt.STORED);
--- a/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
@@ -25,7 +25,7 @@
                 store,
                 new FakeWorkers(),
                 new JobReplica(),
-                clock,
+                new PermissionTime(clock),
                 new NodeSettings(
                         "node", new NodeCapacity(0, 0), Optional.empty(), Duration.ofSeconds(1), Duration.ofSeconds(6)),
                 RelayNetwork.NONE,
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -305,7 +305,7 @@
                 store,
                 new FakeWorkers(),
                 replica,
-                time,
+                new PermissionTime(time),
                 new NodeSettings(
                         "node", new NodeCapacity(0, 0), Optional.empty(), Duration.ofSeconds(1), Duration.ofSeconds(6)),
                 RelayNetwork.NONE,
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -397,6 +397,16 @@
         });
     }
 
+    /** Starts must not be sent by a node that was suspended after the decision and has not read the store since. */
+    @Test
+    public void startsAreWithdrawnWhileTheInputsAreStale() throws InterruptedException {
+        owner.mayStart = false;
+        Order.Start start = queueStart("a");
+        startDelivery();
+        await("the start is withdrawn", () -> !scheduler.isAssigned(start));
+        assertEquals(port.startCount(start), 0L);
+    }
+
     /** Orders must not expire in the queue of a worker because each call through a relay takes long. */
     @Test
     public void relayedOrdersDoNotWaitForEachOther() throws InterruptedException {
