Contact more workers at once through relays, and split the term of ownership

A relay opens the connection, so the owner now makes up to four times as many through relays.

Nothing else changes.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -184,7 +184,7 @@
                 checkSuperseded(current);
                 if (current.active() && relayGeneration != joined.generation()) {
                     updateRelays(joined.generation(), store.members());
-                    current.adaptHolds();
+                    current.relaysChanged();
                 }
                 return;
             }
@@ -244,7 +244,7 @@
     }
 
     private void checkSuperseded(OwnershipTerm current) {
-        current.confirmed(progressFollower.freshAsOf());
+        current.storage().confirmed(progressFollower.freshAsOf());
         Optional<OwnerRecord> owner = replica.owner();
         if (owner.isPresent() && owner.get().token() > current.token()) {
             current.fenced("member " + owner.get().member());
@@ -269,7 +269,7 @@
         try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
             Future<?> jobsCaughtUp = executor.submit(() -> catchUp(jobFollower));
             Future<?> workersCaughtUp = executor.submit(() -> catchUp(workerFollower));
-            next.fenceEarlierOwners(membership.memberId(), progressFollower);
+            next.storage().fenceEarlierOwners(membership.memberId(), progressFollower);
             jobsCaughtUp.get();
             workersCaughtUp.get();
             term = next;
--- a/node/src/main/java/org/chestnutbarrow/node/NodeCapacity.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeCapacity.java
@@ -27,6 +27,8 @@
     private static final int MILLI_CORES_PER_FIRST_CONTACT = 20;
 
     private static final int MIN_FIRST_CONTACTS = 4;
+    /** A contact through a relay costs the owner less than half as much and takes several times as long. */
+    private static final int RELAYED_FIRST_CONTACTS_RATIO = 4;
     /** Below these, a takeover delays the calls of the node itself by more than a second. */
     private static final int WEAK_MILLI_CORES = 250;
 
@@ -93,4 +95,9 @@
                 ? MIN_FIRST_CONTACTS
                 : Math.clamp(milliCores / MILLI_CORES_PER_FIRST_CONTACT, MIN_FIRST_CONTACTS, MAX_FIRST_CONTACTS);
     }
+
+    /** Like {@link #concurrentFirstContacts()} for contacts that relays make, which open the connections. */
+    int concurrentRelayedFirstContacts() {
+        return Math.min(RELAYED_FIRST_CONTACTS_RATIO * concurrentFirstContacts(), MAX_FIRST_CONTACTS);
+    }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -1,9 +1,7 @@
 package org.chestnutbarrow.node;
 
-import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Base64;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
@@ -23,8 +21,6 @@
 import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.JobId;
-import org.chestnutbarrow.model.NotRunException;
-import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.WorkerId;
@@ -37,8 +33,6 @@
  * under the epoch of this term.
  */
 final class OwnershipTerm implements Owner {
-    /** Writer name under which all owners append progress; the epoch of the writer is the fencing token. */
-    private static final String WRITER = "owner";
     /** Maximum time between two plans, so that waiting tasks are placed once a worker becomes usable again. */
     private static final Duration PLAN_INTERVAL = Duration.ofMillis(200);
     /** Maximum time without the store during which leases are still extended. Covers expected outages of 9 s. */
@@ -60,24 +54,18 @@
     /** Time between two writes of the measured sensitivities, which a new owner can measure again in a few seconds. */
     private static final Duration SENSITIVITIES_INTERVAL = Duration.ofSeconds(2);
 
-    private static final int RELAY_KEY_BYTES = 32;
-
     private final long token;
     private final WorkerPort port;
     private final JobReplica replica;
     private final TimeSource time;
-    private final PermissionTime permissionTime;
     private final Duration maxLease;
-    private final NodeCapacity capacity;
-    private final RelayNetwork relays;
-    private final Semaphore firstContacts;
+    private final HoldControl holds;
     private final NodeMetrics metrics;
     private final Supplier<Duration> inputsAge;
-    private final OwnershipConfirmation confirmation;
+    private final TermStorage storage;
     private final UnresponsiveWorkers unresponsive;
     private final ThreadDelayEstimator threadDelayEstimator = new ThreadDelayEstimator();
     private final BatchScheduler scheduler;
-    private final SequencedWriter writer;
     private final EndedJobCleaner endedJobCleaner;
     private final Map<WorkerId, WorkerLink> links = new HashMap<>();
     private final List<Thread> threads = new ArrayList<>();
@@ -86,9 +74,6 @@
     private final PlanRateLimiter planRateLimiter = new PlanRateLimiter();
 
     private final AtomicBoolean active = new AtomicBoolean(true);
-    private volatile Duration holdWait = NodeCapacity.MIN_HOLD_WAIT;
-    private volatile int workerCount;
-    private volatile boolean callsRelayed;
     /** Time of the last write of the measured sensitivities, ns; accessed only by the planning thread. */
     private long sensitivitiesStoredAt;
 
@@ -115,23 +100,19 @@
             NodeMetrics metrics,
             Supplier<Duration> inputsAge) {
         this.token = token;
-        this.confirmation = new OwnershipConfirmation(store, new StateStore.Writer(WRITER, token, 0), permissionTime);
-        this.permissionTime = permissionTime;
+        this.storage = new TermStorage(token, store, replica, permissionTime);
         this.inputsAge = inputsAge;
         this.port = port;
         this.replica = replica;
         this.time = permissionTime.source();
         this.maxLease = settings.maxLease();
-        this.capacity = settings.capacity();
-        this.relays = relays;
-        this.firstContacts = new Semaphore(capacity.concurrentFirstContacts(), true);
+        this.holds = new HoldControl(settings.capacity(), relays);
         this.metrics = metrics;
         this.scheduler = new BatchScheduler(time);
         Duration maxSilence = ANSWER_WINDOW
                 .plus(MAX_OWNER_PAUSE)
                 .plus(WorkerLink.maxLeaseDuration(WorkerLink.leaseDuration(maxLease)));
         this.unresponsive = new UnresponsiveWorkers(time, maxSilence);
-        this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
         this.endedJobCleaner = new EndedJobCleaner(store, replica, time, token);
     }
 
@@ -147,7 +128,7 @@
 
     @Override
     public boolean mayExtendLeases(TaskRecord.WorkerIncarnation incarnation) {
-        Duration unconfirmed = confirmation.age();
+        Duration unconfirmed = storage.confirmationAge();
         return active.get()
                 && unresponsive.mayExtendLeases(incarnation)
                 && unconfirmed.compareTo(MAX_EXTENSION_WITHOUT_STORE) < 0
@@ -184,7 +165,7 @@
 
     @Override
     public Duration holdWait() {
-        return holdWait;
+        return holds.answerDelay();
     }
 
     @Override
@@ -194,12 +175,12 @@
 
     @Override
     public boolean callsRelayed() {
-        return callsRelayed;
+        return holds.relayed();
     }
 
     @Override
     public Semaphore firstContacts() {
-        return firstContacts;
+        return holds.firstContacts();
     }
 
     private void measureThreadDelay() {
@@ -237,34 +218,9 @@
         end();
     }
 
-    /** Records that the store confirmed this term in a call sent at {@code sentAt}, ns of the permission time. */
-    void confirmed(long sentAt) {
-        confirmation.confirmed(sentAt);
-    }
-
-    /**
-     * Records this owner in the store, which fences earlier owners, and then reads the progress that they stored.
-     *
-     * @throws StaleEpochException if another owner is recorded in the store
-     */
-    void fenceEarlierOwners(String member, TopicFollower progress)
-            throws NotRunException, OutcomeUnknownException, StaleEpochException {
-        OwnerRecord self = new OwnerRecord(member, token, newRelayKey());
-        writer.append(List.of(JobReplica.ownerEntry(self)), () -> false);
-        progress.catchUp();
-        // If two owners share a token, the store takes the first append of the second for a retry and reports success.
-        Optional<OwnerRecord> owner = replica.owner();
-        if (!owner.equals(Optional.of(self))) {
-            throw new StaleEpochException(
-                    "owner " + owner.map(OwnerRecord::member).orElse("unknown"),
-                    owner.map(OwnerRecord::token).orElse(token));
-        }
-    }
-
-    private static String newRelayKey() {
-        byte[] key = new byte[RELAY_KEY_BYTES];
-        new SecureRandom().nextBytes(key);
-        return Base64.getEncoder().encodeToString(key);
+    /** Returns what stores the progress of this term. */
+    TermStorage storage() {
+        return storage;
     }
 
     /** Connects to the workers and starts to place tasks. */
@@ -310,8 +266,8 @@
 
     /** Applies the current worker list; opens a new link for each worker that is new or has restarted. */
     void updateWorkers(Collection<WorkerRegistration> entries) {
-        workerCount = entries.size();
-        adaptHolds();
+        holds.setWorkerCount(entries.size());
+        scheduler.expectReportsEvery(holds.answerDelay());
         scheduler.updateWorkers(entries);
         synchronized (links) {
             for (WorkerRegistration entry : entries) {
@@ -328,11 +284,10 @@
         wake();
     }
 
-    /** Decides by the number of workers how they are held; called after a change of the workers or the relays. */
-    synchronized void adaptHolds() {
-        callsRelayed = relays.use(!capacity.bearsDirectHolds(workerCount));
-        holdWait = callsRelayed ? capacity.relayedHoldWait(workerCount) : capacity.holdWait(workerCount);
-        scheduler.expectReportsEvery(holdWait);
+    /** Applies a change of the relays. */
+    void relaysChanged() {
+        holds.adapt();
+        scheduler.expectReportsEvery(holds.answerDelay());
     }
 
     private WorkerLink createLink(WorkerRegistration entry) {
@@ -399,7 +354,7 @@
 
     private void keepConfirmed() {
         try {
-            confirmation.run(active::get);
+            storage.keepConfirmed(active::get);
         } catch (StaleEpochException e) {
             fenced("store: " + e.getMessage());
         }
@@ -447,10 +402,13 @@
 
     /** Stores the entries, which include the changes; returns false if this term has ended. */
     private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
-        for (List<StateStore.Entry> batch : SequencedWriter.chunks(entries)) {
-            if (!persist(batch)) {
+        try {
+            if (!storage.store(entries, active::get)) {
                 return false;
             }
+        } catch (StaleEpochException e) {
+            fenced("store: " + e.getMessage());
+            return false;
         }
         for (JobProgress change : changes) {
             if (change.state().isFinal() && change.steps().isEmpty()) {
@@ -461,27 +419,6 @@
         return true;
     }
 
-    /** Retries an append until the store has confirmed it; returns false if this term ends first. */
-    private boolean persist(List<StateStore.Entry> entries) {
-        while (active.get()) {
-            try {
-                long sentAt = permissionTime.nanos();
-                long offset = writer.append(entries, active::get);
-                confirmed(sentAt);
-                replica.applyStored(entries, offset);
-                return true;
-            } catch (NotRunException e) {
-                Events.warn("progress-delayed", "entries", entries.size(), "cause", e.getMessage());
-                Threads.sleep(Duration.ofMillis(100));
-            } catch (OutcomeUnknownException e) {
-                Events.warn("progress-unknown", "entries", entries.size(), "cause", e.getMessage());
-            } catch (StaleEpochException e) {
-                fenced("store: " + e.getMessage());
-            }
-        }
-        return false;
-    }
-
     /** Ends this term and closes all links, so that no further orders are sent. */
     void end() {
         // A late answer must not remove the listener that a later term of this node has registered.
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
@@ -0,0 +1,116 @@
+package org.chestnutbarrow.node;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.Base64;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.StaleEpochException;
+
+/**
+ * Stores the progress of one term of ownership under its epoch. Appends are made by one thread at a time; the other
+ * methods are safe for use by several threads.
+ *
+ * <p>Invariant: nothing is stored once a newer owner has stored its record.
+ */
+final class TermStorage {
+    /** Writer name under which all owners append progress; the epoch of the writer is the fencing token. */
+    private static final String WRITER = "owner";
+
+    private static final Duration RETRY_DELAY = Duration.ofMillis(100);
+    private static final int RELAY_KEY_BYTES = 32;
+
+    private final long token;
+    private final JobReplica replica;
+    private final PermissionTime time;
+    private final SequencedWriter writer;
+    private final OwnershipConfirmation confirmation;
+
+    TermStorage(long token, StateStore store, JobReplica replica, PermissionTime time) {
+        this.token = token;
+        this.replica = replica;
+        this.time = time;
+        this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
+        this.confirmation = new OwnershipConfirmation(store, new StateStore.Writer(WRITER, token, 0), time);
+    }
+
+    /** Returns the time since the store confirmed this term. */
+    Duration confirmationAge() {
+        return confirmation.age();
+    }
+
+    /** Records that the store confirmed this term in a call sent at {@code sentAt}, ns of the permission time. */
+    void confirmed(long sentAt) {
+        confirmation.confirmed(sentAt);
+    }
+
+    /**
+     * Keeps the term confirmed while {@code active} is true.
+     *
+     * @throws StaleEpochException if a newer owner exists
+     */
+    void keepConfirmed(BooleanSupplier active) throws StaleEpochException {
+        confirmation.run(active);
+    }
+
+    /**
+     * Records this owner in the store, which fences earlier owners, and then reads the progress that they stored.
+     *
+     * @throws StaleEpochException if another owner is recorded in the store
+     */
+    void fenceEarlierOwners(String member, TopicFollower progress)
+            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+        OwnerRecord self = new OwnerRecord(member, token, newRelayKey());
+        writer.append(List.of(JobReplica.ownerEntry(self)), () -> false);
+        progress.catchUp();
+        // If two owners share a token, the store takes the first append of the second for a retry and reports success.
+        Optional<OwnerRecord> owner = replica.owner();
+        if (!owner.equals(Optional.of(self))) {
+            throw new StaleEpochException(
+                    "owner " + owner.map(OwnerRecord::member).orElse("unknown"),
+                    owner.map(OwnerRecord::token).orElse(token));
+        }
+    }
+
+    private static String newRelayKey() {
+        byte[] key = new byte[RELAY_KEY_BYTES];
+        new SecureRandom().nextBytes(key);
+        return Base64.getEncoder().encodeToString(key);
+    }
+
+    /**
+     * Stores entries; retries until the store has confirmed them. Returns false if {@code active} becomes false first.
+     *
+     * @throws StaleEpochException if a newer owner exists
+     */
+    boolean store(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
+        for (List<StateStore.Entry> batch : SequencedWriter.chunks(entries)) {
+            if (!storeBatch(batch, active)) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private boolean storeBatch(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
+        while (active.getAsBoolean()) {
+            try {
+                long sentAt = time.nanos();
+                long offset = writer.append(entries, active);
+                confirmed(sentAt);
+                replica.applyStored(entries, offset);
+                return true;
+            } catch (NotRunException e) {
+                Events.warn("progress-delayed", "entries", entries.size(), "cause", e.getMessage());
+                Threads.sleep(RETRY_DELAY);
+            } catch (OutcomeUnknownException e) {
+                Events.warn("progress-unknown", "entries", entries.size(), "cause", e.getMessage());
+            }
+        }
+        return false;
+    }
+}
--- a/node/src/test/java/org/chestnutbarrow/node/NodeCapacityTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeCapacityTest.java
@@ -43,6 +43,8 @@
         assertEquals(new NodeCapacity(120, 0).concurrentFirstContacts(), 6);
         assertEquals(new NodeCapacity(0, 0).concurrentFirstContacts(), 4);
         assertEquals(new NodeCapacity(64_000, 0).concurrentFirstContacts(), 64);
+        assertEquals(new NodeCapacity(120, 0).concurrentRelayedFirstContacts(), 24);
+        assertEquals(new NodeCapacity(64_000, 0).concurrentRelayedFirstContacts(), 64);
     }
 
     /** Guards against a weak owner that is replaced while it takes hold of the workers. */
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -239,7 +239,7 @@
             OwnershipTerm term = member.takeover.get();
             store.fault(FAULTS[random.nextInt(FAULTS.length)]);
             try {
-                term.fenceEarlierOwners(member.self.id(), member.progress);
+                term.storage().fenceEarlierOwners(member.self.id(), member.progress);
                 assertEquals(terms.putIfAbsent(term.token(), term), null, "two owners with the same token");
                 assertTrue(term.token() > newestToken, "a takeover with an older token was not fenced");
                 newestToken = term.token();
@@ -293,10 +293,10 @@
         for (SimulatedMember member : members) {
             terms.add(term(7, store, member.replica, time));
         }
-        terms.getFirst().fenceEarlierOwners(STRONG.id(), members.getFirst().progress);
+        terms.getFirst().storage().fenceEarlierOwners(STRONG.id(), members.getFirst().progress);
         assertThrows(
                 StaleEpochException.class,
-                () -> terms.getLast().fenceEarlierOwners(WEAK.id(), members.getLast().progress));
+                () -> terms.getLast().storage().fenceEarlierOwners(WEAK.id(), members.getLast().progress));
     }
 
     private static OwnershipTerm term(long token, FakeStore store, JobReplica replica, ManualTime time) {
