--- a/node/src/test/java/org/chestnutbarrow/node/FirstContactsTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FirstContactsTest.java
@@ -6,7 +6,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -15,11 +14,7 @@
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.WorkerRegistration;
 import org.chestnutbarrow.batch.WorkerReport;
-import org.chestnutbarrow.model.Address;
-import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.NotRunException;
-import org.chestnutbarrow.model.Resources;
-import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.testkit.ManualTime;
 import org.testng.annotations.Test;
 
@@ -29,18 +24,6 @@
 
     private final ManualTime time = new ManualTime();
 
-    private static WorkerRegistration worker(String id) {
-        return new WorkerRegistration(
-                new WorkerId(id),
-                1,
-                new Address("127.0.0.1", 1),
-                "service",
-                new AvailabilityZone("zone"),
-                Set.of(),
-                new Resources(0, 0, 8000, 16000, 0),
-                false);
-    }
-
     private static void await(String description, BooleanSupplier condition) throws InterruptedException {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(5);
         while (!condition.getAsBoolean()) {
@@ -92,7 +75,7 @@
         SlowWorker port = new SlowWorker();
         List<WorkerLink> links = new ArrayList<>();
         for (int i = 0; i < 6; i++) {
-            WorkerLink link = new WorkerLink(worker("w" + i), port, scheduler, owner, time, MAX_LEASE);
+            WorkerLink link = new WorkerLink(TestWorkers.worker("w" + i), port, scheduler, owner, time, MAX_LEASE);
             links.add(link);
             Thread.ofVirtual().start(link::runHolds);
         }
--- a/node/src/test/java/org/chestnutbarrow/node/OwnerRelaysTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OwnerRelaysTest.java
@@ -11,10 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.chestnutbarrow.batch.WorkerRegistration;
-import org.chestnutbarrow.model.Address;
-import org.chestnutbarrow.model.AvailabilityZone;
-import org.chestnutbarrow.model.Resources;
-import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
 /** Guards against weak owners that call all workers themselves, and strong ones that take the longer way. */
@@ -43,15 +39,7 @@
     private static List<WorkerRegistration> workers(int count) {
         List<WorkerRegistration> workers = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            workers.add(new WorkerRegistration(
-                    new WorkerId("w" + i),
-                    1,
-                    new Address("127.0.0.1", 1),
-                    "service",
-                    new AvailabilityZone("zone"),
-                    Set.of(),
-                    new Resources(0, 0, 8000, 16000, 0),
-                    false));
+            workers.add(TestWorkers.worker("w" + i));
         }
         return workers;
     }
--- /dev/null
+++ b/node/src/test/java/org/chestnutbarrow/node/TestWorkers.java
@@ -0,0 +1,25 @@
+package org.chestnutbarrow.node;
+
+import java.util.Set;
+import org.chestnutbarrow.batch.WorkerRegistration;
+import org.chestnutbarrow.model.Address;
+import org.chestnutbarrow.model.AvailabilityZone;
+import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.WorkerId;
+
+/** Registrations of workers for tests. Stateless. */
+final class TestWorkers {
+    private TestWorkers() {}
+
+    static WorkerRegistration worker(String id) {
+        return new WorkerRegistration(
+                new WorkerId(id),
+                1,
+                new Address("127.0.0.1", 1),
+                "service",
+                new AvailabilityZone("zone"),
+                Set.of(),
+                new Resources(0, 0, 8000, 16000, 0),
+                false);
+    }
+}
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -26,7 +26,6 @@
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.batch.WorkerRegistration;
 import org.chestnutbarrow.batch.WorkerReport;
-import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.NotRunException;
@@ -135,18 +134,6 @@
         }
     }
 
-    private static WorkerRegistration worker(String id) {
-        return new WorkerRegistration(
-                new WorkerId(id),
-                1,
-                new Address("127.0.0.1", 1),
-                "service",
-                new AvailabilityZone("zone"),
-                Set.of(),
-                new Resources(0, 0, 8000, 16000, 0),
-                false);
-    }
-
     /** A task must not be started again while a lease that an earlier owner extended may still be valid. */
     @Test
     public void leasesOfEarlierOwnerAreAwaited() throws InterruptedException {
@@ -163,14 +150,14 @@
         time.advance(Duration.ofMinutes(1));
         BatchScheduler scheduler = new BatchScheduler(time);
         scheduler.configure(Map.of(QUEUE.key(), QUEUE));
-        scheduler.updateWorkers(List.of(worker("w1"), worker("w2")));
+        scheduler.updateWorkers(List.of(TestWorkers.worker("w1"), TestWorkers.worker("w2")));
         scheduler.addJob(
                 job,
                 Optional.of(new JobProgress(job.id(), JobState.RUNNING, Instant.EPOCH, List.of(List.of(storedTask)))));
         DisconnectedOwner owner = new DisconnectedOwner();
         UnresponsiveWorker port =
                 new UnresponsiveWorker(new WorkerReport.Running(new TaskName(job.id(), 0, 0), 1, 50, 0));
-        WorkerLink link = new WorkerLink(worker("w1"), port, scheduler, owner, time, MAX_LEASE);
+        WorkerLink link = new WorkerLink(TestWorkers.worker("w1"), port, scheduler, owner, time, MAX_LEASE);
         Thread holdThread = Thread.ofVirtual().start(link::runHolds);
         awaitHolds(port, 4);
         reportIdle(scheduler, "w2");
@@ -195,11 +182,11 @@
     public void createLink() {
         scheduler = new BatchScheduler(time);
         scheduler.configure(Map.of(QUEUE.key(), QUEUE));
-        scheduler.updateWorkers(List.of(worker("w1")));
+        scheduler.updateWorkers(List.of(TestWorkers.worker("w1")));
         reportIdle(scheduler, "w1");
         port = new RecordingWorker();
         owner = new DisconnectedOwner();
-        link = new WorkerLink(worker("w1"), port, scheduler, owner, time, MAX_LEASE);
+        link = new WorkerLink(TestWorkers.worker("w1"), port, scheduler, owner, time, MAX_LEASE);
     }
 
     @AfterMethod
