Report a call as unknown when its relay fails

A relay answers with a failure after any unexpected exception, also one thrown after the worker had received the call. The owner took it for a call that was not sent, so a start could be placed again while its run existed. It now counts as unanswered. Found by reading the change again.

PeerRelayNetworkTest.failedRelayIsReportedAsUnknown is new; the class passes.

--- a/relay/src/main/java/org/chestnutbarrow/relay/PeerRelayNetwork.java
+++ b/relay/src/main/java/org/chestnutbarrow/relay/PeerRelayNetwork.java
@@ -173,7 +173,8 @@
                     throw new OutcomeUnknownException(e.getMessage(), "repeat the call", e);
                 }
             }
-            case PeerMessage.Failure(String reason) -> new RelayResult.NotSent(reason);
+            // The relay may have failed after the worker had received the call.
+            case PeerMessage.Failure(String reason) -> new RelayResult.Unanswered(reason);
             default -> new RelayResult.Unanswered("unexpected response");
         };
     }
--- a/relay/src/test/java/org/chestnutbarrow/relay/PeerRelayNetworkTest.java
+++ b/relay/src/test/java/org/chestnutbarrow/relay/PeerRelayNetworkTest.java
@@ -53,11 +53,15 @@
     private static final class RecordingPort implements WorkerPort {
         final List<Order> orders = new CopyOnWriteArrayList<>();
         volatile boolean silent;
+        volatile boolean failing;
 
         @Override
         public Answer send(WorkerRegistration worker, Order order, long token, long leaseUntilMs, Duration timeout)
                 throws OutcomeUnknownException {
             orders.add(order);
+            if (failing) {
+                throw new IllegalStateException("unexpected");
+            }
             if (silent) {
                 throw new OutcomeUnknownException("no answer", "repeat it");
             }
@@ -141,6 +145,13 @@
         assertThrows(OutcomeUnknownException.class, () -> ownerNetwork.send(WORKER, START, 7, 99, TIMEOUT));
     }
 
+    /** Guards against a start that counts as not sent although the relay failed after it had sent it. */
+    @Test
+    public void failedRelayIsReportedAsUnknown() {
+        relayPort.failing = true;
+        assertThrows(OutcomeUnknownException.class, () -> ownerNetwork.send(WORKER, START, 7, 99, TIMEOUT));
+    }
+
     /** Guards against orders of a former owner around a change of the owner. */
     @Test
     public void callsOfAFormerOwnerAreRefused() throws NotRunException, OutcomeUnknownException {
