--- a/review/stand/RestartCase.java
+++ b/review/stand/RestartCase.java
@@ -1,7 +1,8 @@
 package review.stand;
 
-/** Workers crash and start again under the id that they had. */
+/** The worker that started a task last crashes and starts again under the id that it had. */
 final class RestartCase {
+    private static final int CRASHES = 20;
     private static final int DOWN_MS = 1000;
 
     private RestartCase() {}
@@ -10,7 +11,7 @@
         try (Stage stage = new Stage(log, 2, 8, 8000)) {
             Thread load = Thread.ofVirtual().start(() -> {
                 int n = 0;
-                while (stage.open() && log.now() < 60_000) {
+                while (stage.open() && log.now() < 100_000) {
                     int node = n++;
                     Thread.ofVirtual()
                             .start(() -> stage.send(node, "POST", "/check/" + stage.newId(), Stage.job("work 700", 3, 1000, ""), 3000));
@@ -18,9 +19,9 @@
                 }
             });
             Worker.sleep(3000);
-            for (int i = 0; i < 10; i++) {
+            for (int i = 0; i < CRASHES; i++) {
                 if (Case.TROUBLE) {
-                    Worker worker = stage.workers.get(i % stage.workers.size());
+                    Worker worker = stage.lastStarter();
                     worker.crash();
                     Worker.sleep(DOWN_MS);
                     worker.start();
--- a/review/stand/Stage.java
+++ b/review/stand/Stage.java
@@ -40,6 +40,7 @@
     private final AtomicInteger ids = new AtomicInteger();
     private final Http.Server storeServer;
     private volatile boolean open = true;
+    private volatile Worker lastStarter;
 
     Stage(Log log, int nodeCount, int workerCount, int workerCpu) throws IOException {
         this.log = log;
@@ -145,6 +146,7 @@
     @Override
     public void started(Worker worker, String task, int run, String payload) {
         log.add("worker " + worker.id + " starts " + task + " run " + run);
+        lastStarter = worker;
         List<Seen> all = runs.computeIfAbsent(task, _ -> new ArrayList<>());
         synchronized (all) {
             all.add(new Seen(worker.id, task, run, log.now()));
@@ -183,6 +185,11 @@
         return result;
     }
 
+    /** Returns the worker that started a task last. */
+    Worker lastStarter() {
+        return lastStarter;
+    }
+
     /** Kills the process that last stored itself as the owner of the workers, and starts it again after a short delay. */
     void restartOwner() throws IOException {
         String record = new String(store.value("keyed.progress", "owner/"), StandardCharsets.ISO_8859_1);
