--- a/review/stand/Stage.java
+++ b/review/stand/Stage.java
@@ -54,10 +54,10 @@
         }
         nodes = new Nodes(nodeCount, network, network + ".1:" + storeServer.port(), log);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            for (Nodes.Node node : nodes.all) {
-                if (node.process != null) {
-                    node.process.destroyForcibly();
-                }
+            try {
+                nodes.close();
+            } catch (IOException e) {
+                log.add("the processes were not ended: " + e);
             }
         }));
         try {
