Show how an owner keeps the ownership without doing its work

Three tests with a group that hands a partition over only after its holder has released it, as the users' store does, fail on the current code:

- an owner whose calls to join arrive but whose answers do not reach it stays a member, keeps all partitions and is never replaced;
- an owner does not learn the relays that join after it, because it reads the members when they do not hold a partition yet;
- a membership ends while virtual threads occupy the processors.

FakeStore hands partitions over at once, so no test could show them.

--- /dev/null
+++ b/node/src/test/java/org/chestnutbarrow/node/GroupMembershipTest.java
@@ -0,0 +1,147 @@
+package org.chestnutbarrow.node;
+
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
+import org.chestnutbarrow.batch.WorkerRegistration;
+import org.chestnutbarrow.model.Address;
+import org.chestnutbarrow.model.AvailabilityZone;
+import org.chestnutbarrow.model.TimeSource;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests nodes in a group that hands a partition over only after its holder has released it. */
+public class GroupMembershipTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(10);
+    private static final int STRONG = 1500;
+    private static final int WEAK = 360;
+    private static final Duration SHORTEST_TTL = Duration.ofMillis(300);
+    private static final RecordCodec CODEC = new RecordCodec() {
+        @Override
+        public ControlState decodeControl(Map<String, byte[]> records, ControlState before) {
+            return new ControlState(records.size(), Map.of(), Set.of());
+        }
+
+        @Override
+        public Optional<WorkerRegistration> decodeWorker(String key, byte[] value) {
+            return Optional.empty();
+        }
+    };
+
+    /** Records the relays that a node was given last. */
+    private static final class RecordingNetwork implements RelayNetwork {
+        volatile Set<String> relays = Set.of();
+
+        @Override
+        public void attach(Host host) {}
+
+        @Override
+        public void setRelays(Map<String, RelayEndpoint> newRelays) {
+            relays = Set.copyOf(newRelays.keySet());
+        }
+
+        @Override
+        public boolean use(boolean wanted) {
+            return wanted;
+        }
+    }
+
+    private HandoverStore store;
+    private final List<Node> nodes = new ArrayList<>();
+
+    @BeforeMethod
+    public void setUp() {
+        store = new HandoverStore();
+    }
+
+    @AfterMethod
+    public void closeNodes() {
+        nodes.forEach(Node::close);
+        nodes.clear();
+    }
+
+    private Node start(String name, int milliCores) {
+        return start(name, milliCores, RelayNetwork.NONE);
+    }
+
+    private Node start(String name, int milliCores, RelayNetwork network) {
+        NodeSettings settings = new NodeSettings(
+                name,
+                new NodeCapacity(milliCores, 0),
+                Optional.of(new RelayEndpoint(new AvailabilityZone("zone"), new Address("127.0.0.1", 1))),
+                SHORTEST_TTL,
+                Duration.ofSeconds(6));
+        Node node = Node.start(settings, store, new FakeWorkers(), network, CODEC, TimeSource.SYSTEM);
+        nodes.add(node);
+        return node;
+    }
+
+    private static boolean owns(Node node) {
+        return node.metrics().contains("chestnutbarrow_node_owner 1.0");
+    }
+
+    private static void await(String description, BooleanSupplier condition) throws InterruptedException {
+        long deadline = System.nanoTime() + TIMEOUT.toNanos();
+        while (!condition.getAsBoolean()) {
+            assertTrue(System.nanoTime() < deadline, description);
+            Thread.sleep(10);
+        }
+    }
+
+    /** Guards against an owner that keeps all partitions, and thereby the ownership, because it receives no answers. */
+    @Test
+    public void ownerWithoutAnswersToItsCallsToJoinIsReplaced() throws InterruptedException {
+        Node deaf = start("deaf", WEAK);
+        await("the first node owns", () -> owns(deaf));
+        store.loseJoinAnswersOf("deaf");
+        Node strong = start("strong", STRONG);
+        await("the strong node owns", () -> owns(strong));
+        await("the first node does not own any more", () -> !owns(deaf));
+    }
+
+    /** Guards against a weak owner that never calls workers through nodes that joined after it. */
+    @Test
+    public void ownerLearnsRelaysThatHeldNoPartitionWhenTheyJoined() throws InterruptedException {
+        RecordingNetwork network = new RecordingNetwork();
+        Node owner = start("owner", WEAK, network);
+        await("the first node owns", () -> owns(owner));
+        start("relay1", WEAK);
+        start("relay2", WEAK);
+        await("the owner knows both relays", () -> network.relays.equals(Set.of("relay1", "relay2")));
+    }
+
+    /** Guards against a membership that ends because virtual threads of the node occupy all its processors. */
+    @Test
+    public void membershipIsRenewedWhileVirtualThreadsAreBusy() throws InterruptedException {
+        Node node = start("busy", STRONG);
+        await("the node owns", () -> owns(node));
+        AtomicBoolean busy = new AtomicBoolean(true);
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < 2 * Runtime.getRuntime().availableProcessors(); i++) {
+            threads.add(Thread.ofVirtual().start(() -> occupyProcessor(busy)));
+        }
+        Thread.sleep(SHORTEST_TTL.multipliedBy(4));
+        boolean member = !store.members().isEmpty();
+        busy.set(false);
+        for (Thread thread : threads) {
+            thread.join();
+        }
+        assertTrue(member, "the membership has ended");
+    }
+
+    private static void occupyProcessor(AtomicBoolean condition) {
+        double sum = 0;
+        while (condition.get()) {
+            sum += Math.sqrt(sum + 1);
+        }
+        assertTrue(sum >= 0, "the sum is not negative");
+    }
+}
