End the membership of a node that receives no answers to its calls to join

Callers saw nearly all requests fail and long-running tasks not start again while one node owned the workers without doing its work.

The store hands a partition on when its holder joins with the generation in which it lost the partition. An owner whose calls arrive and whose answers do not, for example because it is too busy to read them in time, stayed a member with an old generation. It kept all partitions, so no other node had a token to take over with, nor was listed as a relay.

A node that has received no answer for three membership timeouts now leaves the group and stays away for one more, so that its partitions go to the others. A term goes on until a newer owner exists, as before.

--- a/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
+++ b/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
@@ -12,11 +12,17 @@
  * can take longer than a membership lasts, and an owner that is no member any more is replaced. Safe for use by several
  * threads.
  *
- * <p>Invariant: at most one method of {@link Ownership} runs at a time.
+ * <p>Invariants: at most one method of {@link Ownership} runs at a time; a node that receives no answers to its calls to
+ * join does not remain a member by these calls, because it would keep the partitions that it does not know to be lost.
  */
 final class GroupMembership {
     /** Number of calls to join within one membership timeout. */
     private static final int JOINS_PER_TTL = 6;
+    /**
+     * Number of membership timeouts without an answer after which the node lets its membership end. Longer than most
+     * outages of the store, after which an owner should be a member again before the others replace it.
+     */
+    private static final int MAX_UNANSWERED_TTLS = 3;
     /** Time between two checks whether the node has loaded its copies. */
     private static final Duration LOAD_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -41,6 +47,8 @@
     private volatile boolean left;
     /** Whether the last call to join or leave has failed; accessed only by the thread of {@link #run}. */
     private boolean unconfirmed;
+    /** When the last answer to a call to join arrived, ns; accessed only by the thread of {@link #run}. */
+    private long answeredAt;
 
     /** Creates a membership that is not joined yet and passes the first member id to {@code ownership}. */
     GroupMembership(NodeSettings settings, StateStore store, TimeSource time, Ownership ownership) {
@@ -65,11 +73,14 @@
     void run(BooleanSupplier loaded) {
         Duration ttl = settings.capacity().membershipTtl(settings.membershipTtl());
         long generation = 0;
+        answeredAt = time.nanos();
         while (!left) {
             if (!loaded.getAsBoolean()) {
                 Threads.sleep(LOAD_CHECK_INTERVAL);
+                answeredAt = time.nanos();
                 continue;
             }
+            endIfUnanswered(ttl);
             generation = renew(ttl, generation);
             Threads.sleep(ttl.dividedBy(JOINS_PER_TTL));
         }
@@ -77,6 +88,19 @@
         callLeave();
     }
 
+    /** Lets the membership end, so that others get its partitions, if no answer has arrived for too long. */
+    private void endIfUnanswered(Duration ttl) {
+        Duration unanswered = Duration.ofNanos(time.nanos() - answeredAt);
+        if (unanswered.compareTo(ttl.multipliedBy(MAX_UNANSWERED_TTLS)) < 0) {
+            return;
+        }
+        Events.warn("membership-abandoned", "member", member.id(), "unansweredMs", unanswered.toMillis());
+        callLeave();
+        // The call to leave may not have arrived.
+        Threads.sleep(ttl);
+        answeredAt = time.nanos();
+    }
+
     /** Renews the membership once and returns the last known generation of the group. */
     private long renew(Duration ttl, long generation) {
         try {
@@ -88,6 +112,7 @@
             long sentAt = time.nanos();
             StateStore.Membership membership = store.join(member.id(), ttl, generation);
             unconfirmed = false;
+            answeredAt = time.nanos();
             if (!left && reviewing.compareAndSet(false, true)) {
                 Thread.ofVirtual().name("ownership").start(() -> review(membership, sentAt));
             }
