Read the relays again once all partitions are handed over

A weak owner called all workers itself although other nodes could relay its calls, which keeps it too busy to do anything else.

The store lists a member only while it holds a partition. An owner read the members when it learned a new generation of the group, before the members that had just joined were given a partition, and not again until the next change. On a deployment that starts at once there is no next change, so the owner could remain without relays.

RelaySchedule reads the members once more two membership timeouts after each change.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -148,9 +148,11 @@
     }
 
     private void startThread(String name, Runnable loop) {
-        Thread.ofVirtual()
-                .name(name)
-                .start(() -> Threads.runSupervised(name, loop, () -> !leaving, metrics::threadFailed));
+        startThread(Thread.ofVirtual(), name, loop);
+    }
+
+    private void startThread(Thread.Builder builder, String name, Runnable loop) {
+        builder.name(name).start(() -> Threads.runSupervised(name, loop, () -> !leaving, metrics::threadFailed));
     }
 
     private boolean isOwner() {
@@ -160,8 +162,7 @@
 
     /** Decides by the membership whether this node takes over the ownership. */
     private final class MembershipOwnership implements GroupMembership.Ownership {
-        /** Generation of the group whose members were last set as relays. */
-        private long relayGeneration = -1;
+        private final RelaySchedule relaySchedule = new RelaySchedule(settings.membershipTtl());
 
         @Override
         public boolean termEnded() {
@@ -182,7 +183,7 @@
             OwnershipTerm current = term;
             if (current != null) {
                 checkSuperseded(current);
-                if (current.active() && relayGeneration != joined.generation()) {
+                if (current.active() && relaySchedule.isDue(joined.generation(), time.nanos())) {
                     updateRelays(joined.generation(), store.members());
                     current.relaysChanged();
                 }
@@ -216,7 +217,7 @@
         }
 
         private void updateRelays(long generation, Set<String> members) {
-            relayGeneration = generation;
+            relaySchedule.read(generation, time.nanos());
             Map<String, RelayEndpoint> others = new HashMap<>();
             for (String id : members) {
                 Member other = Member.parse(id);
