Renew the membership on a thread and connections of its own

An overloaded owner lost its role to an equal one every few seconds, which had the same work and a takeover on top.

The call waited for the one carrier of all virtual threads and for the event loops that also serve the connections to all workers.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -140,7 +140,8 @@
         startThread("jobs", jobFollower::run);
         startThread("progress", progressFollower::run);
         startThread("writer", writer::run);
-        startThread("membership", () -> membership.run(this::copiesLoaded));
+        // A platform thread, because virtual threads wait for each other while this node is overloaded.
+        startThread(Thread.ofPlatform().daemon(), "membership", () -> membership.run(this::copiesLoaded));
     }
 
     private boolean copiesLoaded() {
