Stay away from the group without a call to leave

A call to leave that the store carries out late would end the next membership of the node under the same id.

--- a/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
+++ b/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
@@ -22,7 +22,7 @@
      * Number of membership timeouts without an answer after which the node lets its membership end. Longer than most
      * outages of the store, after which an owner should be a member again before the others replace it.
      */
-    private static final int MAX_UNANSWERED_TTLS = 3;
+    private static final int MAX_UNANSWERED_TTLS = 4;
     /** Time between two checks whether the node has loaded its copies. */
     private static final Duration LOAD_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -95,9 +95,8 @@
             return;
         }
         Events.warn("membership-abandoned", "member", member.id(), "unansweredMs", unanswered.toMillis());
-        callLeave();
-        // The call to leave may not have arrived.
-        Threads.sleep(ttl);
+        // A call to leave could be carried out late and end the next membership.
+        Threads.sleep(ttl.plus(ttl.dividedBy(JOINS_PER_TTL)));
         answeredAt = time.nanos();
     }
 
