Let the membership depend on completed reviews of the ownership

The reviewer of the fixes found that a node whose own threads stand still, or whose takeover hangs after its owner record is stored, would now remain a member for good: others take it for a living owner, and nobody places tasks. The call to join on a thread of its own made this more likely.

The time that counts is now the one since the last completed review, which follows an answered call to join and runs on a virtual thread, so it covers lost answers, starved threads and a takeover that hangs. An unexpected exception in a takeover ends the term like any other failure; before, the node could stay the recorded owner without a term.

GroupMembershipTest.memberWhoseTakeoverHangsIsReplaced plays a takeover whose first append is stored but not answered.

--- a/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
+++ b/node/src/main/java/org/chestnutbarrow/node/GroupMembership.java
@@ -12,17 +12,18 @@
  * can take longer than a membership lasts, and an owner that is no member any more is replaced. Safe for use by several
  * threads.
  *
- * <p>Invariants: at most one method of {@link Ownership} runs at a time; a node that receives no answers to its calls to
- * join does not remain a member by these calls, because it would keep the partitions that it does not know to be lost.
+ * <p>Invariants: at most one method of {@link Ownership} runs at a time; a node that completes no review for
+ * {@link #MAX_UNREVIEWED_TTLS} membership timeouts makes no call to join for one, so that the group takes its partitions
+ * away. This covers calls whose answers do not arrive, threads that do not get the processor, and a takeover that hangs.
  */
 final class GroupMembership {
     /** Number of calls to join within one membership timeout. */
     private static final int JOINS_PER_TTL = 6;
     /**
-     * Number of membership timeouts without an answer after which the node lets its membership end. Longer than most
-     * outages of the store, after which an owner should be a member again before the others replace it.
+     * Number of membership timeouts without a completed review after which the node lets its membership end. This is 6 s
+     * on most machines, so that an owner is a member again after an outage of the store of 4.5 s.
      */
-    private static final int MAX_UNANSWERED_TTLS = 4;
+    private static final int MAX_UNREVIEWED_TTLS = 4;
     /** Time between two checks whether the node has loaded its copies. */
     private static final Duration LOAD_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -47,8 +48,8 @@
     private volatile boolean left;
     /** Whether the last call to join or leave has failed; accessed only by the thread of {@link #run}. */
     private boolean unconfirmed;
-    /** When the last answer to a call to join arrived, ns; accessed only by the thread of {@link #run}. */
-    private long answeredAt;
+    /** From when on the time without a completed review counts, ns. */
+    private volatile long unreviewedSince;
 
     /** Creates a membership that is not joined yet and passes the first member id to {@code ownership}. */
     GroupMembership(NodeSettings settings, StateStore store, TimeSource time, Ownership ownership) {
@@ -73,14 +74,19 @@
     void run(BooleanSupplier loaded) {
         Duration ttl = settings.capacity().membershipTtl(settings.membershipTtl());
         long generation = 0;
-        answeredAt = time.nanos();
+        unreviewedSince = time.nanos();
         while (!left) {
             if (!loaded.getAsBoolean()) {
                 Threads.sleep(LOAD_CHECK_INTERVAL);
-                answeredAt = time.nanos();
+                unreviewedSince = time.nanos();
+                continue;
+            }
+            if (isUnreviewed(ttl)) {
+                // A call to leave could be carried out late and end the next membership.
+                Threads.sleep(ttl.plus(ttl.dividedBy(JOINS_PER_TTL)));
+                unreviewedSince = time.nanos();
                 continue;
             }
-            endIfUnanswered(ttl);
             generation = renew(ttl, generation);
             Threads.sleep(ttl.dividedBy(JOINS_PER_TTL));
         }
@@ -88,16 +94,13 @@
         callLeave();
     }
 
-    /** Lets the membership end, so that others get its partitions, if no answer has arrived for too long. */
-    private void endIfUnanswered(Duration ttl) {
-        Duration unanswered = Duration.ofNanos(time.nanos() - answeredAt);
-        if (unanswered.compareTo(ttl.multipliedBy(MAX_UNANSWERED_TTLS)) < 0) {
-            return;
+    private boolean isUnreviewed(Duration ttl) {
+        Duration unreviewed = Duration.ofNanos(time.nanos() - unreviewedSince);
+        if (unreviewed.compareTo(ttl.multipliedBy(MAX_UNREVIEWED_TTLS)) < 0) {
+            return false;
         }
-        Events.warn("membership-abandoned", "member", member.id(), "unansweredMs", unanswered.toMillis());
-        // A call to leave could be carried out late and end the next membership.
-        Threads.sleep(ttl.plus(ttl.dividedBy(JOINS_PER_TTL)));
-        answeredAt = time.nanos();
+        Events.warn("membership-abandoned", "member", member.id(), "unreviewedMs", unreviewed.toMillis());
+        return true;
     }
 
     /** Renews the membership once and returns the last known generation of the group. */
@@ -111,7 +114,6 @@
             long sentAt = time.nanos();
             StateStore.Membership membership = store.join(member.id(), ttl, generation);
             unconfirmed = false;
-            answeredAt = time.nanos();
             if (!left && reviewing.compareAndSet(false, true)) {
                 Thread.ofVirtual().name("ownership").start(() -> review(membership, sentAt));
             }
@@ -131,6 +133,7 @@
         } catch (NotRunException | RuntimeException e) {
             Events.warn("ownership-review-failed", "generation", membership.generation(), "cause", e);
         } finally {
+            unreviewedSince = time.nanos();
             reviewing.set(false);
         }
     }
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -290,7 +290,11 @@
                     Duration.ofNanos(time.nanos() - sentAt).toMillis(),
                     "workers",
                     workers.all().size());
-        } catch (NotRunException | OutcomeUnknownException | StaleEpochException | ExecutionException e) {
+        } catch (NotRunException
+                | OutcomeUnknownException
+                | StaleEpochException
+                | ExecutionException
+                | RuntimeException e) {
             next.end();
             // The store may have recorded this member as the owner, so the node rejoins under a new member id.
             term = next;
--- a/node/src/test/java/org/chestnutbarrow/node/GroupMembershipTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/GroupMembershipTest.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.node;
 
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -64,6 +65,7 @@
 
     @AfterMethod
     public void closeNodes() {
+        store.endDelay();
         nodes.forEach(Node::close);
         nodes.clear();
     }
@@ -99,12 +101,23 @@
     /** Guards against an owner that keeps all partitions, and thereby the ownership, because it receives no answers. */
     @Test
     public void ownerWithoutAnswersToItsCallsToJoinIsReplaced() throws InterruptedException {
-        Node deaf = start("deaf", WEAK);
-        await("the first node owns", () -> owns(deaf));
-        store.loseJoinAnswersOf("deaf");
+        Node owner = start("owner", WEAK);
+        await("the first node owns", () -> owns(owner));
+        store.loseJoinAnswersOf("owner");
         Node strong = start("strong", STRONG);
         await("the strong node owns", () -> owns(strong));
-        await("the first node does not own any more", () -> !owns(deaf));
+        await("the first node does not own any more", () -> !owns(owner));
+    }
+
+    /** Guards against a takeover that hangs while the node remains a member that others take for a living owner. */
+    @Test
+    public void memberWhoseTakeoverHangsIsReplaced() throws InterruptedException {
+        store.delayNextProgressAnswer();
+        Node first = start("first", STRONG);
+        await("the first node takes over", store::progressAnswerDelayed);
+        Node second = start("second", WEAK);
+        await("the second node owns", () -> owns(second));
+        assertFalse(owns(first), "both nodes own");
     }
 
     /** Guards against a weak owner that never calls workers through nodes that joined after it. */
@@ -129,7 +142,7 @@
             threads.add(Thread.ofVirtual().start(() -> occupyProcessor(busy)));
         }
         Thread.sleep(SHORTEST_TTL.multipliedBy(4));
-        boolean member = !store.members().isEmpty();
+        boolean member = !store.group().holders().isEmpty();
         busy.set(false);
         for (Thread thread : threads) {
             thread.join();
--- a/node/src/test/java/org/chestnutbarrow/node/HandoverStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/HandoverStore.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
@@ -11,7 +12,7 @@
 
 /**
  * An in-memory store whose group hands partitions over as {@link HandoverGroup} does, and which can lose the answers to
- * the calls to join of single nodes. Safe for use by several threads.
+ * the calls to join of single nodes and delay that to an append. Safe for use by several threads.
  */
 final class HandoverStore implements StateStore {
     private static final int PARTITIONS = 64;
@@ -19,12 +20,34 @@
     private final FakeStore topics = new FakeStore();
     private final HandoverGroup group = new HandoverGroup(PARTITIONS, TimeSource.SYSTEM);
     private final Set<String> withoutAnswers = ConcurrentHashMap.newKeySet();
+    private final CountDownLatch delayEnded = new CountDownLatch(1);
+    private volatile boolean delaysProgress;
+    private volatile boolean progressDelayed;
 
     /** Returns the store that keeps the topics. */
     FakeStore topics() {
         return topics;
     }
 
+    /** Returns the group of the nodes. */
+    HandoverGroup group() {
+        return group;
+    }
+
+    /** Carries out the next append of progress, but does not answer it before {@link #endDelay}. */
+    void delayNextProgressAnswer() {
+        delaysProgress = true;
+    }
+
+    /** Returns whether the answer to an append of progress was delayed. */
+    boolean progressAnswerDelayed() {
+        return progressDelayed;
+    }
+
+    void endDelay() {
+        delayEnded.countDown();
+    }
+
     /** Carries out the calls to join of this node from now on, but loses the answers. */
     void loseJoinAnswersOf(String node) {
         withoutAnswers.add(node);
@@ -52,7 +75,21 @@
     @Override
     public long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
             throws NotRunException, OutcomeUnknownException, StaleEpochException {
-        return topics.append(topic, entries, writer, timeout);
+        long offset = topics.append(topic, entries, writer, timeout);
+        if (topic == Topic.PROGRESS && delaysProgress) {
+            delaysProgress = false;
+            progressDelayed = true;
+            awaitEndOfDelay();
+        }
+        return offset;
+    }
+
+    private void awaitEndOfDelay() {
+        try {
+            delayEnded.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     @Override
