Rejoin the group when the token of a preferred member stays older

A token is the generation of the group x 1024 + the lowest partition of the member. If a weak member takes over in the last generation of a start, the stronger members with lower partitions have older tokens in the same generation.

Tests: TakeoverPolicyTest.memberRejoinsIfItsTokenStaysOlderThanThatOfAWeak- Owner and GroupMembershipTest.strongMemberWithAnOlderTokenReplacesAWeak- Owner.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -164,17 +164,20 @@
     /** Decides by the membership whether this node takes over the ownership. */
     private final class MembershipOwnership implements GroupMembership.Ownership {
         private final RelaySchedule relaySchedule = new RelaySchedule(settings.membershipTtl());
+        /** Whether this node has to become another member to get a newer token. */
+        private volatile boolean rejoins;
 
         @Override
         public boolean termEnded() {
             OwnershipTerm current = term;
-            return current != null && !current.active();
+            return rejoins || (current != null && !current.active());
         }
 
         @Override
         public void memberChanged(Member member) {
             takeoverPolicy = new TakeoverPolicy(member, time.nanos());
             term = null;
+            rejoins = false;
             relays.setRelays(Map.of());
         }
 
@@ -203,6 +206,10 @@
                 case TakeoverPolicy.RefreshMembers _ -> {}
                 case TakeoverPolicy.Decline decline ->
                     takeoverEvents.declined(decline.assessment(), joined.generation(), replica.owner());
+                case TakeoverPolicy.Rejoin rejoin -> {
+                    takeoverEvents.declined(rejoin.assessment(), joined.generation(), replica.owner());
+                    rejoins = true;
+                }
                 case TakeoverPolicy.TakeOver takeOver -> {
                     TakeoverEvents.taken(takeOver.assessment(), joined.generation(), replica.owner());
                     takeOver(takeOver.token(), sentAt);
--- a/node/src/main/java/org/chestnutbarrow/node/TakeoverPolicy.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TakeoverPolicy.java
@@ -44,6 +44,14 @@
      */
     record TakeOver(long token, Assessment assessment) implements Decision {}
 
+    /**
+     * Rejoin under another id, because the token of this member is not newer than that of the owner. The change of the
+     * group raises the generation, and with it the token; without it the owner would stay until another change.
+     *
+     * @param assessment the inputs of the decision
+     */
+    record Rejoin(Assessment assessment) implements Decision {}
+
     /** The reason for a decision; written to the log under these names. */
     enum Reason {
         OWNER_GONE,
@@ -117,9 +125,12 @@
         }
         Optional<Reason> obstacle = obstacle(reason, rank, membership, owner, now);
         Assessment assessment = new Assessment(obstacle.orElse(reason), rank, self.milliCores(), ownerMilliCores);
-        return obstacle.isPresent()
-                ? new Decline(assessment)
-                : new TakeOver(membership.token().orElseThrow(), assessment);
+        if (obstacle.isEmpty()) {
+            return new TakeOver(membership.token().orElseThrow(), assessment);
+        }
+        // The owner and the members are read apart, so a token may seem older for a moment.
+        boolean lasts = cause.isPresent() && now - cause.get().since() >= delay(rank + 1);
+        return obstacle.get() == Reason.TOKEN_NOT_NEWER && lasts ? new Rejoin(assessment) : new Decline(assessment);
     }
 
     private Reason assessOwner(Set<String> members, Optional<OwnerRecord> owner, int ownerMilliCores) {
@@ -141,17 +152,22 @@
         if (membership.token().isEmpty()) {
             return Optional.of(Reason.HOLDS_NO_PART);
         }
-        if (owner.isPresent() && membership.token().getAsLong() <= owner.get().token()) {
-            return Optional.of(Reason.TOKEN_NOT_NEWER);
-        }
         if (reason == Reason.OWNER_WEAK && now - startedAt < MIN_UPTIME.toNanos()) {
             return Optional.of(Reason.STARTED_LATELY);
         }
-        return now - cause.orElseThrow().since() < TAKEOVER_DELAY_PER_RANK.toNanos() * rank
-                ? Optional.of(Reason.OTHERS_FIRST)
+        if (now - cause.orElseThrow().since() < delay(rank)) {
+            return Optional.of(Reason.OTHERS_FIRST);
+        }
+        return owner.isPresent()
+                        && membership.token().getAsLong() <= owner.get().token()
+                ? Optional.of(Reason.TOKEN_NOT_NEWER)
                 : Optional.empty();
     }
 
+    private static long delay(int rank) {
+        return TAKEOVER_DELAY_PER_RANK.toNanos() * rank;
+    }
+
     private int rank(Set<String> members, Optional<OwnerRecord> owner) {
         return (int) members.stream()
                 .filter(id -> owner.isEmpty() || !id.equals(owner.get().member()))
--- a/node/src/test/java/org/chestnutbarrow/node/GroupMembershipTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/GroupMembershipTest.java
@@ -4,16 +4,19 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.batch.WorkerRegistration;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.AvailabilityZone;
+import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.TimeSource;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -109,6 +112,30 @@
         await("the first node does not own any more", () -> !owns(owner));
     }
 
+    /** Guards against a weak owner that stays because it took over with a newer token in the same generation. */
+    @Test
+    public void strongMemberWithAnOlderTokenReplacesAWeakOwner() throws InterruptedException, NotRunException {
+        String weak = new Member("weak", WEAK, Instant.EPOCH).id();
+        Duration ttl = Duration.ofMinutes(1);
+        AtomicLong generation = new AtomicLong(store.join(weak, ttl, 0).generation());
+        Node strong = start("strong", STRONG);
+        await("both are members", () -> join(weak, ttl, 0) == generation.get() + 1);
+        long newestToken = join(weak, ttl, 0) * 1024 + 1023;
+        store.topics().put(StateStore.Topic.PROGRESS, JobReplica.ownerEntry(new OwnerRecord(weak, newestToken)));
+        await("the strong node owns", () -> {
+            generation.set(join(weak, ttl, generation.get()));
+            return owns(strong);
+        });
+    }
+
+    private long join(String member, Duration ttl, long known) {
+        try {
+            return store.join(member, ttl, known).generation();
+        } catch (NotRunException e) {
+            throw new AssertionError("the in-memory store did not answer", e);
+        }
+    }
+
     /** Guards against a takeover that hangs while the node remains a member that others take for a living owner. */
     @Test
     public void memberWhoseTakeoverHangsIsReplaced() throws InterruptedException {
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -53,6 +53,7 @@
         return switch (decision) {
             case TakeoverPolicy.Decline decline -> decline.assessment().reason();
             case TakeoverPolicy.TakeOver takeOver -> takeOver.assessment().reason();
+            case TakeoverPolicy.Rejoin rejoin -> rejoin.assessment().reason();
             case TakeoverPolicy.RefreshMembers _ ->
                 throw new AssertionError("unexpected request to refresh the members");
         };
@@ -129,6 +130,17 @@
                 TakeoverPolicy.Reason.TOKEN_NOT_NEWER);
     }
 
+    /** Guards against a weak owner that stays because nothing raises the tokens of the stronger members. */
+    @Test
+    public void memberRejoinsIfItsTokenStaysOlderThanThatOfAWeakOwner() {
+        Optional<OwnerRecord> newer = Optional.of(new OwnerRecord(WEAK.id(), 7 * 1024 + 3));
+        TakeoverPolicy policy = policy(STRONG, WEAK, STRONG);
+        policy.decide(WITH_PARTS, newer, UPTIME_REACHED);
+        long due = UPTIME_REACHED + TakeoverPolicy.TAKEOVER_DELAY_PER_RANK.toNanos();
+        assertTrue(policy.decide(WITH_PARTS, newer, due - 1) instanceof TakeoverPolicy.Decline);
+        assertTrue(policy.decide(WITH_PARTS, newer, due) instanceof TakeoverPolicy.Rejoin);
+    }
+
     /** Guards against calls to the store by all members on each change of the group. */
     @Test
     public void membersAreReadOncePerChangeAndLaterByLowerRanks() {
