Keep relays that hold no partition for a moment

At a change of the group the list of members is at its least complete. The owner disconnected the relays that it lacked, and their calls in flight failed. Only the read after the handover of partitions removes relays now; one that is gone is suspended by its silence meanwhile.

RelayScheduleTest.relaysAreRemovedOnlyAfterTheHandover shows it.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -39,6 +39,8 @@
     private static final Duration MAX_OWNER_RETRY_PAUSE = Duration.ofMillis(300);
     /** Maximum retry pause of the other nodes, which share the read capacity of the store with the owner. */
     private static final Duration MAX_STANDBY_RETRY_PAUSE = Duration.ofSeconds(2);
+    /** Time after a change of the group in which members join twice and so hand over the partitions that they lost. */
+    private static final Duration HANDOVER_TIME = Duration.ofSeconds(2);
 
     /** Long polling of the control topic and, on the owner, of the jobs. */
     private static final TopicFollower.PollPolicy LONG_POLL =
@@ -163,7 +165,7 @@
 
     /** Decides by the membership whether this node takes over the ownership. */
     private final class MembershipOwnership implements GroupMembership.Ownership {
-        private final RelaySchedule relaySchedule = new RelaySchedule(settings.membershipTtl());
+        private final RelaySchedule relaySchedule = new RelaySchedule(HANDOVER_TIME);
         /** Whether this node has to become another member to get a newer token. */
         private volatile boolean rejoins;
 
@@ -225,7 +227,6 @@
         }
 
         private void updateRelays(long generation, Set<String> members) {
-            relaySchedule.read(generation, time.nanos());
             Map<String, RelayEndpoint> others = new HashMap<>();
             for (String id : members) {
                 Member other = Member.parse(id);
@@ -233,7 +234,7 @@
                     other.relay().ifPresent(endpoint -> others.put(other.node(), endpoint));
                 }
             }
-            relays.setRelays(others);
+            relays.setRelays(relaySchedule.read(generation, others, time.nanos()));
         }
     }
 
