Place later runs of a step's tasks whose first runs find no double room

What callers saw or could see: a long-running task whose run had ended waited for as long as a task of the same step with a lower index had never been started and found no worker with double room, although a worker had single room for the later run.

Cause: the first run of a long-running task may need double room, later runs need single room, but TaskPlacer looked only at the first waiting task of a step to decide whether a job has a placeable task, and left the step at the first task without a worker.

Fix: a first run of a long-running task without a worker no longer ends the step; the other first runs are passed over and the later runs are tried. A later run that does not fit still ends the step, because a worker with double room has single room too.

Evidence: LongRunningTaskTest.laterRunDoesNotWaitForFirstRunOfOtherTask failed before (0 starts instead of 1) and passes now; PlanCostTest passes.

--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -82,28 +82,64 @@
 
     private boolean hasPlaceableTask(JobEntry job, long now) {
         for (int step = 0; step < job.tasksByStep.size(); step++) {
-            int first = job.waitingTaskIndexes(step).nextSetBit(0);
-            if (first >= 0
-                    && job.isReady(step)
-                    && workerSelector.mayFit(job.tasksByStep.get(step).get(first), now)) {
+            if (job.isReady(step) && hasPlaceableTask(job, step, now)) {
                 return true;
             }
         }
         return false;
     }
 
+    private boolean hasPlaceableTask(JobEntry job, int step, long now) {
+        TaskEntry first = nextWaiting(job, step, 0, true);
+        if (first == null || workerSelector.mayFit(first, now)) {
+            return first != null;
+        }
+        if (!mayNeedMoreRoomThanOthers(first)) {
+            return false;
+        }
+        TaskEntry restarted = nextWaiting(job, step, first.name.index() + 1, false);
+        return restarted != null && workerSelector.mayFit(restarted, now);
+    }
+
     private void place(JobEntry job, int step, long now) {
-        BitSet waiting = job.waitingTaskIndexes(step);
-        for (int index = waiting.nextSetBit(0); index >= 0; index = waiting.nextSetBit(index + 1)) {
-            TaskEntry task = job.tasksByStep.get(step).get(index);
+        boolean firstRunsFit = true;
+        for (TaskEntry task = nextWaiting(job, step, 0, true);
+                task != null;
+                task = nextWaiting(job, step, task.name.index() + 1, firstRunsFit)) {
             WorkerNode node = workerSelector.select(task, now);
-            if (node == null) {
+            if (node != null) {
+                startTask(job, task, node, now);
+            } else if (mayNeedMoreRoomThanOthers(task)) {
+                firstRunsFit = false;
+            } else {
                 return;
             }
-            startTask(job, task, node, now);
         }
     }
 
+    /**
+     * Returns whether other tasks of the step may fit although this one does not: first runs of long-running tasks may
+     * need double room, later runs never do.
+     */
+    private static boolean mayNeedMoreRoomThanOthers(TaskEntry task) {
+        return task.step.longRunning() && task.run == 0;
+    }
+
+    /**
+     * Returns the first waiting task of a step at or after an index, or null if there is none; {@code firstRuns} is set
+     * if it may be one that has never been started.
+     */
+    private static TaskEntry nextWaiting(JobEntry job, int step, int from, boolean firstRuns) {
+        BitSet waiting = job.waitingTaskIndexes(step);
+        for (int index = waiting.nextSetBit(from); index >= 0; index = waiting.nextSetBit(index + 1)) {
+            TaskEntry task = job.tasksByStep.get(step).get(index);
+            if (firstRuns || task.run > 0) {
+                return task;
+            }
+        }
+        return null;
+    }
+
     private void startTask(JobEntry job, TaskEntry task, WorkerNode node, long now) {
         task.run++;
         task.progressedAt = now;
