Set a job aside whose stored progress is restored only in part

What callers could see: a task is started again while its stored run is still active (TWICE). The node logs the job as set aside, but the scheduler places its tasks.

Cause: addJob put the job into the table and among the waiting jobs before its progress was restored. An exception halfway left the tasks that were not reached without their runs and placeable. The same held for a job whose deadline could not be computed: it was among the waiting jobs and not in the table. A later change of such a job also replaced the stored progress by the restored part, so that the next owner would have started the other tasks.

Fix: an exception while progress is restored sets the job aside: no task is placed, its runs are neither adopted with another number nor stopped, its progress is not stored until it has ended, and the plan reports it as it reports other jobs set aside. A cancellation still takes effect. A job enters the waiting jobs only after it is complete.

Limit: an end of a run that such a job lists is acknowledged to its worker and not stored, so a result that arrives meanwhile is known to this owner only.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -68,8 +68,8 @@
 
     /**
      * Adds a job and restores {@code storedProgress}, if an earlier owner stored any; a cancelled job is cancelled
-     * before any of its tasks can be placed. Has no further effect if the job is already known or its stored progress
-     * shows that it has ended and has no runs left.
+     * before any of its tasks can be placed. A job whose progress cannot be restored is set aside. Has no further effect
+     * if the job is already known or its stored progress shows that it has ended and has no runs left.
      */
     public synchronized void addJob(JobSpec spec, Optional<JobProgress> storedProgress, boolean cancelled) {
         if (jobTable.job(spec.id()) == null) {
@@ -92,7 +92,11 @@
             return;
         }
         JobEntry job = jobTable.add(spec);
-        storedProgress.ifPresent(progress -> restore(job, progress));
+        try {
+            storedProgress.ifPresent(progress -> restore(job, progress));
+        } catch (RuntimeException e) {
+            jobTable.setAsidePartlyRestored(job, e);
+        }
     }
 
     private void restore(JobEntry job, JobProgress progress) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -27,6 +27,7 @@
     private final int[] unfinishedByStep;
     private final List<BitSet> waitingByStep = new ArrayList<>();
     private boolean setAside;
+    private boolean partlyRestored;
     private int unfinishedTasks;
     private int waitingTasks;
     private int placedTasks;
@@ -53,8 +54,8 @@
             unfinishedTasks += step.count();
         }
         waitingTasks = unfinishedTasks;
-        waitingJobs.add(this);
         setPolicy(policy);
+        waitingJobs.add(this);
     }
 
     /** Sets the policy in force and recomputes what depends on it. */
@@ -143,6 +144,17 @@
         updateWaitingJobs();
     }
 
+    /** Records that only part of the stored progress was restored, and sets the job aside. */
+    void setAsidePartlyRestored() {
+        partlyRestored = true;
+        setAside();
+    }
+
+    /** Returns whether the job has not ended and some of its stored runs are unknown. */
+    boolean hasUnknownRuns() {
+        return partlyRestored && !state.isFinal();
+    }
+
     boolean allTasksFinished() {
         return unfinishedTasks == 0;
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -138,6 +138,10 @@
     List<JobProgress> takeChanges() {
         List<JobProgress> changes = new ArrayList<>();
         for (JobEntry job : changedJobs) {
+            // The stored progress may name runs that were not restored, which a later owner must not start again.
+            if (job.hasUnknownRuns()) {
+                continue;
+            }
             changes.add(job.progress());
             if (job.isTerminated()) {
                 jobs.remove(job.spec.id());
@@ -147,6 +151,12 @@
         return changes;
     }
 
+    /** Excludes a job of which only part of the stored progress was restored because of an unexpected error. */
+    void setAsidePartlyRestored(JobEntry job, RuntimeException cause) {
+        job.setAsidePartlyRestored();
+        setAsideJobs.add(new Plan.SetAsideJob(job.spec.id(), cause));
+    }
+
     /** Excludes a job whose tasks cannot be placed because of an unexpected error. */
     void setAside(JobEntry job, RuntimeException cause) {
         job.setAside();
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -83,6 +83,8 @@
                 node.add(task);
                 task.startSettledAt = Math.max(1, now);
                 jobTable.markChanged(task.job);
+            } else if (task != null && task.job.hasUnknownRuns()) {
+                return null;
             } else {
                 jobTable.addOrder(new Order.Stop(run.task(), run.run(), node.id(), node.incarnation(), "unknown-run"));
                 return null;
