Release missing long-running tasks although a report leaves out ends

What callers could see: a long-running task that is assigned and runs nowhere stays without a run for as long as its worker lists 500 ends in each report. After a change of owner, the opposite: a finished run whose end was beyond the listed ones was started again.

Cause: a report lists 500 ends at most, and lists them again until they are acknowledged, which waits for the stored progress. releaseMissing was left out for such a report altogether, because the end of a missing run may not be listed yet. settleInherited took the first report for complete even if it left out ends.

Fix: one rule for both. A run that a report does not list as running is over if the report lists all ends, or if the task is long-running: reports list all current runs, and a long-running task has no result that the new run could lose. Its late end belongs to an earlier run and is ignored; a failure or a checkpoint that only this end names is not counted then. A run that has a result waits for a report with all ends.

--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -21,7 +21,7 @@
     private static final Duration WARM_UP_TIMEOUT = Duration.ofSeconds(4);
     /** A run that is still not listed this long after its last order is over; a stop takes up to 0.9 s. */
     private static final Duration MISSING_RUN_TIMEOUT = Duration.ofMillis(1200);
-    /** Maximum number of ends in one report. */
+    /** Maximum number of ends in one report; later ends are listed once these have been acknowledged. */
     private static final int MAX_LISTED_ENDS = 500;
 
     private static final int READY_PERCENT = 100;
@@ -51,22 +51,30 @@
                 listed.add(task);
             }
         }
+        boolean allEndsListed = report.ended().size() < MAX_LISTED_ENDS;
         if (!node.ownershipConfirmed()) {
-            settleInherited(node, listed, now);
+            settleInherited(node, listed, allEndsListed, now);
             node.confirmOwnership();
         }
-        if (report.ended().size() < MAX_LISTED_ENDS) {
-            releaseMissing(node, listed, sentAt);
-        }
+        releaseMissing(node, listed, allEndsListed, sentAt);
+    }
+
+    /**
+     * Returns whether a run that its worker may list is over, and its end was processed if its result matters. A report
+     * lists all current runs. The end of a run that it does not list may be among the ends that it leaves out; a
+     * long-running task does not wait for it, because it has no result and must run again soon.
+     */
+    private static boolean isOver(TaskEntry task, Set<TaskEntry> listed, boolean allEndsListed) {
+        return !listed.contains(task) && (allEndsListed || task.step.longRunning());
     }
 
     /**
-     * Keeps the inherited runs that the first report lists and releases the others. Such a report is complete: a run
-     * that it does not list was never started here or has already been settled.
+     * Releases the inherited runs that are over by the first report and keeps the others. If such a report lists all
+     * ends, a run that it does not list was never started here or has already been settled.
      */
-    private void settleInherited(WorkerNode node, Set<TaskEntry> listed, long now) {
+    private void settleInherited(WorkerNode node, Set<TaskEntry> listed, boolean allEndsListed, long now) {
         for (TaskEntry task : List.copyOf(node.tasks)) {
-            if (task.inherited && !listed.contains(task)) {
+            if (task.inherited && isOver(task, listed, allEndsListed)) {
                 jobTable.release(task);
             } else if (task.inherited) {
                 task.inherited = false;
@@ -175,10 +183,10 @@
         }
     }
 
-    /** Releases runs that the worker does not list although no order for them is in flight. */
-    private void releaseMissing(WorkerNode node, Set<TaskEntry> listed, long sentAt) {
+    /** Releases runs that are over although no end of them was listed and no order for them is in flight. */
+    private void releaseMissing(WorkerNode node, Set<TaskEntry> listed, boolean allEndsListed, long sentAt) {
         for (TaskEntry task : List.copyOf(node.tasks)) {
-            if (!listed.contains(task)
+            if (isOver(task, listed, allEndsListed)
                     && task.startSettledAt != 0
                     && sentAt - task.startSettledAt > MISSING_RUN_TIMEOUT.toNanos()) {
                 jobTable.release(task);
