Retry waiting tasks when a longer report interval makes workers responsive

What callers could see: a task, long-running or not, waits although a responsive worker has room, until any run on that worker ends. The owner changes the interval when the number of workers or the relays change.

Cause: a worker is unresponsive when its report is late by more than 1 s, so a longer report interval makes it responsive again without an event. The index did not record this, and the worker's next report did not either, because the worker counted as responsive by the new interval. A requirement that no worker could meet was therefore not examined on this worker again.

Fix: setting the interval records the workers that become responsive by it as changed. A shorter interval needs nothing: the next report of a worker that becomes unresponsive records it.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -53,7 +53,7 @@
 
     /** Sets the longest time between two reports of a worker that responds. */
     public synchronized void expectReportsEvery(Duration interval) {
-        registry.index().setReportInterval(interval);
+        registry.index().setReportInterval(interval, time.nanos());
     }
 
     /** Restores the interference estimates that an earlier owner stored. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.SequencedSet;
@@ -109,8 +110,17 @@
         return reportInterval;
     }
 
-    void setReportInterval(Duration interval) {
+    /** Sets the interval; workers that are no longer unresponsive by a longer one become available again. */
+    void setReportInterval(Duration interval, long now) {
+        List<WorkerNode> unresponsive = indexedStates.keySet().stream()
+                .filter(node -> node.isUnresponsive(now))
+                .toList();
         reportInterval = interval;
+        for (WorkerNode node : unresponsive) {
+            if (!node.isUnresponsive(now)) {
+                capacityFreed(node);
+            }
+        }
     }
 
     /** Returns the number of the latest change. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -122,7 +122,8 @@
         }
     }
 
-    private boolean isUnresponsive(long now) {
+    /** Returns whether the worker has not responded for longer than the report interval allows. */
+    boolean isUnresponsive(long now) {
         return now - lastResponseAt
                 >= index.reportInterval().plus(MAX_REPORT_DELAY).toNanos();
     }
--- a/batch/src/test/java/org/chestnutbarrow/batch/LongRunningTaskTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/LongRunningTaskTest.java
@@ -110,4 +110,16 @@
                         new WorkerReport.Ended(i, new TaskName(unknown.id(), 0, i - 1), 1, EndKind.INTERRUPTED, ""))
                 .toList();
     }
+
+    /** Guards against a task that is not retried on a worker that is responsive again after the interval has grown. */
+    @Test
+    public void retriesTasksAfterLongerReportInterval() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        fixture.time.advance(Duration.ofMillis(1800));
+        fixture.add(fixture.job("service", SchedulerFixture.step(1, 1000, LONG_RUNNING)));
+        assertEquals(fixture.starts().size(), 0, "the worker is unresponsive");
+        fixture.scheduler.expectReportsEvery(Duration.ofMillis(1200));
+        fixture.report("w1", List.of(), List.of());
+        assertEquals(fixture.starts().size(), 1);
+    }
 }
