Bound the starts that wait to be sent by how long the last ones waited

Cause: a plan ordered all starts that fitted, whatever the owner could send. Starts that waited for more than 1 s were withdrawn, which costs a stored placement, a run number and a stored release each, and the next plan ordered all of them again, so that an overload went on by itself.

Fix: StartWindow bounds the starts that are ordered and not yet attempted. It is 512 at first and at most, shrinks by half of the share of starts that waited for more than 0.25 s, once in 0.1 s, down to 32, and grows by one with each start that waited less. So the queue stays shorter than what is sent before starts are withdrawn. The number of waiting starts is read from the order queues of the open links, so that no dropped order or closed link occupies the window. BatchScheduler.plan takes the number of starts and gives them to the most urgent jobs; when the bound is reached, the next plan is made once half of the waiting starts have been attempted. plan(boolean) is replaced: plan(0) starts nothing.

Limits: an owner that sends fewer than 512 starts a second withdraws a part of its first full window, and one that sends fewer than 32 a second withdraws some of each.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.chestnutbarrow.model.AvailabilityZone;
+import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.TimeSource;
 
@@ -229,20 +230,21 @@
         }
     }
 
-    /** Equivalent to {@code plan(true)}. */
+    /** Returns a plan without a bound on its starts. */
     public Plan plan() {
-        return plan(true);
+        return plan(Integer.MAX_VALUE);
     }
 
     /**
-     * Returns the state to store and the orders to send, after assigning waiting tasks to workers if {@code
-     * allowStarts} is set.
+     * Returns the state to store and the orders to send, after assigning at most {@code maxStarts} waiting tasks to
+     * workers, those of the most urgent jobs first.
      */
-    public synchronized Plan plan(boolean allowStarts) {
-        if (allowStarts) {
+    public synchronized Plan plan(int maxStarts) {
+        Checks.require(maxStarts >= 0, "maxStarts must not be negative");
+        if (maxStarts > 0) {
             long now = time.nanos();
             registry.index().endQuarantines(now);
-            taskPlacer.place(now);
+            taskPlacer.place(now, maxStarts);
         }
         List<JobProgress> changes = jobTable.takeChanges();
         Map<TaskRecord.WorkerIncarnation, Long> acknowledgements = new HashMap<>();
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -19,6 +19,8 @@
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
     private final TimeSource time;
+    /** Number of tasks that the current plan may still start. */
+    private int startsLeft;
 
     /** A job with a task that may be placeable, and its rank in the job order in ms since the epoch. */
     private record Candidate(JobEntry job, int priority, boolean overdue, long rankMs)
@@ -41,11 +43,15 @@
     }
 
     /**
-     * Assigns all tasks that can be placed and adds the orders that start them. A job that causes an unexpected error is
-     * set aside, so that it does not keep the tasks of all other jobs from being placed.
+     * Assigns the tasks that can be placed, at most {@code maxStarts}, and adds the orders that start them. A job that
+     * causes an unexpected error is set aside, so that it does not keep the tasks of all other jobs from being placed.
      */
-    void place(long now) {
+    void place(long now, int maxStarts) {
+        startsLeft = maxStarts;
         for (Candidate candidate : candidates(now)) {
+            if (startsLeft == 0) {
+                return;
+            }
             try {
                 place(candidate.job(), now);
             } catch (RuntimeException e) {
@@ -94,7 +100,7 @@
 
     private void place(JobEntry job, int step, long now) {
         BitSet waiting = job.waitingTaskIndexes(step);
-        for (int index = waiting.nextSetBit(0); index >= 0; index = waiting.nextSetBit(index + 1)) {
+        for (int index = waiting.nextSetBit(0); index >= 0 && startsLeft > 0; index = waiting.nextSetBit(index + 1)) {
             TaskEntry task = job.tasksByStep.get(step).get(index);
             WorkerNode node = workerSelector.select(task, now);
             if (node == null) {
@@ -105,6 +111,7 @@
     }
 
     private void startTask(JobEntry job, TaskEntry task, WorkerNode node, long now) {
+        startsLeft--;
         task.run++;
         task.progressedAt = now;
         int cpuLimitPercent = workerSelector.initialCpuLimitPercent(task, node);
--- a/node/src/main/java/org/chestnutbarrow/node/OrderQueue.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderQueue.java
@@ -25,6 +25,9 @@
     private final Condition stateChanged = lock.newCondition();
     private final Map<TaskName, Deque<Delivery>> deliveriesByTask = new LinkedHashMap<>();
     private final Set<TaskName> inFlight = new HashSet<>();
+    /** Number of queued starts that have not been taken for their first attempt. */
+    private int waitingStarts;
+
     private boolean closed;
 
     /**
@@ -45,6 +48,9 @@
                 deliveries.removeLast();
             }
             deliveries.addLast(Delivery.first(order, nowNanos));
+            if (order instanceof Order.Start) {
+                waitingStarts++;
+            }
             stateChanged.signalAll();
         } finally {
             lock.unlock();
@@ -71,13 +77,30 @@
             if (closed) {
                 return Optional.empty();
             }
-            candidate.ifPresent(delivery -> inFlight.add(delivery.order().task()));
+            candidate.ifPresent(this::markInFlight);
             return candidate;
         } finally {
             lock.unlock();
         }
     }
 
+    private void markInFlight(Delivery delivery) {
+        inFlight.add(delivery.order().task());
+        if (delivery.order() instanceof Order.Start && !delivery.retry()) {
+            waitingStarts--;
+        }
+    }
+
+    /** Returns the number of starts for which no attempt has begun; zero once the queue is closed. */
+    int waitingStarts() {
+        lock.lock();
+        try {
+            return closed ? 0 : waitingStarts;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     private Optional<Delivery> nextEligible(boolean retries) {
         Optional<Delivery> oldest = Optional.empty();
         for (Map.Entry<TaskName, Deque<Delivery>> entry : deliveriesByTask.entrySet()) {
--- a/node/src/main/java/org/chestnutbarrow/node/Owner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Owner.java
@@ -22,6 +22,9 @@
     /** Records how long an order was queued in the node before its first attempt. */
     void recordOrderWait(Duration wait);
 
+    /** Records how long a start was queued before its first attempt, or before it was withdrawn instead. */
+    void recordStartWait(Duration wait);
+
     /** Records by how much the answer or the timeout of a hold exceeded the wait that the hold asked for. */
     void recordHoldDelay(Duration delay);
 
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -74,6 +74,8 @@
     /** Accessed only by the planning thread. */
     private final PlanRateLimiter planRateLimiter = new PlanRateLimiter();
 
+    private final StartWindow startWindow;
+
     private final AtomicBoolean active = new AtomicBoolean(true);
     /** Time of the last write of the measured sensitivities, ns; accessed only by the planning thread. */
     private long sensitivitiesStoredAt;
@@ -110,6 +112,7 @@
         this.holds = new HoldControl(settings.capacity(), relays);
         this.metrics = metrics;
         this.scheduler = new BatchScheduler(time);
+        this.startWindow = new StartWindow(time);
         Duration maxSilence = ANSWER_WINDOW
                 .plus(MAX_OWNER_PAUSE)
                 .plus(WorkerLink.maxLeaseDuration(WorkerLink.leaseDuration(maxLease)));
@@ -154,6 +157,13 @@
         metrics.recordOrderWait(wait);
     }
 
+    @Override
+    public void recordStartWait(Duration wait) {
+        if (startWindow.record(wait)) {
+            wake();
+        }
+    }
+
     @Override
     public void recordHoldDelay(Duration delay) {
         metrics.recordHoldDelay(delay);
@@ -343,7 +353,7 @@
                 }
                 planRateLimiter.planStarted(time.nanos());
                 expireUnresponsive();
-                execute(scheduler.plan(checkInputAge()));
+                execute(plan());
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
@@ -354,6 +364,25 @@
         }
     }
 
+    private Plan plan() {
+        if (!checkInputAge()) {
+            return scheduler.plan(0);
+        }
+        int waiting = waitingStarts();
+        int maxStarts = startWindow.maxStarts(waiting);
+        Plan plan = scheduler.plan(maxStarts);
+        int starts = (int)
+                plan.orders().stream().filter(Order.Start.class::isInstance).count();
+        startWindow.planned(waiting + starts, starts == maxStarts);
+        return plan;
+    }
+
+    private int waitingStarts() {
+        synchronized (links) {
+            return links.values().stream().mapToInt(WorkerLink::waitingStarts).sum();
+        }
+    }
+
     /** Returns whether the inputs are recent enough to start tasks; logs each change. */
     private boolean checkInputAge() {
         Duration age = inputsAge.get();
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -36,12 +36,6 @@
      * so that its tasks can be moved.
      */
     private static final Duration MAX_SILENCE = Duration.ofMillis(800);
-    /**
-     * Age after which an unsent start is withdrawn and its task placed again, so that a node that was suspended does
-     * not send outdated starts. Below the time limits for draining workers and evacuating zones, which begin at about
-     * 2 s.
-     */
-    private static final Duration MAX_START_AGE = Duration.ofSeconds(1);
     /** Orders to one worker that are sent at once through relays; a worker takes few tasks within such a call. */
     private static final int MAX_CONCURRENT_ORDERS = 8;
     /** The clock of a worker may run up to 2% slow. */
@@ -123,6 +117,11 @@
         orders.close();
     }
 
+    /** Returns the number of starts for which no attempt has begun. */
+    int waitingStarts() {
+        return orders.waitingStarts();
+    }
+
     /** Queues an order behind the other orders of its task. */
     void enqueue(Order order) {
         orders.add(order, time.nanos());
@@ -224,7 +223,11 @@
     }
 
     private Optional<Delivery> deliverStart(Order.Start start, Delivery delivery) {
-        boolean recent = time.nanos() - delivery.queuedAtNanos() < MAX_START_AGE.toNanos();
+        Duration wait = Duration.ofNanos(time.nanos() - delivery.queuedAtNanos());
+        if (!delivery.retry()) {
+            owner.recordStartWait(wait);
+        }
+        boolean recent = wait.compareTo(StartWindow.MAX_START_AGE) < 0;
         if (recent && !incarnationCheck.isReplaced() && owner.mayStart() && scheduler.isWanted(start)) {
             return send(delivery);
         }
--- a/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
+++ b/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
@@ -1,6 +1,8 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.batch.WorkerReport;
@@ -12,6 +14,7 @@
     volatile boolean relayed;
     volatile boolean mayStart = true;
     volatile Duration lateness = Duration.ZERO;
+    final List<Duration> startWaits = new CopyOnWriteArrayList<>();
     final Semaphore firstContacts = new Semaphore(2);
 
     @Override
@@ -30,6 +33,11 @@
     @Override
     public void recordOrderWait(Duration time) {}
 
+    @Override
+    public void recordStartWait(Duration wait) {
+        startWaits.add(wait);
+    }
+
     @Override
     public void recordHoldDelay(Duration time) {}
 
--- a/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/WorkerLinkTest.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
@@ -369,6 +370,19 @@
         assertEquals(port.startCount(start), 0L);
     }
 
+    /** The owner must learn of each start that waited, once, or it would order more than it can send. */
+    @Test
+    public void startWaitsAreRecordedOnceAlsoIfWithdrawn() throws InterruptedException {
+        Order.Start old = queueStart("a");
+        time.advance(StartWindow.MAX_START_AGE);
+        port.unreachable = true;
+        queueStart("b");
+        startDelivery();
+        await("b is retried", () -> port.attempts.get() >= 3);
+        assertFalse(scheduler.isAssigned(old));
+        assertEquals(owner.startWaits, List.of(StartWindow.MAX_START_AGE, Duration.ZERO));
+    }
+
     /** A restarted worker must not discard ends that it has not reported yet by a number of its earlier incarnation. */
     @Test
     public void laterIncarnationIsNotSentTheAcknowledgement() throws InterruptedException {
