Refuse connections when a server is closed, and answer those of its backlog

What callers saw: after HttpServer.close or drain had returned, the address still accepted connections, which were reset. A request on one of them ended as unknown although no server could run it. Requests on connections that were established before draining, but not yet accepted, were reset as well.

Cause: NIO closes the socket of a channel that is registered with a selector only in the next select. Netty completes the close before that, so the kernel goes on establishing connections, and resets the backlog when the socket closes. By the code, a connection accepted in the last moment can be registered while the server is already draining, and is then closed unread.

Change: ListenerChannel deregisters first, waits for a further select, accepts the backlog and closes the socket in the same task. As it is not registered then, the close takes effect at once. HttpServer then waits for one task on each event loop, so that the accepted connections are known before they are drained or closed. A connection that is established between the last accept and the close of the socket, which follow each other directly, can still be reset.

--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -1,17 +1,16 @@
 package org.chestnutbarrow.http;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -39,11 +38,14 @@
     private final EventLoopGroup eventLoops;
     private final ExecutorService executor;
     private final ServerConnections connections;
-    private final Channel listener;
+    private final ListenerChannel listener;
     private final AtomicBoolean closed = new AtomicBoolean();
 
     private HttpServer(
-            EventLoopGroup eventLoops, ExecutorService executor, ServerConnections connections, Channel listener) {
+            EventLoopGroup eventLoops,
+            ExecutorService executor,
+            ServerConnections connections,
+            ListenerChannel listener) {
         this.eventLoops = eventLoops;
         this.executor = executor;
         this.connections = connections;
@@ -62,7 +64,7 @@
         ServerConnections connections = new ServerConnections(limits.maxConnections());
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(eventLoops)
-                .channel(NioServerSocketChannel.class)
+                .channelFactory(() -> new ListenerChannel(BACKLOG))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -85,7 +87,7 @@
                     }
                 });
         try {
-            Channel listener = bootstrap
+            ListenerChannel listener = (ListenerChannel) bootstrap
                     .bind(new InetSocketAddress(bind.ip(), bind.port()))
                     .sync()
                     .channel();
@@ -100,7 +102,7 @@
 
     /** Returns the bound address. */
     public Address address() {
-        InetSocketAddress bound = (InetSocketAddress) listener.localAddress();
+        InetSocketAddress bound = listener.localAddress();
         return new Address(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
@@ -123,29 +125,39 @@
     }
 
     /**
-     * Stops accepting connections. Requests in flight are completed before their connections are closed; idle
-     * connections stay open for a grace period, because a client may have sent a request that has not been read yet.
+     * Stops accepting connections, those of the backlog excepted. Requests in flight are completed before their
+     * connections are closed; idle connections stay open for a grace period, because a client may have sent a request
+     * that has not been read yet. When this method returns, the address refuses connections.
      */
     public void drain() {
         if (closed.get()) {
             return;
         }
-        listener.close().syncUninterruptibly();
+        closeListener();
         connections.drain();
     }
 
-    /** Closes the listener and all connections immediately. */
+    /** Closes the listener and all connections immediately. When this method returns, the address refuses connections. */
     @Override
     public void close() {
         if (closed.getAndSet(true)) {
             return;
         }
-        listener.close().syncUninterruptibly();
+        closeListener();
         connections.closeAll();
         executor.shutdownNow();
         eventLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 
+    /** Returns when the socket is closed and each accepted connection is known to {@link #connections}. */
+    private void closeListener() {
+        listener.closeAfterBacklog().syncUninterruptibly();
+        // An event loop runs its tasks in order, so the registrations of accepted connections precede these tasks.
+        for (EventExecutor eventLoop : eventLoops) {
+            eventLoop.submit(() -> {}).syncUninterruptibly();
+        }
+    }
+
     private static InvalidInputException shutDownAfterBindFailure(
             EventLoopGroup eventLoops, ExecutorService executor, Address bind, Exception cause) {
         executor.shutdownNow();
--- a/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
+++ b/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
@@ -21,6 +21,11 @@
     private static final int SOCKET_TIMEOUT_MILLIS = 30_000;
     private static final HttpLimits LIMITS =
             new HttpLimits(1000, 1000, 3, Duration.ofSeconds(20), Duration.ofSeconds(20));
+    private static final int BACKLOG_CONNECTIONS = 40;
+    private static final int DRAIN_ROUNDS = 20;
+    /** A listener that is closed while it is registered with a selector accepts a connection in a tenth of the rounds. */
+    private static final int CLOSE_ROUNDS = 200;
+
     private static final String GET = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
     /** Guards against excessive memory use by large bodies and headers. */
@@ -115,6 +120,49 @@
         }
     }
 
+    /** Guards against losing a request on a connection that was established, but not accepted, when draining starts. */
+    @Test
+    void drainHandlesRequestsOfBacklog() throws Exception {
+        HttpLimits limits =
+                new HttpLimits(1000, 1000, BACKLOG_CONNECTIONS, Duration.ofSeconds(20), Duration.ofSeconds(20));
+        int answered = 0;
+        for (int round = 0; round < DRAIN_ROUNDS; round++) {
+            try (HttpServer server = start(limits, request -> HttpResponse.text(200, "ok"))) {
+                List<Socket> sockets = new ArrayList<>();
+                for (int i = 0; i < BACKLOG_CONNECTIONS; i++) {
+                    Socket socket = open(server);
+                    sockets.add(socket);
+                    send(socket, GET);
+                }
+                server.drain();
+                for (Socket socket : sockets) {
+                    answered += readHeadOrEmpty(socket).startsWith("HTTP/1.1 200") ? 1 : 0;
+                    socket.close();
+                }
+            }
+        }
+        assertEquals(answered, DRAIN_ROUNDS * BACKLOG_CONNECTIONS);
+    }
+
+    /** Guards against a closed server that still accepts connections, whose requests get no response. */
+    @Test
+    void closedServerAcceptsNoConnection() throws Exception {
+        int accepted = 0;
+        for (int round = 0; round < CLOSE_ROUNDS; round++) {
+            HttpServer server = start(LIMITS, request -> HttpResponse.text(200, "ok"));
+            int port = server.address().port();
+            if (round % 2 == 0) {
+                server.close();
+                accepted += connects(port) ? 1 : 0;
+            } else {
+                server.drain();
+                accepted += connects(port) ? 1 : 0;
+                server.close();
+            }
+        }
+        assertEquals(accepted, 0);
+    }
+
     /** Guards against losing requests on persistent connections that the server closes at shutdown. */
     @Test
     void disabledKeepAliveClosesConnectionAfterResponse() throws Exception {
@@ -193,12 +241,29 @@
     private static String exchange(Socket socket, String request) {
         try {
             send(socket, request);
+        } catch (IOException e) {
+            return "";
+        }
+        return readHeadOrEmpty(socket);
+    }
+
+    private static String readHeadOrEmpty(Socket socket) {
+        try {
             return ScriptedServer.readHead(socket.getInputStream());
         } catch (IOException e) {
             return "";
         }
     }
 
+    private static boolean connects(int port) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            // Without a listener a socket whose own port is the destination connects to itself.
+            return socket.getLocalPort() != port;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     private static void sendSlowly(Socket socket) {
         try {
             for (int i = 0; i < SOCKET_TIMEOUT_MILLIS; i++) {
