--- a/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
@@ -64,7 +64,7 @@
             String name = playEvent();
             long now = time.nanos();
             registry.index().endQuarantines(now);
-            placer.place(now);
+            placer.place(now, Integer.MAX_VALUE);
             starts += (int) jobTable.takeOrders().stream()
                     .filter(Order.Start.class::isInstance)
                     .count();
