Let an owner that cannot do its work offer its role to other members

Callers would see jobs that are accepted and not started, and long-running tasks that are not started again, for as long as the store refuses the owner's reads of jobs, configuration or workers, or its writes of progress.

Cause: confirmations of a term and calls to join were taken for the whole of an owner's work. With old inputs it only suspended its starts, and a refused write was repeated without an end; nothing made it give up the role.

The node then rejoins under another id, and its term goes on, with its leases, until a newer owner fences it. Members take over only with recent copies and after a read of the worker list.

If its inputs recover first, the owner records its new id under the same token; members that were blocked too leave it 1 s for that. A silent store does not count, since confirmations fail then.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -166,12 +166,31 @@
         @Override
         public boolean termEnded() {
             OwnershipTerm current = term;
-            return current != null && !current.active();
+            return current != null && (!current.active() || offers(current));
+        }
+
+        private boolean offers(OwnershipTerm current) {
+            Optional<OwnerAbilities.Lack> lack = current.offerDue();
+            lack.ifPresent(missing -> Events.warn(
+                    "ownership-offered",
+                    "token",
+                    current.token(),
+                    "ability",
+                    missing.ability(),
+                    "ageMs",
+                    missing.age().toMillis()));
+            return lack.isPresent();
         }
 
         @Override
         public void memberChanged(Member member) {
             takeoverPolicy = new TakeoverPolicy(member, time.nanos());
+            OwnershipTerm current = term;
+            if (current != null && current.active()) {
+                // The term goes on until a newer owner fences it, or this node records its new id as the owner's.
+                current.storage().changeMember(member.id());
+                return;
+            }
             term = null;
             relays.setRelays(Map.of());
         }
@@ -188,13 +207,24 @@
                 }
                 return;
             }
+            takeoverPolicy.updateCopies(copiesAge().compareTo(HandoverPolicy.MAX_AGE) < 0, time.nanos());
             TakeoverPolicy.Decision decision = takeoverPolicy.decide(joined, replica.owner(), time.nanos());
             if (decision instanceof TakeoverPolicy.RefreshMembers) {
                 decision = refreshAndDecide(joined);
             }
+            TopicFollower workerFollower =
+                    new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> WORKERS_POLL, permissionTime);
             if (decision instanceof TakeoverPolicy.TakeOver) {
-                // The inputs may be outdated, so the decision is repeated with the latest owner and members.
-                progressFollower.catchUp();
+                // The inputs may be outdated, so the decision is repeated with the latest owner and members. A member
+                // that cannot read what it has to know of must not fence an owner that still extends leases.
+                workers.onChange(_ -> {});
+                boolean read = false;
+                try {
+                    catchUpBoth(workerFollower, progressFollower);
+                    read = true;
+                } finally {
+                    takeoverPolicy.updateReads(read, time.nanos());
+                }
                 decision = refreshAndDecide(joined);
             }
             switch (decision) {
@@ -203,7 +233,7 @@
                     takeoverEvents.declined(decline.assessment(), joined.generation(), replica.owner());
                 case TakeoverPolicy.TakeOver takeOver -> {
                     TakeoverEvents.taken(takeOver.assessment(), joined.generation(), replica.owner());
-                    takeOver(takeOver.token(), sentAt);
+                    takeOver(takeOver.token(), sentAt, workerFollower);
                 }
             }
         }
@@ -251,9 +281,11 @@
         }
     }
 
-    private void takeOver(long token, long sentAt) {
-        TopicFollower workerFollower =
-                new TopicFollower(store, StateStore.Topic.WORKERS, workers, () -> WORKERS_POLL, permissionTime);
+    private Duration copiesAge() {
+        return Collections.max(List.of(controlFollower.age(), jobFollower.age(), progressFollower.age()));
+    }
+
+    private void takeOver(long token, long sentAt, TopicFollower workerFollower) {
         OwnershipTerm next = new OwnershipTerm(
                 token,
                 store,
@@ -264,7 +296,6 @@
                 relays,
                 metrics,
                 () -> Collections.max(List.of(controlFollower.age(), jobFollower.age(), workerFollower.age())));
-        workers.onChange(_ -> {});
         // A call to a slow store takes 0.3 s or more, so calls that need not follow the fence run concurrently with it.
         try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
             Future<?> jobsCaughtUp = executor.submit(() -> catchUp(jobFollower));
@@ -299,6 +330,21 @@
         }
     }
 
+    /** Reads two topics concurrently, since a call to a slow store takes 0.3 s or more. */
+    private static void catchUpBoth(TopicFollower first, TopicFollower second) throws NotRunException {
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            Future<?> firstCaughtUp = executor.submit(() -> catchUp(first));
+            second.catchUp();
+            firstCaughtUp.get();
+        } catch (ExecutionException e) {
+            throw new NotRunException(
+                    "a topic could not be read: " + e.getCause().getMessage(), "try again", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new NotRunException("the read of a topic was interrupted", "try again", e);
+        }
+    }
+
     private static boolean catchUp(TopicFollower follower) throws NotRunException {
         follower.catchUp();
         return true;
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -42,7 +42,7 @@
      * Maximum age of the copies of jobs, declarations and the worker list from which tasks are started. The bounds for
      * draining workers and evacuating availability zones begin at 2 s; a copy that is read on time is up to 1.2 s old.
      */
-    private static final Duration MAX_INPUT_AGE = Duration.ofSeconds(2);
+    private static final Duration MAX_INPUT_AGE = HandoverPolicy.MAX_AGE;
     /**
      * Without the store, leases are extended only while a majority of the workers has answered within this time. A
      * newer owner also needs answers from a majority, so the two majorities share a worker that reports the newer
@@ -63,6 +63,7 @@
     private final HoldControl holds;
     private final NodeMetrics metrics;
     private final Supplier<Duration> inputsAge;
+    private final PermissionTime permissionTime;
     private final TermStorage storage;
     private final UnresponsiveWorkers unresponsive;
     private final ThreadDelayEstimator threadDelayEstimator = new ThreadDelayEstimator();
@@ -74,6 +75,9 @@
     /** Accessed only by the planning thread. */
     private final PlanRateLimiter planRateLimiter = new PlanRateLimiter();
 
+    /** Accessed only by the thread that renews the membership. */
+    private final HandoverPolicy handoverPolicy = new HandoverPolicy();
+
     private final AtomicBoolean active = new AtomicBoolean(true);
     /** Time of the last write of the measured sensitivities, ns; accessed only by the planning thread. */
     private long sensitivitiesStoredAt;
@@ -105,6 +109,7 @@
         this.inputsAge = inputsAge;
         this.port = port;
         this.replica = replica;
+        this.permissionTime = permissionTime;
         this.time = permissionTime.source();
         this.maxLease = settings.maxLease();
         this.holds = new HoldControl(settings.capacity(), relays);
@@ -224,6 +229,15 @@
         return storage;
     }
 
+    /**
+     * Returns the ability for the lack of which the role is to be offered to other members; empty while it is offered.
+     */
+    Optional<OwnerAbilities.Lack> offerDue() {
+        OwnerAbilities abilities = new OwnerAbilities(inputsAge.get(), storage.writeAge(), storage.confirmationAge());
+        Optional<OwnerAbilities.Lack> lack = handoverPolicy.decide(abilities, permissionTime.nanos());
+        return storage.dueRecord().isPresent() ? Optional.empty() : lack;
+    }
+
     /** Connects to the workers and starts to place tasks. */
     void start(ControlState control, Collection<WorkerRegistration> workers) {
         scheduler.configure(control.queues());
@@ -387,10 +401,14 @@
         Optional<Map<TaskRecord.WorkerIncarnation, Duration>> silenceRecord = unresponsive.dueRecord();
         silenceRecord.ifPresent(record -> entries.add(JobReplica.silencesEntry(record)));
         entries.addAll(endedJobCleaner.takeProgressRemovals());
+        // An owner that still cannot read its inputs leaves the role to members that can.
+        Optional<OwnerRecord> ownerRecord = startsAllowed ? storage.dueRecord() : Optional.empty();
+        ownerRecord.ifPresent(record -> entries.add(JobReplica.ownerEntry(record)));
         if (!entries.isEmpty() && !persist(entries, plan.changes())) {
             return;
         }
         silenceRecord.ifPresent(unresponsive::recordStored);
+        ownerRecord.ifPresent(storage::recordStored);
         synchronized (links) {
             plan.acknowledgements().forEach((incarnation, sequence) -> {
                 WorkerLink link = links.get(incarnation.worker());
--- a/node/src/main/java/org/chestnutbarrow/node/TakeoverPolicy.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TakeoverPolicy.java
@@ -24,6 +24,12 @@
     /** Minimum uptime before a member replaces a live owner, so that frequent restarts do not change the owner. */
     static final Duration MIN_UPTIME = Duration.ofSeconds(3);
 
+    /**
+     * Time for which a member that could not read its inputs must be able to again before it replaces an owner whose
+     * node is alive. After a fault of all members that owner, which repeats its reads within 0.3 s, is the first to act.
+     */
+    static final Duration COPIES_RECOVERY = Duration.ofSeconds(1);
+
     /** Minimum ratio between the capacity of a member and that of the live owner that it replaces. */
     static final int MIN_CAPACITY_RATIO = 2;
 
@@ -53,6 +59,7 @@
         OTHERS_FIRST,
         STARTED_LATELY,
         HOLDS_NO_PART,
+        COPIES_OLD,
         TOKEN_NOT_NEWER
     }
 
@@ -77,6 +84,12 @@
     private Optional<MemberSnapshot> snapshot = Optional.empty();
     private Optional<Cause> cause = Optional.empty();
     private OptionalLong groupChangedAt = OptionalLong.empty();
+    /** Whether the copies of this member are recent enough to place tasks by. */
+    private boolean copiesRecent = true;
+    /** Whether the last read before a takeover failed. */
+    private boolean readFailed;
+    /** When this member was last known to be unable to read what it places tasks by, ns. */
+    private OptionalLong unableAt = OptionalLong.empty();
 
     /** Creates the policy of one member; {@code startedAt} is when its node started or took this member id, ns. */
     TakeoverPolicy(Member self, long startedAt) {
@@ -84,6 +97,22 @@
         this.startedAt = startedAt;
     }
 
+    /** Notes whether the copies of this member are recent enough to place tasks by; {@code now} is in ns. */
+    void updateCopies(boolean recent, long now) {
+        copiesRecent = recent;
+        if (!recent) {
+            unableAt = OptionalLong.of(now);
+        }
+    }
+
+    /** Notes whether the reads before a takeover succeeded. The first success after a failure ends the fault. */
+    void updateReads(boolean success, long now) {
+        if (!success || readFailed) {
+            unableAt = OptionalLong.of(now);
+        }
+        readFailed = !success;
+    }
+
     /** Sets the members, which were read after the store had returned this generation. */
     void updateMembers(long generation, Set<String> members) {
         snapshot = Optional.of(new MemberSnapshot(generation, Set.copyOf(members)));
@@ -137,6 +166,11 @@
             cause = Optional.empty();
             return Optional.of(reason);
         }
+        if (!copiesRecent || (unableLately(now) && ownerNodeIsMember(owner))) {
+            // The members wait by their rank from when they can take over.
+            cause = Optional.empty();
+            return Optional.of(Reason.COPIES_OLD);
+        }
         // Only partitions make tokens unique: two members without a partition could form the same token.
         if (membership.token().isEmpty()) {
             return Optional.of(Reason.HOLDS_NO_PART);
@@ -152,6 +186,19 @@
                 : Optional.empty();
     }
 
+    private boolean unableLately(long now) {
+        return unableAt.isPresent() && now - unableAt.getAsLong() < COPIES_RECOVERY.toNanos();
+    }
+
+    /** Returns whether the node of the recorded owner is a member, under whatever id. */
+    private boolean ownerNodeIsMember(Optional<OwnerRecord> owner) {
+        return owner.isPresent()
+                && snapshot.orElseThrow().members().stream()
+                        .anyMatch(id -> Member.parse(id)
+                                .node()
+                                .equals(Member.parse(owner.get().member()).node()));
+    }
+
     private int rank(Set<String> members, Optional<OwnerRecord> owner) {
         return (int) members.stream()
                 .filter(id -> owner.isEmpty() || !id.equals(owner.get().member()))
--- a/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
@@ -5,6 +5,7 @@
 import java.util.Base64;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.NotRunException;
@@ -29,6 +30,12 @@
     private final PermissionTime time;
     private final SequencedWriter writer;
     private final OwnershipConfirmation confirmation;
+    /** The owner's record under a new member id, until it is stored; accessed by several threads. */
+    private volatile Optional<OwnerRecord> dueRecord = Optional.empty();
+    /** The record stored last; written before the term starts and then by the planning thread. */
+    private volatile Optional<OwnerRecord> storedRecord = Optional.empty();
+    /** When the write that waits for its confirmation began, ns; empty if there is none. */
+    private volatile OptionalLong writingSince = OptionalLong.empty();
 
     TermStorage(long token, StateStore store, JobReplica replica, PermissionTime time) {
         this.token = token;
@@ -43,6 +50,30 @@
         return confirmation.age();
     }
 
+    /** Returns for how long a write has been waiting for its confirmation; zero if there is none. */
+    Duration writeAge() {
+        OptionalLong since = writingSince;
+        return since.isEmpty() ? Duration.ZERO : Duration.ofNanos(time.nanos() - since.getAsLong());
+    }
+
+    /** Requests that the owner is recorded under another member id of its node. */
+    void changeMember(String member) {
+        dueRecord = storedRecord.map(stored -> new OwnerRecord(member, token, stored.relayKey()));
+    }
+
+    /** Returns the owner's record under another member id that is not stored yet. */
+    Optional<OwnerRecord> dueRecord() {
+        return dueRecord;
+    }
+
+    /** Notes that a due record is stored. */
+    void recordStored(OwnerRecord stored) {
+        storedRecord = Optional.of(stored);
+        if (dueRecord.equals(storedRecord)) {
+            dueRecord = Optional.empty();
+        }
+    }
+
     /** Records that the store confirmed this term in a call sent at {@code sentAt}, ns of the permission time. */
     void confirmed(long sentAt) {
         confirmation.confirmed(sentAt);
@@ -67,6 +98,7 @@
         OwnerRecord self = new OwnerRecord(member, token, newRelayKey());
         writer.append(List.of(JobReplica.ownerEntry(self)), () -> false);
         progress.catchUp();
+        storedRecord = Optional.of(self);
         // If two owners share a token, the store takes the first append of the second for a retry and reports success.
         Optional<OwnerRecord> owner = replica.owner();
         if (!owner.equals(Optional.of(self))) {
@@ -97,6 +129,15 @@
     }
 
     private boolean storeBatch(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
+        writingSince = OptionalLong.of(time.nanos());
+        try {
+            return retryBatch(entries, active);
+        } finally {
+            writingSince = OptionalLong.empty();
+        }
+    }
+
+    private boolean retryBatch(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
         while (active.getAsBoolean()) {
             try {
                 long sentAt = time.nanos();
--- /dev/null
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
@@ -0,0 +1,71 @@
+package org.chestnutbarrow.node;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.StaleEpochException;
+
+/** The view that one node has of a store, which can refuse calls of this node only. Safe for use by several threads. */
+final class NodeStore implements StateStore {
+    private final StateStore store;
+    private volatile Set<Topic> refusedReads = Set.of();
+    private volatile boolean refusesProgress;
+
+    NodeStore(StateStore store) {
+        this.store = store;
+    }
+
+    /** Refuses reads of exactly these topics from now on. */
+    void refuseReads(Set<Topic> topics) {
+        refusedReads = Set.copyOf(topics);
+    }
+
+    /** Refuses appends of progress from now on, except for empty ones. */
+    void refuseProgress(boolean refused) {
+        refusesProgress = refused;
+    }
+
+    private void checkRead(Topic topic) throws NotRunException {
+        if (refusedReads.contains(topic)) {
+            throw new NotRunException("refused", "try again");
+        }
+    }
+
+    @Override
+    public long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
+            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+        if (refusesProgress && topic == Topic.PROGRESS && !entries.isEmpty()) {
+            throw new NotRunException("refused", "try again");
+        }
+        return store.append(topic, entries, writer, timeout);
+    }
+
+    @Override
+    public Page read(Topic topic, long fromOffset, Duration wait) throws NotRunException, OffsetOutOfRangeException {
+        checkRead(topic);
+        return store.read(topic, fromOffset, wait);
+    }
+
+    @Override
+    public NewestPage readNewest(Topic topic, String afterKey, Duration wait) throws NotRunException {
+        checkRead(topic);
+        return store.readNewest(topic, afterKey, wait);
+    }
+
+    @Override
+    public Membership join(String member, Duration ttl, long generation) throws NotRunException {
+        return store.join(member, ttl, generation);
+    }
+
+    @Override
+    public Set<String> members() throws NotRunException {
+        return store.members();
+    }
+
+    @Override
+    public void leave(String member) throws NotRunException {
+        store.leave(member);
+    }
+}
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -32,7 +32,7 @@
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int STRONG = 1500;
     private static final int WEAK = 360;
-    private static final RecordCodec CODEC = new RecordCodec() {
+    static final RecordCodec CODEC = new RecordCodec() {
         @Override
         public ControlState decodeControl(Map<String, byte[]> records, ControlState before) {
             return new ControlState(records.size(), Map.of(QUEUE.key(), QUEUE), Set.of());
@@ -63,7 +63,7 @@
         workers = new FakeWorkers();
     }
 
-    private static JobSpec job(String id) {
+    static JobSpec job(String id) {
         Step step = new Step(
                 2,
                 new Resources(0, 0, 1000, 100, 0),
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -70,6 +70,54 @@
         assertEquals(((TakeoverPolicy.TakeOver) decision).token(), 7 * 1024 + 3);
     }
 
+    /**
+     * Guards against takeovers by members that cannot do the work either, and by all of them at once when the fault is
+     * over.
+     */
+    @Test
+    public void membersWithOldCopiesWaitAndThenKeepTheirRank() {
+        Member renamedOwner = member("gone", 100, 2);
+        TakeoverPolicy first = policy(STRONG, STRONG, WEAK, renamedOwner);
+        TakeoverPolicy second = policy(WEAK, STRONG, WEAK, renamedOwner);
+        long recovery = TakeoverPolicy.COPIES_RECOVERY.toNanos();
+        long now = JOINED_AT;
+        for (int i = 0; i < 20; i++) {
+            now += recovery / 2;
+            for (TakeoverPolicy policy : List.of(first, second)) {
+                policy.updateCopies(false, now);
+                assertEquals(reason(policy.decide(WITH_PARTS, OWNER_LEFT, now)), TakeoverPolicy.Reason.COPIES_OLD);
+            }
+        }
+        first.updateCopies(true, now + 1);
+        second.updateCopies(true, now + 1);
+        assertEquals(
+                reason(first.decide(WITH_PARTS, OWNER_LEFT, now + recovery - 1)), TakeoverPolicy.Reason.COPIES_OLD);
+        assertTrue(takesOver(first.decide(WITH_PARTS, OWNER_LEFT, now + recovery)));
+        assertEquals(reason(second.decide(WITH_PARTS, OWNER_LEFT, now + recovery)), TakeoverPolicy.Reason.OTHERS_FIRST);
+    }
+
+    /** Guards against a member that replaces a living owner when a fault of all members ends, before that owner acts. */
+    @Test
+    public void readAfterAFailureDoesNotLeadToATakeoverAtOnce() {
+        TakeoverPolicy policy = policy(STRONG, STRONG, member("gone", 100, 2));
+        long recovery = TakeoverPolicy.COPIES_RECOVERY.toNanos();
+        policy.updateReads(false, JOINED_AT);
+        policy.updateReads(true, JOINED_AT + recovery);
+        assertEquals(
+                reason(policy.decide(WITH_PARTS, OWNER_LEFT, JOINED_AT + recovery)), TakeoverPolicy.Reason.COPIES_OLD);
+        policy.updateReads(true, JOINED_AT + 2 * recovery);
+        assertTrue(takesOver(policy.decide(WITH_PARTS, OWNER_LEFT, JOINED_AT + 2 * recovery)));
+    }
+
+    /** Guards against a vacant ownership after a failed read when the node of the owner is gone as well. */
+    @Test
+    public void readAfterAFailureLeadsToATakeoverIfTheOwnersNodeIsGone() {
+        TakeoverPolicy policy = policy(STRONG, STRONG, WEAK);
+        policy.updateReads(false, JOINED_AT);
+        policy.updateReads(true, JOINED_AT + 1);
+        assertTrue(takesOver(policy.decide(WITH_PARTS, OWNER_LEFT, JOINED_AT + 1)));
+    }
+
     /** Guards against a missing owner when the strongest member cannot take over. */
     @Test
     public void otherMembersTakeOverByRank() {
