Keep room for long-running tasks that must run again

Cause: a long-running task that had lost its worker waited in the order of jobs.

Change: such tasks come first in each plan. If no worker has room, RoomClaims keeps the room for one of them on the worker whose short tasks are expected to end first; other tasks fit there only beside the claim, and its release counts as freed capacity. Claims hold an eighth of all CPU at most, or one task. A claim is dropped when its task is placed or its job ends or is set aside, and made anew when its worker accepts no more tasks or another one is expected to have room sooner (each 2 s). Searches are bounded to 16 for each plan, and a task that no worker can keep room for is searched for only on workers that changed since.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -11,6 +11,7 @@
 import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.WorkerId;
 
 /**
  * Schedules the tasks of all jobs of one owner on its workers. Events are reported through the methods of this class;
@@ -28,6 +29,7 @@
     private final InterferenceModel interferenceModel = new InterferenceModel();
     private final ReportProcessor reportProcessor;
     private final InterferenceController interferenceController;
+    private final RoomClaims roomClaims;
     private final DrainController drainController;
     private final TaskPlacer taskPlacer;
     private final WorkerSelector workerSelector;
@@ -42,8 +44,9 @@
         reportProcessor = new ReportProcessor(jobTable);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
+        roomClaims = new RoomClaims(workerSelector, registry.index());
         drainController = new DrainController(jobTable, workerSelector);
-        taskPlacer = new TaskPlacer(jobTable, workerSelector, time);
+        taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, time);
     }
 
     /** Replaces the queue policies in force, by queue key. */
@@ -125,11 +128,14 @@
         if (record.done()) {
             job.taskFinished(task);
         }
-        record.placedOn().ifPresent(incarnation -> {
-            registry.nodeFor(incarnation).add(task);
-            task.inherited = true;
-            task.progressedAt = time.nanos();
-        });
+        record.placedOn()
+                .ifPresentOrElse(
+                        incarnation -> {
+                            registry.nodeFor(incarnation).add(task);
+                            task.inherited = true;
+                            task.progressedAt = time.nanos();
+                        },
+                        () -> jobTable.markRestarted(task));
     }
 
     /** Cancels a job. Has no effect if the job is unknown or has ended. */
@@ -271,6 +277,13 @@
         return new Plan(changes, jobTable.takeOrders(), acknowledgements, jobTable.takeSetAside());
     }
 
+    /** Returns the worker on which room is kept for the next run of a task, by task. */
+    synchronized Map<TaskName, WorkerId> claims() {
+        Map<TaskName, WorkerId> claims = new HashMap<>();
+        roomClaims.workers().forEach((task, worker) -> claims.put(task.name, worker.id()));
+        return claims;
+    }
+
     /** Returns the number of workers that decisions have examined so far, as a measure of scheduling cost. */
     synchronized long examinedWorkers() {
         return workerSelector.examinedWorkers();
--- a/batch/src/main/java/org/chestnutbarrow/batch/EquivalenceClass.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EquivalenceClass.java
@@ -9,6 +9,7 @@
 
     final Requirement requirement;
     private long infeasibleAtChange = NOT_INFEASIBLE;
+    private long unclaimableAtChange = NOT_INFEASIBLE;
 
     EquivalenceClass(Requirement requirement) {
         this.requirement = requirement;
@@ -29,6 +30,16 @@
         infeasibleAtChange = change;
     }
 
+    /** Returns the change as of which no worker could keep room for the tasks, or a negative number if one may. */
+    long unclaimableAtChange() {
+        return unclaimableAtChange;
+    }
+
+    /** Records that no worker can keep room for the tasks as of {@code change}. */
+    void markUnclaimable(long change) {
+        unclaimableAtChange = change;
+    }
+
     /** Records that some worker may be able to take the tasks. */
     void clearInfeasible() {
         infeasibleAtChange = NOT_INFEASIBLE;
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.SequencedSet;
 import java.util.Set;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.TimeSource;
@@ -26,6 +27,9 @@
     private final List<Order> orders = new ArrayList<>();
     private final List<Plan.SetAsideJob> setAsideJobs = new ArrayList<>();
     private final Set<JobEntry> waitingJobs = new LinkedHashSet<>();
+    /** Long-running tasks that must run again, earliest released first, and possibly some that have been placed since. */
+    private final SequencedSet<TaskEntry> restartedTasks = new LinkedHashSet<>();
+
     private Map<String, Queue> queues = Map.of();
 
     JobTable(TimeSource time) {
@@ -103,6 +107,20 @@
         task.release();
         task.releasedAt = time.nanos();
         markChanged(task.job);
+        markRestarted(task);
+    }
+
+    /** Records that a task without a worker has run before. */
+    void markRestarted(TaskEntry task) {
+        if (task.step.longRunning() && task.run > 0) {
+            restartedTasks.addLast(task);
+        }
+    }
+
+    /** Returns the long-running tasks that have run before and wait for a worker, earliest released first. */
+    List<TaskEntry> restartedTasks() {
+        restartedTasks.removeIf(task -> task.done || task.assignedNode != null || !task.job.isPlaceable());
+        return List.copyOf(restartedTasks);
     }
 
     /** Marks a job as running because a worker has confirmed or listed one of its runs. */
--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -0,0 +1,206 @@
+package org.chestnutbarrow.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.chestnutbarrow.model.Resources;
+
+/**
+ * Keeps room on workers for long-running tasks that must run again and have no worker. Without a claim, short tasks take each piece of room that gets free, and a task that needs several
+ * pieces waits until the load falls. Guarded by the lock of its {@link BatchScheduler}.
+ *
+ * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
+ * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims beyond
+ * the room that is free now hold a bounded share of all workers.
+ */
+final class RoomClaims {
+    /**
+     * Share of the total CPU capacity that claims of waiting tasks may hold, so that the loss of many workers does not
+     * keep all short tasks waiting. A single claim may hold more.
+     */
+    private static final double MAX_CLAIMED_SHARE = 0.125;
+    /** Run times are estimates, so a better worker may be found for a claim of this age. */
+    private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(2);
+    /** Bound on the searches for each plan; each examines all workers of a service. */
+    private static final int MAX_SEARCHES = 16;
+
+    private static final int FINISHED_PERCENT = 100;
+
+    private final WorkerSelector workerSelector;
+    private final WorkerIndex index;
+    private final Map<TaskEntry, Claim> claims = new HashMap<>();
+    private long claimedMilliCores;
+    private int searchesLeft = MAX_SEARCHES;
+
+    /** A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns. */
+    private record Claim(WorkerNode worker, int run, long searchedAt) {}
+
+    RoomClaims(WorkerSelector workerSelector, WorkerIndex index) {
+        this.workerSelector = workerSelector;
+        this.index = index;
+    }
+
+    /** Releases the claims that are no longer needed or can no longer be met. Called at the start of each plan. */
+    void review(long now) {
+        searchesLeft = MAX_SEARCHES;
+        List.copyOf(claims.keySet()).forEach(task -> validClaim(task, now));
+    }
+
+    /** Returns a worker that has room for the task now, its claimed one first, or null if there is none. */
+    WorkerNode workerWithRoom(TaskEntry task, long now) {
+        Claim claim = validClaim(task, now);
+        return claim != null && claim.worker().hasRoomForClaim(task)
+                ? claim.worker()
+                : workerSelector.select(task, now);
+    }
+
+    /**
+     * Makes sure that a task for which no worker has room now has a claim on the one that is expected to have room
+     * first, as far as the bounds on claims allow.
+     */
+    void claimLaterRoom(TaskEntry task, long now) {
+        Claim claim = validClaim(task, now);
+        if (claim == null) {
+            addClaim(task, now);
+        } else if (now - claim.searchedAt() >= REVIEW_INTERVAL.toNanos()) {
+            moveIfSooner(task, claim, now);
+        }
+    }
+
+    /** Releases the claim of a task. Has no effect if it has none. */
+    void release(TaskEntry task) {
+        Claim claim = claims.remove(task);
+        if (claim != null) {
+            claimedMilliCores -= task.step.reservation().milliCores();
+            claim.worker().removeClaim(task);
+        }
+    }
+
+    /** Returns the worker on which room is kept for a task, by task. */
+    Map<TaskEntry, WorkerNode> workers() {
+        Map<TaskEntry, WorkerNode> workers = new HashMap<>();
+        claims.forEach((task, claim) -> workers.put(task, claim.worker()));
+        return workers;
+    }
+
+    private void put(TaskEntry task, WorkerNode worker, long now) {
+        release(task);
+        claims.put(task, new Claim(worker, task.run, now));
+        claimedMilliCores += task.step.reservation().milliCores();
+        worker.addClaim(task);
+    }
+
+    /** Returns the claim of a task, or null if it has none or its claim had to be released. */
+    private Claim validClaim(TaskEntry task, long now) {
+        Claim claim = claims.get(task);
+        if (claim != null && !isValid(task, claim, now)) {
+            release(task);
+            return null;
+        }
+        return claim;
+    }
+
+    private boolean isValid(TaskEntry task, Claim claim, long now) {
+        return task.run == claim.run()
+                && needsRoom(task)
+                && workerSelector.acceptsClaimOf(task, claim.worker(), now)
+                && claim.worker()
+                        .lastingReservation()
+                        .fitsIn(claim.worker().registration.capacity());
+    }
+
+    /** Returns whether a task waits for a worker. */
+    private static boolean needsRoom(TaskEntry task) {
+        return !task.done && task.assignedNode == null && task.job.isPlaceable();
+    }
+
+    private void addClaim(TaskEntry task, long now) {
+        if (!isWithinBound(task)) {
+            // Smaller tasks that come later must not use up the share that this one waits for.
+            searchesLeft = 0;
+            return;
+        }
+        if (searchesLeft == 0 || !workerSelector.mayClaim(task, now)) {
+            return;
+        }
+        LaterRoom room = soonestRoom(task, now);
+        if (room == null) {
+            workerSelector.markUnclaimable(task);
+        } else {
+            put(task, room.worker(), now);
+        }
+    }
+
+    private boolean isWithinBound(TaskEntry task) {
+        long wanted = claimedMilliCores + task.step.reservation().milliCores();
+        return claims.isEmpty() || wanted <= MAX_CLAIMED_SHARE * index.capacityMilliCores();
+    }
+
+    private void moveIfSooner(TaskEntry task, Claim claim, long now) {
+        if (searchesLeft == 0) {
+            return;
+        }
+        Optional<Duration> current = timeUntilRoom(claim.worker(), Resources.NONE);
+        LaterRoom room = soonestRoom(task, now);
+        if (room != null && (current.isEmpty() || room.time().compareTo(current.get()) < 0)) {
+            put(task, room.worker(), now);
+        } else {
+            claims.put(task, new Claim(claim.worker(), claim.run(), now));
+        }
+    }
+
+    /** A worker and the expected time until it has the room. */
+    private record LaterRoom(WorkerNode worker, Duration time) {}
+
+    /** Returns the worker that is expected to have room for a task first, or null if none is. */
+    private LaterRoom soonestRoom(TaskEntry task, long now) {
+        searchesLeft--;
+        LaterRoom soonest = null;
+        for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
+            if (!workerSelector.couldClaim(task, worker, now)) {
+                continue;
+            }
+            Optional<Duration> time = timeUntilRoom(worker, task.step.reservation());
+            if (time.isPresent() && (soonest == null || time.get().compareTo(soonest.time()) < 0)) {
+                soonest = new LaterRoom(worker, time.get());
+            }
+        }
+        return soonest;
+    }
+
+    /** Returns the expected time until a worker has room beside its claims, or empty if no end of a run makes it. */
+    private static Optional<Duration> timeUntilRoom(WorkerNode worker, Resources demand) {
+        Resources held = worker.reservedAndClaimed().plus(demand);
+        Resources capacity = worker.registration.capacity();
+        if (held.fitsIn(capacity)) {
+            return Optional.of(Duration.ZERO);
+        }
+        List<TaskEntry> ending = new ArrayList<>();
+        for (TaskEntry task : worker.tasks) {
+            if (!task.lasts()) {
+                ending.add(task);
+            }
+        }
+        ending.sort(Comparator.comparing(RoomClaims::remainingTime));
+        for (TaskEntry task : ending) {
+            held = held.minus(task.step.reservation());
+            if (held.fitsIn(capacity)) {
+                return Optional.of(remainingTime(task));
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the expected remaining time of a run that ends by itself or was stopped. */
+    private static Duration remainingTime(TaskEntry task) {
+        if (task.stopOrdered) {
+            return Duration.ZERO;
+        }
+        int remainingPercent = Math.clamp(FINISHED_PERCENT - task.progressPercent, 0, FINISHED_PERCENT);
+        return task.step.estimate().multipliedBy(remainingPercent).dividedBy(FINISHED_PERCENT);
+    }
+}
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -85,6 +85,11 @@
         baseline = new BaselineHeadroom();
     }
 
+    /** Returns whether the latest run goes on until its job is cancelled. */
+    boolean lasts() {
+        return step.longRunning() && !stopOrdered;
+    }
+
     /** Returns whether the task has a target for its tail latency. */
     boolean isLatencyCritical() {
         return step.behaviour().latencyTargetMs() > 0;
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -18,6 +18,7 @@
 
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
+    private final RoomClaims roomClaims;
     private final TimeSource time;
     /** Number of tasks that the current plan may still start. */
     private int startsLeft;
@@ -36,9 +37,10 @@
         }
     }
 
-    TaskPlacer(JobTable jobTable, WorkerSelector workerSelector, TimeSource time) {
+    TaskPlacer(JobTable jobTable, WorkerSelector workerSelector, RoomClaims roomClaims, TimeSource time) {
         this.jobTable = jobTable;
         this.workerSelector = workerSelector;
+        this.roomClaims = roomClaims;
         this.time = time;
     }
 
@@ -48,6 +50,7 @@
      */
     void place(long now, int maxStarts) {
         startsLeft = maxStarts;
+        placeRestarted(now);
         for (Candidate candidate : candidates(now)) {
             if (startsLeft == 0) {
                 return;
@@ -60,6 +63,36 @@
         }
     }
 
+    /**
+     * Places the long-running tasks that must run again, or claims room for them, before any task of a more urgent job:
+     * a service that was placed before does not give up its room because others come.
+     */
+    private void placeRestarted(long now) {
+        roomClaims.review(now);
+        for (TaskEntry task : jobTable.restartedTasks()) {
+            if (startsLeft == 0) {
+                return;
+            }
+            try {
+                placeRestarted(task, now);
+            } catch (RuntimeException e) {
+                jobTable.setAside(task.job, e);
+            }
+        }
+    }
+
+    private void placeRestarted(TaskEntry task, long now) {
+        if (!task.job.isReady(task.name.step())) {
+            return;
+        }
+        WorkerNode node = roomClaims.workerWithRoom(task, now);
+        if (node == null) {
+            roomClaims.claimLaterRoom(task, now);
+        } else {
+            startTask(task.job, task, node, now);
+        }
+    }
+
     private void place(JobEntry job, long now) {
         for (int step = 0; step < job.tasksByStep.size(); step++) {
             if (job.isReady(step)) {
@@ -148,6 +181,7 @@
 
     private void startTask(JobEntry job, TaskEntry task, WorkerNode node, long now) {
         startsLeft--;
+        roomClaims.release(task);
         Duration waited = job.waited(task, now);
         task.run++;
         task.progressedAt = now;
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -52,6 +52,10 @@
             return bySpare.tailMap(lowerBound(milliCores), true).descendingMap().values();
         }
 
+        Collection<WorkerNode> all() {
+            return byFree.values();
+        }
+
         Collection<WorkerNode> withLabel(String label) {
             return byLabel.getOrDefault(label, Set.of());
         }
@@ -128,7 +132,7 @@
         return latestChange;
     }
 
-    /** Returns the unreserved CPU of all reachable workers. */
+    /** Returns the CPU of all reachable workers that is neither reserved nor kept for claimants. */
     long freeMilliCores() {
         return freeMilliCores;
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -54,6 +54,10 @@
     private final Map<String, Integer> latencyCriticalTasksByImage = new HashMap<>();
     private long latencyCriticalMilliCores;
     private final Map<StepKey, Integer> tasksByStep = new HashMap<>();
+    /** Tasks for which {@link RoomClaims} keeps room here, in the order in which they get it. */
+    private final Set<TaskEntry> claimants = new LinkedHashSet<>();
+
+    private Resources claimed = Resources.NONE;
 
     private record StepKey(JobId job, int step) {}
 
@@ -208,29 +212,82 @@
         bestEffortMilliCoresByImage.merge(task.step.behaviour().image(), milliCores, Long::sum);
     }
 
+    /** Keeps room for the next run of a task. */
+    void addClaim(TaskEntry task) {
+        if (claimants.add(task)) {
+            claimed = claimed.plus(task.step.reservation());
+            index.refresh(this);
+        }
+    }
+
+    void removeClaim(TaskEntry task) {
+        if (claimants.remove(task)) {
+            claimed = claimed.minus(task.step.reservation());
+            index.refresh(this);
+            index.capacityFreed(this);
+        }
+    }
+
+    /** Returns whether there is room for a claimant beside those that come before it. */
+    boolean hasRoomForClaim(TaskEntry task) {
+        Resources needed = reserved;
+        for (TaskEntry claimant : claimants) {
+            needed = needed.plus(claimant.step.reservation());
+            if (claimant == task) {
+                return needed.fitsIn(registration.capacity());
+            }
+        }
+        return false;
+    }
+
+    /** Returns the resources that tasks hold and those that are kept for claimants. */
+    Resources reservedAndClaimed() {
+        return reserved.plus(claimed);
+    }
+
+    /** Returns what is kept for claimants and what tasks hold that go on until their jobs are cancelled. */
+    Resources lastingReservation() {
+        Resources lasting = claimed;
+        for (TaskEntry task : tasks) {
+            if (task.lasts()) {
+                lasting = lasting.plus(task.step.reservation());
+            }
+        }
+        return lasting;
+    }
+
+    /** Returns whether there is room beside the tasks and claims on this worker. */
     boolean fits(Resources demand) {
-        return reserved.plus(demand).fitsIn(registration.capacity());
+        return reservedAndClaimed().plus(demand).fitsIn(registration.capacity());
     }
 
-    /** Returns the number of tasks of a step on this worker. */
+    /** Returns the number of tasks of a step on this worker, including those for which room is kept. */
     int countOfStep(JobId job, int step) {
-        return tasksByStep.getOrDefault(new StepKey(job, step), 0);
+        int claimantsOfStep = 0;
+        for (TaskEntry claimant : claimants) {
+            if (claimant.name.job().equals(job) && claimant.name.step() == step) {
+                claimantsOfStep++;
+            }
+        }
+        return tasksByStep.getOrDefault(new StepKey(job, step), 0) + claimantsOfStep;
     }
 
     /**
      * Returns the CPU left for further best-effort tasks: the unreserved CPU plus the part that latency-critical tasks
-     * are expected to leave idle, minus the CPU that the best-effort tasks on this worker may use within their limits.
+     * are expected to leave idle, minus the CPU that the best-effort tasks on this worker may use within their limits
+     * and the CPU kept for claimants.
      */
     long spareMilliCores() {
         return (long) registration.capacity().milliCores()
                 - reserved.milliCores()
+                - claimed.milliCores()
                 + (long) (LATENCY_CRITICAL_IDLE_FRACTION * latencyCriticalMilliCores)
                 - bestEffortMilliCores;
     }
 
-    /** Returns the unreserved CPU. */
+    /** Returns the CPU that is neither reserved nor kept for claimants. */
     long freeMilliCores() {
-        return (long) registration.capacity().milliCores() - reserved.milliCores();
+        return Math.max(0, (long) registration.capacity().milliCores() - reserved.milliCores() - claimed.milliCores());
     }
 
     /** Returns the CPU that best-effort tasks may use within their limits, by image, as fractions of the capacity. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -131,23 +131,67 @@
         return index.freeMilliCores() - reservation.milliCores() > SHORT_TASK_RESERVE * index.capacityMilliCores();
     }
 
+    /** Returns whether a worker that keeps room for a task still satisfies all its other requirements. */
+    boolean acceptsClaimOf(TaskEntry task, WorkerNode worker, long now) {
+        return isEligible(worker, equivalenceClass(task).requirement, 1, now);
+    }
+
+    /** Returns whether a worker could keep room for a task once its tasks that end have ended. */
+    boolean couldClaim(TaskEntry task, WorkerNode worker, long now) {
+        return couldClaim(worker, equivalenceClass(task).requirement, now);
+    }
+
+    private boolean couldClaim(WorkerNode worker, Requirement requirement, long now) {
+        examinedWorkers++;
+        return isEligible(worker, requirement, 0, now)
+                && !(requirement.mode() instanceof Requirement.BestEffort)
+                && worker.lastingReservation().plus(requirement.freeResources()).fitsIn(worker.registration.capacity());
+    }
+
+    /**
+     * Returns whether some worker may be able to keep room for the task. If none could before, only workers that have
+     * changed since are examined.
+     */
+    boolean mayClaim(TaskEntry task, long now) {
+        EquivalenceClass equivalenceClass = equivalenceClass(task);
+        long change = equivalenceClass.unclaimableAtChange();
+        if (change < 0 || index.anyFreedSince(change, w -> couldClaim(w, equivalenceClass.requirement, now))) {
+            return true;
+        }
+        equivalenceClass.markUnclaimable(index.latestChange());
+        return false;
+    }
+
+    /** Records that no worker can keep room for the task until one changes. */
+    void markUnclaimable(TaskEntry task) {
+        equivalenceClass(task).markUnclaimable(index.latestChange());
+    }
+
     private boolean isFeasible(WorkerNode worker, Requirement requirement, long now) {
         examinedWorkers++;
+        return worker.fits(requirement.freeResources())
+                && isEligible(worker, requirement, 0, now)
+                && (!(requirement.mode() instanceof Requirement.BestEffort bestEffort)
+                        || expectedSpeed(bestEffort, worker) >= MIN_SPEED);
+    }
+
+    /**
+     * Returns whether a worker satisfies all requirements but those on room; {@code ownClaims} is the number of claims
+     * on the worker for the task itself.
+     */
+    private static boolean isEligible(WorkerNode worker, Requirement requirement, int ownClaims, long now) {
         return worker.acceptsTasks(now)
                 && worker.registration.service().equals(requirement.service())
-                && worker.fits(requirement.freeResources())
                 && (requirement.label().isEmpty()
                         || worker.registration
                                 .labels()
                                 .contains(requirement.label().get()))
                 && (requirement.spread().isEmpty()
-                        || satisfiesSpread(worker, requirement.spread().get()))
-                && (!(requirement.mode() instanceof Requirement.BestEffort bestEffort)
-                        || expectedSpeed(bestEffort, worker) >= MIN_SPEED);
+                        || satisfiesSpread(worker, requirement.spread().get(), ownClaims));
     }
 
-    private static boolean satisfiesSpread(WorkerNode worker, Requirement.Spread spread) {
-        return worker.countOfStep(spread.job(), spread.step()) < spread.maxPerWorker();
+    private static boolean satisfiesSpread(WorkerNode worker, Requirement.Spread spread, int ownClaims) {
+        return worker.countOfStep(spread.job(), spread.step()) - ownClaims < spread.maxPerWorker();
     }
 
     private WorkerNode bestWorker(TaskEntry task, Requirement requirement, Predicate<WorkerNode> candidate, long now) {
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
@@ -36,7 +36,8 @@
     private final JobTable jobTable = new JobTable(time);
     private final WorkerRegistry registry = new WorkerRegistry(jobTable);
     private final WorkerSelector selector = new WorkerSelector(new InterferenceModel(), registry.index());
-    private final TaskPlacer placer = new TaskPlacer(jobTable, selector, time);
+    private final TaskPlacer placer =
+            new TaskPlacer(jobTable, selector, new RoomClaims(selector, registry.index()), time);
     private final ReportProcessor reports = new ReportProcessor(jobTable);
     private final List<WorkerRegistration> registrations = new ArrayList<>();
     private final List<JobEntry> jobs = new ArrayList<>();
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
@@ -16,6 +16,7 @@
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
 /** Tests the cost of scheduling decisions, measured as the number of examined workers. */
@@ -124,6 +125,41 @@
         assertTrue(fixture.stops().isEmpty());
     }
 
+    /** Guards against plans that search all workers for each task of a lost zone as long as these tasks wait. */
+    @Test
+    public void tasksOfLostZoneAreSearchedForOnce() {
+        int lost = 100;
+        SchedulerFixture fixture = fixture(WORKERS);
+        fixture.add(fixture.job("large", SchedulerFixture.step(WORKERS, 4100, LATENCY_CRITICAL)));
+        fixture.add(fixture.job("small", SchedulerFixture.step(WORKERS, 1900, LATENCY_CRITICAL)));
+        fixture.scheduler.plan();
+        fixture.add(fixture.job("full", SchedulerFixture.step(WORKERS, 2000, Step.Behaviour.PLAIN)));
+        List<Order.Start> full = fixture.starts();
+        assertEquals(full.size(), WORKERS);
+        List<WorkerRegistration> zone = List.copyOf(fixture.workers.subList(0, lost));
+        fixture.workers.subList(0, lost).clear();
+        fixture.scheduler.updateWorkers(fixture.workers);
+        zone.forEach(worker -> fixture.scheduler.expireLeases(
+                new TaskRecord.WorkerIncarnation(worker.id(), SchedulerFixture.INCARNATION)));
+        int plans = 0;
+        for (long examined = examinedWorkersByPlan(fixture); examined > 0; examined = examinedWorkersByPlan(fixture)) {
+            assertTrue(examined < 20 * WORKERS, "plan " + plans + " examined " + examined);
+            plans++;
+        }
+        assertTrue(plans < lost, plans + " plans");
+        assertEquals(fixture.scheduler.claims().size(), lost, "claims of the small tasks");
+        WorkerId claimed = fixture.scheduler.claims().values().iterator().next();
+        Order.Start ended = full.stream()
+                .filter(start -> start.worker().equals(claimed))
+                .findFirst()
+                .orElseThrow();
+        fixture.report(
+                claimed.value(), List.of(), List.of(SchedulerFixture.ended(1, ended, WorkerReport.EndKind.DONE)));
+        long before = fixture.scheduler.examinedWorkers();
+        assertEquals(fixture.starts().size(), 1, "the task with the claim");
+        assertTrue(fixture.scheduler.examinedWorkers() - before < 20);
+    }
+
     private static long examinedWorkersByReport(SchedulerFixture fixture, Order.Start running) {
         long before = fixture.scheduler.examinedWorkers();
         fixture.report(running.worker().value(), List.of(SchedulerFixture.running(running, 100, 10)), List.of());
