Claim the destination of a long-running task before its run is stopped

Cause: DrainController stopped a run on a draining worker because another worker had room, but reserved nothing. On full sites no worker ever had room, and the runs stayed until their worker was gone.

Change: the task claims room first, also room that short tasks will free, and its run is stopped once that room is free. The claim is made anew elsewhere if its worker accepts no more tasks before the run has ended. Claims of tasks that move hold a sixteenth of all CPU at most, so that tasks without a worker come before them. max_unavailable holds as before.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -45,7 +45,7 @@
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         roomClaims = new RoomClaims(workerSelector, registry.index());
-        drainController = new DrainController(jobTable, workerSelector);
+        drainController = new DrainController(jobTable, roomClaims);
         taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, time);
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -10,7 +10,8 @@
 import org.chestnutbarrow.model.Resources;
 
 /**
- * Keeps room on workers for long-running tasks that must run again and have no worker. Without a claim, short tasks take each piece of room that gets free, and a task that needs several
+ * Keeps room on workers for long-running tasks that run again soon: those without a worker, and those that move from a
+ * draining one. Without a claim, short tasks take each piece of room that gets free, and a task that needs several
  * pieces waits until the load falls. Guarded by the lock of its {@link BatchScheduler}.
  *
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
@@ -23,6 +24,8 @@
      * keep all short tasks waiting. A single claim may hold more.
      */
     private static final double MAX_CLAIMED_SHARE = 0.125;
+    /** The same for tasks that move, whose runs still go on. */
+    private static final double MAX_CLAIMED_SHARE_FOR_MOVES = MAX_CLAIMED_SHARE / 2;
     /** Run times are estimates, so a better worker may be found for a claim of this age. */
     private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(2);
     /** Bound on the searches for each plan; each examines all workers of a service. */
@@ -58,6 +61,14 @@
                 : workerSelector.select(task, now);
     }
 
+    /** Keeps room for the next run of a task on a worker that {@link #workerWithRoom} has returned. */
+    void claim(TaskEntry task, WorkerNode worker, long now) {
+        Claim claim = claims.get(task);
+        if (claim == null || claim.worker() != worker) {
+            put(task, worker, now);
+        }
+    }
+
     /**
      * Makes sure that a task for which no worker has room now has a claim on the one that is expected to have room
      * first, as far as the bounds on claims allow.
@@ -106,22 +117,28 @@
 
     private boolean isValid(TaskEntry task, Claim claim, long now) {
         return task.run == claim.run()
-                && needsRoom(task)
+                && needsRoom(task, now)
                 && workerSelector.acceptsClaimOf(task, claim.worker(), now)
                 && claim.worker()
                         .lastingReservation()
                         .fitsIn(claim.worker().registration.capacity());
     }
 
-    /** Returns whether a task waits for a worker. */
-    private static boolean needsRoom(TaskEntry task) {
-        return !task.done && task.assignedNode == null && task.job.isPlaceable();
+    /** Returns whether a task waits for a worker or moves from a draining one that still answers. */
+    private static boolean needsRoom(TaskEntry task, long now) {
+        if (task.done || !task.job.isPlaceable()) {
+            return false;
+        }
+        WorkerNode node = task.assignedNode;
+        return node == null || (node.isDraining() && node.listed() && !node.isUnresponsive(now));
     }
 
     private void addClaim(TaskEntry task, long now) {
         if (!isWithinBound(task)) {
-            // Smaller tasks that come later must not use up the share that this one waits for.
-            searchesLeft = 0;
+            if (task.assignedNode == null) {
+                // Smaller tasks that come later must not use up the share that this one waits for.
+                searchesLeft = 0;
+            }
             return;
         }
         if (searchesLeft == 0 || !workerSelector.mayClaim(task, now)) {
@@ -136,8 +153,9 @@
     }
 
     private boolean isWithinBound(TaskEntry task) {
+        double share = task.assignedNode == null ? MAX_CLAIMED_SHARE : MAX_CLAIMED_SHARE_FOR_MOVES;
         long wanted = claimedMilliCores + task.step.reservation().milliCores();
-        return claims.isEmpty() || wanted <= MAX_CLAIMED_SHARE * index.capacityMilliCores();
+        return claims.isEmpty() || wanted <= share * index.capacityMilliCores();
     }
 
     private void moveIfSooner(TaskEntry task, Claim claim, long now) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -58,6 +58,8 @@
     private final Set<TaskEntry> claimants = new LinkedHashSet<>();
 
     private Resources claimed = Resources.NONE;
+    /** CPU that the claimants use at full speed, of which best-effort ones reserve none. */
+    private long claimantMilliCores;
 
     private record StepKey(JobId job, int step) {}
 
@@ -216,6 +218,7 @@
     void addClaim(TaskEntry task) {
         if (claimants.add(task)) {
             claimed = claimed.plus(task.step.reservation());
+            claimantMilliCores += task.step.demand().milliCores();
             index.refresh(this);
         }
     }
@@ -223,6 +226,7 @@
     void removeClaim(TaskEntry task) {
         if (claimants.remove(task)) {
             claimed = claimed.minus(task.step.reservation());
+            claimantMilliCores -= task.step.demand().milliCores();
             index.refresh(this);
             index.capacityFreed(this);
         }
@@ -275,12 +279,12 @@
     /**
      * Returns the CPU left for further best-effort tasks: the unreserved CPU plus the part that latency-critical tasks
      * are expected to leave idle, minus the CPU that the best-effort tasks on this worker may use within their limits
-     * and the CPU kept for claimants.
+     * and the CPU that claimants will use.
      */
     long spareMilliCores() {
         return (long) registration.capacity().milliCores()
                 - reserved.milliCores()
-                - claimed.milliCores()
+                - claimantMilliCores
                 + (long) (LATENCY_CRITICAL_IDLE_FRACTION * latencyCriticalMilliCores)
                 - bestEffortMilliCores;
     }
