Leave a share of a full service to short tasks when room is claimed

Cause: after the loss of many workers the long-running tasks that run again claimed all that short tasks held.

Change: a claim on room that is not free yet leaves 8 % of its service to short tasks, as first runs of long-running tasks do. Tasks beyond that still come first when room is free.

RestartedTaskTest#claimsLeaveShareOfFullWorkersToShortTasks fails with a share of 0 (8 tasks instead of 7).

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -16,7 +16,7 @@
  *
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
  * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims beyond
- * the room that is free now hold a bounded share of all workers.
+ * the room that is free now hold a bounded share of all workers, and leave a share of their service to short tasks.
  */
 final class RoomClaims {
     /**
@@ -26,6 +26,8 @@
     private static final double MAX_CLAIMED_SHARE = 0.125;
     /** The same for tasks that move, whose runs still go on. */
     private static final double MAX_CLAIMED_SHARE_FOR_MOVES = MAX_CLAIMED_SHARE / 2;
+    /** Share of the CPU capacity of a service that claims on room which is not free yet leave to short tasks. */
+    private static final double SHORT_TASK_SHARE = 0.08;
     /** Run times are estimates, so a better worker may be found for a claim of this age. */
     private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(2);
     /** Bound on the searches for each plan; each examines all workers of a service. */
@@ -178,7 +180,11 @@
     private LaterRoom soonestRoom(TaskEntry task, long now) {
         searchesLeft--;
         LaterRoom soonest = null;
+        long lasting = 0;
+        long capacity = 0;
         for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
+            lasting += worker.lastingReservation().milliCores();
+            capacity += worker.registration.capacity().milliCores();
             if (!workerSelector.couldClaim(task, worker, now)) {
                 continue;
             }
@@ -187,7 +193,8 @@
                 soonest = new LaterRoom(worker, time.get());
             }
         }
-        return soonest;
+        long wanted = lasting + task.step.reservation().milliCores();
+        return wanted <= (1 - SHORT_TASK_SHARE) * capacity ? soonest : null;
     }
 
     /** Returns the expected time until a worker has room beside its claims, or empty if no end of a run makes it. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/RestartedTaskTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/RestartedTaskTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.chestnutbarrow.batch.WorkerReport.EndKind;
+import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
@@ -90,6 +91,30 @@
         }
     }
 
+    /** Guards against short tasks that have no room left at all, because restarted tasks have claimed all of it. */
+    @Test
+    public void claimsLeaveShareOfFullWorkersToShortTasks() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1", "w2", "w3", "w4", "w5");
+        SimulatedWorkers workers = simulation(fixture, 0);
+        fixture.add(fixture.job("service", SchedulerFixture.step(8, 3700, LONG_RUNNING)));
+        List<Order.Start> runs = workers.apply(fixture.scheduler.plan());
+        assertEquals(runs.size(), 8);
+        fill(workers, 50);
+        workers.lose(runs.getFirst().worker());
+        JobId service = runs.getFirst().task().job();
+        assertEquals(workers.runsOf(service), 6);
+        for (int i = 0; i < MAX_REPORTS_UNTIL_RESTART; i++) {
+            addUrgentJobs(workers);
+            workers.reportAll();
+        }
+        assertEquals(workers.runsOf(service), 7, "the eighth task would use more than 92 % of the workers");
+        assertTrue(workers.shortRuns() > 0);
+        for (int i = 0; i < MAX_REPORTS_UNTIL_RESTART; i++) {
+            workers.reportAll();
+        }
+        assertEquals(workers.runsOf(service), 8, "room is free when no short task waits");
+    }
+
     /** Guards against a run that is stopped to move it and whose destination then runs a task of a later job. */
     @Test
     public void destinationOfMoveIsNotTakenBeforeStoppedRunEnds() {
