Start long-running tasks first only if their room was not lost

Cause: a task whose run fails or is stopped leaves the room that it had, and placing it first costs short tasks nothing. A task of a lost worker takes the room of short tasks, also beyond the share that claims leave to them, because it came first wherever room was free.

Change: a task comes first if this owner has seen its last run end on a worker that was listed and answered, if it has a claim, or if its service still leaves 8 % to short tasks. Others come in the order of the jobs, as before. The index keeps the CPU of long-running tasks and claims of each service.

RestartedTaskTest#failedTaskRunsAgainInItsOwnRoomOnFullWorker fails on: 8 starts of short tasks instead of the task.

--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -104,6 +104,8 @@
 
     /** Releases a task from its worker. */
     void release(TaskEntry task) {
+        WorkerNode node = task.assignedNode;
+        task.endedInTouch = node != null && node.listed() && !node.isUnresponsive(time.nanos());
         task.release();
         task.releasedAt = time.nanos();
         markChanged(task.job);
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -26,7 +27,7 @@
     private static final double MAX_CLAIMED_SHARE = 0.125;
     /** The same for tasks that move, whose runs still go on. */
     private static final double MAX_CLAIMED_SHARE_FOR_MOVES = MAX_CLAIMED_SHARE / 2;
-    /** Share of the CPU capacity of a service that claims on room which is not free yet leave to short tasks. */
+    /** Share of the CPU capacity of a service that claims and long-running tasks leave to short tasks. */
     private static final double SHORT_TASK_SHARE = 0.08;
     /** Run times are estimates, so a better worker may be found for a claim of this age. */
     private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(2);
@@ -37,7 +38,7 @@
 
     private final WorkerSelector workerSelector;
     private final WorkerIndex index;
-    private final Map<TaskEntry, Claim> claims = new HashMap<>();
+    private final Map<TaskEntry, Claim> claims = new LinkedHashMap<>();
     private long claimedMilliCores;
     private int searchesLeft = MAX_SEARCHES;
 
@@ -55,6 +56,20 @@
         List.copyOf(claims.keySet()).forEach(task -> validClaim(task, now));
     }
 
+    /**
+     * Returns whether a task that waits comes before short tasks: it has a claim, its last run was not lost with its
+     * worker, so that it left room or was stopped to move it, or its service still leaves short tasks their share.
+     */
+    boolean comesFirst(TaskEntry task) {
+        return task.endedInTouch || claims.containsKey(task) || leavesShortTaskShare(task);
+    }
+
+    private boolean leavesShortTaskShare(TaskEntry task) {
+        WorkerIndex.Pool pool = index.pool(task.job.policy.service());
+        long lasting = pool.lastingMilliCores() + task.step.reservation().milliCores();
+        return lasting <= (1 - SHORT_TASK_SHARE) * pool.capacityMilliCores();
+    }
+
     /** Returns a worker that has room for the task now, its claimed one first, or null if there is none. */
     WorkerNode workerWithRoom(TaskEntry task, long now) {
         Claim claim = validClaim(task, now);
@@ -136,6 +151,9 @@
     }
 
     private void addClaim(TaskEntry task, long now) {
+        if (!leavesShortTaskShare(task)) {
+            return;
+        }
         if (!isWithinBound(task)) {
             if (task.assignedNode == null) {
                 // Smaller tasks that come later must not use up the share that this one waits for.
@@ -180,11 +198,7 @@
     private LaterRoom soonestRoom(TaskEntry task, long now) {
         searchesLeft--;
         LaterRoom soonest = null;
-        long lasting = 0;
-        long capacity = 0;
         for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
-            lasting += worker.lastingReservation().milliCores();
-            capacity += worker.registration.capacity().milliCores();
             if (!workerSelector.couldClaim(task, worker, now)) {
                 continue;
             }
@@ -193,8 +207,7 @@
                 soonest = new LaterRoom(worker, time.get());
             }
         }
-        long wanted = lasting + task.step.reservation().milliCores();
-        return wanted <= (1 - SHORT_TASK_SHARE) * capacity ? soonest : null;
+        return soonest;
     }
 
     /** Returns the expected time until a worker has room beside its claims, or empty if no end of a run makes it. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -47,6 +47,8 @@
     long progressedAt;
     /** When this owner last released a run of the task, in ns; {@link #NEVER} before that. */
     long releasedAt = NEVER;
+    /** Whether this owner has released the last run while its worker was listed and answered. */
+    boolean endedInTouch;
     /** Since when the reported tail latency has exceeded its target, in ns; 0 while it does not. */
     long overTargetSince;
     /** CPU limit of the latest run, in percent of its demand. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -64,8 +64,8 @@
     }
 
     /**
-     * Places the long-running tasks that must run again, or claims room for them, before any task of a more urgent job:
-     * a service that was placed before does not give up its room because others come.
+     * Places the long-running tasks that must run again and come first, or claims room for them, before any task of a
+     * more urgent job. The others come in the order of the jobs.
      */
     private void placeRestarted(long now) {
         roomClaims.review(now);
@@ -82,7 +82,7 @@
     }
 
     private void placeRestarted(TaskEntry task, long now) {
-        if (!task.job.isReady(task.name.step())) {
+        if (!task.job.isReady(task.name.step()) || !roomClaims.comesFirst(task)) {
             return;
         }
         WorkerNode node = roomClaims.workerWithRoom(task, now);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -32,7 +32,12 @@
 
     /** The indexed state of a worker. */
     private record IndexedState(
-            SortKey freeKey, SortKey spareKey, long freeMilliCores, long capacityMilliCores, boolean schedulable) {}
+            SortKey freeKey,
+            SortKey spareKey,
+            long freeMilliCores,
+            long lastingMilliCores,
+            long capacityMilliCores,
+            boolean schedulable) {}
 
     /** The schedulable workers of one service. */
     static final class Pool {
@@ -42,6 +47,19 @@
         /** Largest worker capacity seen so far; scales absolute demands to fractions. */
         private int maxCapacityMilliCores = 1;
 
+        private long lastingMilliCores;
+        private long capacityMilliCores;
+
+        /** Returns the CPU of these workers that long-running tasks hold and that is kept for claimants. */
+        long lastingMilliCores() {
+            return lastingMilliCores;
+        }
+
+        /** Returns the CPU capacity of these workers. */
+        long capacityMilliCores() {
+            return capacityMilliCores;
+        }
+
         /** Returns all workers with at least this much free CPU, and possibly some with less, in ascending order. */
         Collection<WorkerNode> byFree(double milliCores) {
             return byFree.tailMap(lowerBound(milliCores), true).values();
@@ -67,6 +85,8 @@
         private void put(WorkerNode node, IndexedState state) {
             maxCapacityMilliCores =
                     Math.max(maxCapacityMilliCores, node.registration.capacity().milliCores());
+            lastingMilliCores += state.lastingMilliCores();
+            capacityMilliCores += state.capacityMilliCores();
             byFree.put(state.freeKey(), node);
             bySpare.put(state.spareKey(), node);
             node.registration
@@ -76,6 +96,8 @@
         }
 
         private void remove(WorkerNode node, IndexedState state) {
+            lastingMilliCores -= state.lastingMilliCores();
+            capacityMilliCores -= state.capacityMilliCores();
             byFree.remove(state.freeKey());
             bySpare.remove(state.spareKey());
             for (String label : node.registration.labels()) {
@@ -84,6 +106,7 @@
         }
 
         private void update(WorkerNode node, IndexedState before, IndexedState after) {
+            lastingMilliCores += after.lastingMilliCores() - before.lastingMilliCores();
             byFree.remove(before.freeKey());
             byFree.put(after.freeKey(), node);
             bySpare.remove(before.spareKey());
@@ -186,6 +209,7 @@
                 new SortKey(node.fractionOfCapacity(node.freeMilliCores()), id),
                 new SortKey(node.fractionOfCapacity(node.spareMilliCores()), id),
                 node.freeMilliCores(),
+                node.lastingMilliCores(),
                 node.registration.capacity().milliCores(),
                 node.isSchedulable());
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -44,6 +44,7 @@
     private boolean zoneEvacuated;
     private long lastResponseAt;
     private Resources reserved = Resources.NONE;
+    private long longRunningMilliCores;
     /** Cached results of {@link #bestEffortDemandByImage()} and {@link #minBaselineByImage()}; null after a change. */
     private Map<String, Double> bestEffortDemandByImage;
 
@@ -167,6 +168,9 @@
         }
         task.assignTo(this);
         reserved = reserved.plus(task.step.reservation());
+        if (task.step.longRunning()) {
+            longRunningMilliCores += task.step.reservation().milliCores();
+        }
         if (task.step.behaviour().bestEffort()) {
             addBestEffortDemand(task, task.limitedMilliCores());
         }
@@ -185,6 +189,9 @@
             return;
         }
         reserved = reserved.minus(task.step.reservation());
+        if (task.step.longRunning()) {
+            longRunningMilliCores -= task.step.reservation().milliCores();
+        }
         if (task.step.behaviour().bestEffort()) {
             addBestEffortDemand(task, -task.limitedMilliCores());
         }
@@ -249,6 +256,11 @@
         return reserved.plus(claimed);
     }
 
+    /** Returns the CPU that long-running tasks hold and that is kept for claimants. */
+    long lastingMilliCores() {
+        return longRunningMilliCores + claimed.milliCores();
+    }
+
     /** Returns what is kept for claimants and what tasks hold that go on until their jobs are cancelled. */
     Resources lastingReservation() {
         Resources lasting = claimed;
--- a/batch/src/test/java/org/chestnutbarrow/batch/RestartedTaskTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/RestartedTaskTest.java
@@ -5,6 +5,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
@@ -115,6 +116,24 @@
         assertEquals(workers.runsOf(service), 8, "room is free when no short task waits");
     }
 
+    /** Guards against a failed task whose own room short tasks take, on workers that are full of long-running tasks. */
+    @Test
+    public void failedTaskRunsAgainInItsOwnRoomOnFullWorker() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        JobSpec job = fixture.job("service", SchedulerFixture.step(1, 7600, LONG_RUNNING));
+        TaskRecord ranBefore = new TaskRecord(false, 1, 0, "", Optional.empty());
+        fixture.scheduler.addJob(
+                job,
+                Optional.of(new JobProgress(job.id(), JobState.RUNNING, Instant.EPOCH, List.of(List.of(ranBefore)))));
+        Order.Start run = fixture.starts().getFirst();
+        fixture.time.advance(Duration.ofSeconds(5));
+        fixture.add(fixture.job("fresh", SchedulerFixture.step(8, 1000, Step.Behaviour.PLAIN)));
+        fixture.report("w1", List.of(), List.of(SchedulerFixture.ended(1, run, EndKind.FAILED)));
+        List<Order.Start> starts = fixture.starts();
+        assertEquals(starts.size(), 1);
+        assertEquals(starts.getFirst().task(), run.task());
+    }
+
     /** Guards against a run that is stopped to move it and whose destination then runs a task of a later job. */
     @Test
     public void destinationOfMoveIsNotTakenBeforeStoppedRunEnds() {
@@ -163,6 +182,30 @@
         }
     }
 
+    /** Guards against a run that was stopped to move it and waits behind short tasks under the next owner. */
+    @Test
+    public void stoppedRunStartsFirstUnderNextOwner() {
+        SchedulerFixture fixture = new SchedulerFixture();
+        JobSpec job = fixture.job("service", SchedulerFixture.step(1, 7600, LONG_RUNNING));
+        TaskRecord placed = new TaskRecord(
+                false,
+                4,
+                0,
+                "",
+                Optional.of(new TaskRecord.WorkerIncarnation(new WorkerId("w1"), SchedulerFixture.INCARNATION)));
+        fixture.scheduler.addJob(
+                job, Optional.of(new JobProgress(job.id(), JobState.RUNNING, Instant.EPOCH, List.of(List.of(placed)))));
+        fixture.time.advance(Duration.ofSeconds(5));
+        fixture.add(fixture.job("fresh", SchedulerFixture.step(8, 1000, Step.Behaviour.PLAIN)));
+        fixture.workers.add(fixture.worker("w1", SchedulerFixture.INCARNATION));
+        fixture.setDraining("w1", true);
+        fixture.report("w1", List.of(), List.of());
+        fixture.withWorkers("w2");
+        List<Order.Start> starts = fixture.starts();
+        assertEquals(starts.size(), 1);
+        assertEquals(starts.getFirst().task().job(), job.id());
+    }
+
     /** Guards against room that stays withheld for a task that no longer needs it. */
     @Test
     public void roomIsFreeAgainWhenJobIsCancelled() {
