Do not let an unclaimable task block the claims of others

Cause: a task beyond the bound on claims ended the searches of a plan before it was known whether any worker could keep room for it. A task whose only worker was lost, or that is larger than what any worker can free, came first in each plan, so that later tasks claimed room one after the other instead of together.

Change: the search comes first; only a task for which a worker could keep room makes smaller ones wait.

Result: ClaimedRoomTest#taskThatNoWorkerCanTakeDoesNotBlockClaimsOfLaterTasks failed before and passes, as do RoomClaimsTest, RestartedTaskTest, PlanCostTest and DrainingWorkerTest (one run, x86-64).

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -136,21 +136,19 @@
     }
 
     private void addClaim(TaskEntry task, long now) {
-        if (!isWithinBound(task)) {
-            if (task.assignedNode == null) {
-                // Smaller tasks that come later must not use up the share that this one waits for.
-                searchesLeft = 0;
-            }
-            return;
-        }
-        if (searchesLeft == 0 || !workerSelector.mayClaim(task, now)) {
+        boolean waits = task.assignedNode == null;
+        boolean withinBound = isWithinBound(task);
+        if (searchesLeft == 0 || (!withinBound && !waits) || !workerSelector.mayClaim(task, now)) {
             return;
         }
         LaterRoom room = soonestRoom(task, now);
         if (room == null) {
             workerSelector.markUnclaimable(task);
-        } else {
+        } else if (withinBound) {
             put(task, room.worker(), now);
+        } else {
+            // Smaller tasks that come later must not use up the share that this one waits for.
+            searchesLeft = 0;
         }
     }
 
