Bound claims on room for each service

Cause: the bound on claims was a share of all workers and counted the claims of all services. The claims on the workers of one service kept the tasks of another from claiming room, which they could not have taken, and a small service could be claimed nearly in whole.

Change: claims are counted for each service and bounded by its capacity, and a task at the bound makes smaller ones of its own service wait only.

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.chestnutbarrow.model.Resources;
 
 /**
@@ -16,12 +18,12 @@
  *
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
  * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims beyond
- * the room that is free now hold a bounded share of all workers, and leave a share of their service to short tasks.
+ * the room that is free now hold a bounded share of their service, and leave another share of it to short tasks.
  */
 final class RoomClaims {
     /**
-     * Share of the total CPU capacity that claims of waiting tasks may hold, so that the loss of many workers does not
-     * keep all short tasks waiting. A single claim may hold more.
+     * Share of the CPU capacity of a service that claims of waiting tasks may hold, so that the loss of many workers
+     * does not keep all short tasks waiting. A single claim may hold more.
      */
     private static final double MAX_CLAIMED_SHARE = 0.125;
     /** The same for tasks that move, whose runs still go on. */
@@ -38,7 +40,10 @@
     private final WorkerSelector workerSelector;
     private final WorkerIndex index;
     private final Map<TaskEntry, Claim> claims = new HashMap<>();
-    private long claimedMilliCores;
+    private final Map<String, Long> claimedMilliCoresByService = new HashMap<>();
+    /** Services with a task that waits until claims of others have been met. */
+    private final Set<String> servicesAtBound = new HashSet<>();
+
     private int searchesLeft = MAX_SEARCHES;
 
     /** A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns. */
@@ -52,6 +57,7 @@
     /** Releases the claims that are no longer needed or can no longer be met. Called at the start of each plan. */
     void review(long now) {
         searchesLeft = MAX_SEARCHES;
+        servicesAtBound.clear();
         List.copyOf(claims.keySet()).forEach(task -> validClaim(task, now));
     }
 
@@ -88,7 +94,7 @@
     void release(TaskEntry task) {
         Claim claim = claims.remove(task);
         if (claim != null) {
-            claimedMilliCores -= task.step.reservation().milliCores();
+            addClaimed(claim.worker(), -task.step.reservation().milliCores());
             claim.worker().removeClaim(task);
         }
     }
@@ -103,10 +109,14 @@
     private void put(TaskEntry task, WorkerNode worker, long now) {
         release(task);
         claims.put(task, new Claim(worker, task.run, now));
-        claimedMilliCores += task.step.reservation().milliCores();
+        addClaimed(worker, task.step.reservation().milliCores());
         worker.addClaim(task);
     }
 
+    private void addClaimed(WorkerNode worker, long milliCores) {
+        claimedMilliCoresByService.merge(worker.registration.service(), milliCores, Long::sum);
+    }
+
     /** Returns the claim of a task, or null if it has none or its claim had to be released. */
     private Claim validClaim(TaskEntry task, long now) {
         Claim claim = claims.get(task);
@@ -136,9 +146,13 @@
     }
 
     private void addClaim(TaskEntry task, long now) {
+        String service = task.job.policy.service();
         boolean waits = task.assignedNode == null;
-        boolean withinBound = isWithinBound(task);
-        if (searchesLeft == 0 || (!withinBound && !waits) || !workerSelector.mayClaim(task, now)) {
+        boolean withinBound = isWithinBound(task, service);
+        if (searchesLeft == 0
+                || servicesAtBound.contains(service)
+                || (!withinBound && !waits)
+                || !workerSelector.mayClaim(task, now)) {
             return;
         }
         LaterRoom room = soonestRoom(task, now);
@@ -148,14 +162,15 @@
             put(task, room.worker(), now);
         } else {
             // Smaller tasks that come later must not use up the share that this one waits for.
-            searchesLeft = 0;
+            servicesAtBound.add(service);
         }
     }
 
-    private boolean isWithinBound(TaskEntry task) {
+    private boolean isWithinBound(TaskEntry task, String service) {
         double share = task.assignedNode == null ? MAX_CLAIMED_SHARE : MAX_CLAIMED_SHARE_FOR_MOVES;
-        long wanted = claimedMilliCores + task.step.reservation().milliCores();
-        return claims.isEmpty() || wanted <= share * index.capacityMilliCores();
+        long claimed = claimedMilliCoresByService.getOrDefault(service, 0L);
+        long wanted = claimed + task.step.reservation().milliCores();
+        return claimed == 0 || wanted <= share * index.pool(service).capacityMilliCores();
     }
 
     private void moveIfSooner(TaskEntry task, Claim claim, long now) {
@@ -179,10 +194,9 @@
         searchesLeft--;
         LaterRoom soonest = null;
         long lasting = 0;
-        long capacity = 0;
-        for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
+        WorkerIndex.Pool pool = index.pool(task.job.policy.service());
+        for (WorkerNode worker : pool.all()) {
             lasting += worker.lastingReservation().milliCores();
-            capacity += worker.registration.capacity().milliCores();
             if (!workerSelector.couldClaim(task, worker, now)) {
                 continue;
             }
@@ -192,7 +206,7 @@
             }
         }
         long wanted = lasting + task.step.reservation().milliCores();
-        return wanted <= (1 - SHORT_TASK_SHARE) * capacity ? soonest : null;
+        return wanted <= (1 - SHORT_TASK_SHARE) * pool.capacityMilliCores() ? soonest : null;
     }
 
     /** Returns the expected time until a worker has room beside its claims, or empty if no end of a run makes it. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -42,6 +42,8 @@
         /** Largest worker capacity seen so far; scales absolute demands to fractions. */
         private int maxCapacityMilliCores = 1;
 
+        private long capacityMilliCores;
+
         /** Returns all workers with at least this much free CPU, and possibly some with less, in ascending order. */
         Collection<WorkerNode> byFree(double milliCores) {
             return byFree.tailMap(lowerBound(milliCores), true).values();
@@ -56,6 +58,11 @@
             return byFree.values();
         }
 
+        /** Returns the CPU capacity of all these workers. */
+        long capacityMilliCores() {
+            return capacityMilliCores;
+        }
+
         Collection<WorkerNode> withLabel(String label) {
             return byLabel.getOrDefault(label, Set.of());
         }
@@ -67,6 +74,7 @@
         private void put(WorkerNode node, IndexedState state) {
             maxCapacityMilliCores =
                     Math.max(maxCapacityMilliCores, node.registration.capacity().milliCores());
+            capacityMilliCores += state.capacityMilliCores();
             byFree.put(state.freeKey(), node);
             bySpare.put(state.spareKey(), node);
             node.registration
@@ -76,6 +84,7 @@
         }
 
         private void remove(WorkerNode node, IndexedState state) {
+            capacityMilliCores -= state.capacityMilliCores();
             byFree.remove(state.freeKey());
             bySpare.remove(state.spareKey());
             for (String label : node.registration.labels()) {
