Release the latest claim when the claims on a worker no longer fit

Cause: claims were reviewed in the order of identity hash codes. When a run on their worker turned out to go on, any of them was given up, also the earliest, and two runs of one history decided differently.

Change: claims are kept in the order in which they were made and reviewed from the latest to the earliest.

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -5,9 +5,11 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SequencedMap;
 import java.util.Set;
 import org.chestnutbarrow.model.Resources;
 
@@ -39,7 +41,9 @@
 
     private final WorkerSelector workerSelector;
     private final WorkerIndex index;
-    private final Map<TaskEntry, Claim> claims = new HashMap<>();
+    /** Claims by task, earliest made first. */
+    private final SequencedMap<TaskEntry, Claim> claims = new LinkedHashMap<>();
+
     private final Map<String, Long> claimedMilliCoresByService = new HashMap<>();
     /** Services with a task that waits until claims of others have been met. */
     private final Set<String> servicesAtBound = new HashSet<>();
@@ -54,11 +58,14 @@
         this.index = index;
     }
 
-    /** Releases the claims that are no longer needed or can no longer be met. Called at the start of each plan. */
+    /**
+     * Releases the claims that are no longer needed or can no longer be met, of several on one worker the latest first.
+     * Called at the start of each plan.
+     */
     void review(long now) {
         searchesLeft = MAX_SEARCHES;
         servicesAtBound.clear();
-        List.copyOf(claims.keySet()).forEach(task -> validClaim(task, now));
+        List.copyOf(claims.sequencedKeySet().reversed()).forEach(task -> validClaim(task, now));
     }
 
     /** Returns a worker that has room for the task now, its claimed one first, or null if there is none. */
