Keep claimed room until the end of a stopped run is known

Cause: a claim was released when the draining worker was no longer listed or was silent for 1.5 s, although the run had been stopped already. A worker that leaves the list before its last report, or a list that lacks it for a while, cost the run its destination.

Change: once the stop of a run is ordered, its claim lasts until its next run starts, or until its claimed worker accepts no tasks. It takes as long as the lease of that run at most.

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -143,13 +143,16 @@
                         .fitsIn(claim.worker().registration.capacity());
     }
 
-    /** Returns whether a task waits for a worker or moves from a draining one that still answers. */
+    /**
+     * Returns whether a task waits for a worker, or will once a stop that was ordered takes effect, or may move from a
+     * draining worker that still answers.
+     */
     private static boolean needsRoom(TaskEntry task, long now) {
         if (task.done || !task.job.isPlaceable()) {
             return false;
         }
         WorkerNode node = task.assignedNode;
-        return node == null || (node.isDraining() && node.listed() && !node.isUnresponsive(now));
+        return node == null || task.stopOrdered || (node.isDraining() && node.listed() && !node.isUnresponsive(now));
     }
 
     private void addClaim(TaskEntry task, long now) {
