Keep max_unavailable when best-effort tasks are moved

The limit was known to DrainController only.

Change: a task is stopped only while fewer other tasks of its step than max_unavailable are not at work, that is at 100 percent and not stopped; otherwise it is throttled where it is. Steps without max_unavailable are moved as before.

--- a/batch/src/main/java/org/chestnutbarrow/batch/InterferenceController.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/InterferenceController.java
@@ -101,6 +101,7 @@
     private void throttleOrMove(WorkerNode node, TaskEntry task, int percent, Predicate<TaskEntry> canMove) {
         if (percent < MOVE_BELOW_SHARE * FULL_SPEED_PERCENT
                 && task.step.behaviour().checkpointing()
+                && mayStop(task)
                 && canMove.test(task)) {
             jobTable.stop(task, "disturbs-serving");
         } else {
@@ -108,6 +109,18 @@
         }
     }
 
+    /** Returns whether enough other tasks of the step are at work, if it declares how many may be unavailable. */
+    private static boolean mayStop(TaskEntry task) {
+        int maxUnavailable = task.step.behaviour().maxUnavailable();
+        if (maxUnavailable == 0) {
+            return true;
+        }
+        long unavailable = task.job.tasksByStep.get(task.name.step()).stream()
+                .filter(other -> other != task && !other.isAtWork())
+                .count();
+        return unavailable < maxUnavailable;
+    }
+
     private void setCpuLimit(WorkerNode node, TaskEntry task, int percent) {
         node.setCpuLimit(task, percent);
         jobTable.addOrder(new Order.SetCpuLimit(task.name, task.run, node.id(), node.incarnation(), percent));
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -8,6 +8,8 @@
     static final long NEVER = Long.MIN_VALUE;
 
     private static final int FULL_SPEED_PERCENT = 100;
+    /** Progress of a long-running task that is at work. */
+    private static final int READY_PERCENT = 100;
 
     final JobEntry job;
     final TaskName name;
@@ -85,6 +87,11 @@
         baseline = new BaselineHeadroom();
     }
 
+    /** Returns whether the latest run is known to be ready and has not been stopped. */
+    boolean isAtWork() {
+        return assignedNode != null && !stopOrdered && confirmed && progressPercent >= READY_PERCENT;
+    }
+
     /** Returns whether the latest run goes on until its job is cancelled. */
     boolean lasts() {
         return step.longRunning() && !stopOrdered;
