Place tasks that keep failing at the start in the order of jobs

Cause: long-running tasks that must run again come first in each plan, however often they fail. A job whose tasks fail before they are ready used all starts of each plan and claimed room of short tasks again and again.

Change: a task whose last three runs failed before they were ready is placed in the order of jobs and claims no room until one of its runs is ready. Runs that were stopped or lost do not count. The number is not stored.

The test now adds a later job before each plan, because a single one would come after the failing job in the order of jobs as well.

--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -102,10 +102,7 @@
         if (!task.confirmed || run.progressPercent() != task.progressPercent || task.cpuLimitPercent < READY_PERCENT) {
             task.progressedAt = now;
         }
-        task.confirmed = true;
-        task.listed = true;
-        task.progressPercent = run.progressPercent();
-        task.loadMetric = run.loadMetric();
+        task.progressReported(run);
         boolean overTarget = task.isLatencyCritical()
                 && task.loadMetric > task.step.behaviour().latencyTargetMs();
         task.overTargetSince = !overTarget ? 0 : task.overTargetSince == 0 ? now : task.overTargetSince;
@@ -152,6 +149,7 @@
             return;
         }
         boolean stopOrdered = task.stopOrdered;
+        boolean wasAtWork = task.isAtWork();
         jobTable.release(task);
         if (!end.checkpoint().isEmpty()) {
             task.checkpoint = end.checkpoint();
@@ -162,11 +160,11 @@
                 jobTable.finishTask(task);
             }
         } else if (end.kind() == WorkerReport.EndKind.FAILED) {
-            processFailed(node, task, stopOrdered, now);
+            processFailed(node, task, stopOrdered, wasAtWork, now);
         }
     }
 
-    private void processFailed(WorkerNode node, TaskEntry task, boolean stopOrdered, long now) {
+    private void processFailed(WorkerNode node, TaskEntry task, boolean stopOrdered, boolean wasAtWork, long now) {
         // A worker lists an end until it is acknowledged, so that the end may have been counted by an earlier owner.
         if (task.run <= task.settledRun) {
             return;
@@ -174,6 +172,7 @@
         task.settledRun = task.run;
         task.failures++;
         if (!stopOrdered) {
+            task.failedStarts += wasAtWork ? 0 : 1;
             node.recordFailure(now, task.name.job());
         }
         // Only failed runs count towards the limit; interrupted or lost runs do not.
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -20,6 +20,9 @@
     /** Latest run whose failure is counted or which an earlier owner has released. */
     int settledRun;
 
+    /** Number of latest runs that failed one after the other before they were ready. */
+    int failedStarts;
+
     String checkpoint = "";
     /** Worker to which the latest run is assigned; null while the task waits. */
     WorkerNode assignedNode;
@@ -68,6 +71,17 @@
         assignedNode = node;
     }
 
+    /** Records that the worker has listed the latest run. */
+    void progressReported(WorkerReport.Running report) {
+        confirmed = true;
+        listed = true;
+        progressPercent = report.progressPercent();
+        loadMetric = report.loadMetric();
+        if (isAtWork()) {
+            failedStarts = 0;
+        }
+    }
+
     /** Releases the task from its worker and resets the state of its run. */
     void release() {
         if (assignedNode != null) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -16,6 +16,12 @@
      */
     private static final Duration UNFINISHED_TASK_DELAY = Duration.ofMillis(400);
 
+    /**
+     * A long-running task that failed this often before it was ready is placed in the order of jobs, since it would
+     * otherwise take starts and room from all others again and again.
+     */
+    private static final int MAX_FAILED_STARTS = 3;
+
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
@@ -85,6 +91,10 @@
         if (!task.job.isReady(task.name.step())) {
             return;
         }
+        if (task.failedStarts >= MAX_FAILED_STARTS) {
+            roomClaims.release(task);
+            return;
+        }
         WorkerNode node = roomClaims.workerWithRoom(task, now);
         if (node == null) {
             roomClaims.claimLaterRoom(task, now);
--- a/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
@@ -163,10 +163,10 @@
         fixture.add(fixture.job("failing", SchedulerFixture.step(4, 1000, LONG_RUNNING)));
         Map<WorkerId, Long> sequences = new HashMap<>();
         List<Order.Start> starts = SchedulerFixture.starts(fixture.scheduler.plan(4));
-        fixture.add(fixture.job("fresh", SchedulerFixture.step(8, 500, Step.Behaviour.PLAIN)));
         int otherStarts = 0;
         for (int i = 0; i < 20; i++) {
             fixture.time.advance(Duration.ofSeconds(6));
+            fixture.add(fixture.job("fresh" + i, SchedulerFixture.step(4, 500, Step.Behaviour.PLAIN)));
             for (WorkerRegistration worker : fixture.workers) {
                 List<WorkerReport.Ended> ended = starts.stream()
                         .filter(start -> start.worker().equals(worker.id())
@@ -178,12 +178,28 @@
             }
             starts = SchedulerFixture.starts(fixture.scheduler.plan(4));
             otherStarts += (int) starts.stream()
-                    .filter(start -> start.task().job().value().equals("fresh"))
+                    .filter(start -> start.task().job().value().startsWith("fresh"))
                     .count();
         }
         assertTrue(otherStarts >= 8, otherStarts + " starts of the other job");
     }
 
+    /** Guards against a task that is kept from its own claimed room because it has failed at the start. */
+    @Test
+    public void taskThatFailedAtTheStartLeavesDrainingWorker() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        Order.Start run = startService(fixture, "service", 6000);
+        for (int sequence = 1; sequence <= 3; sequence++) {
+            fixture.report("w1", List.of(), List.of(SchedulerFixture.ended(sequence, run, EndKind.FAILED)));
+            run = fixture.starts().getFirst();
+        }
+        fixture.withWorkers("w2").setDraining("w1", true);
+        fixture.report("w1", List.of(SchedulerFixture.running(run, 50, 10)), List.of());
+        Order.Stop stop = fixture.stops().getFirst();
+        fixture.report("w1", List.of(), List.of(SchedulerFixture.ended(4, stop, EndKind.INTERRUPTED)));
+        assertEquals(fixture.starts().getFirst().worker(), new WorkerId("w2"));
+    }
+
     private static final Step.Behaviour DISTURBING = new Step.Behaviour("filler", true, true, true, 0, 1);
 
     /** Starts a latency-critical task with two best-effort tasks beside it, and lets it miss its target for 2 s. */
