--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -174,7 +174,7 @@
         if (startsAllowed) {
             drainController.drain(node, now);
         }
-        interferenceController.adjust(node, now, task -> workerSelector.fitsElsewhere(task, now));
+        interferenceController.adjust(node, now, task -> roomClaims.claimElsewhere(task, now));
     }
 
     /** Returns whether the run of an order is assigned to the worker incarnation that receives the order. */
@@ -208,7 +208,7 @@
         switch (order) {
             case Order.Start _ -> rejectStart(order.task(), order.run(), false);
             // The next report that lists the run orders the stop again.
-            case Order.Stop _ -> task.stopOrdered = false;
+            case Order.Stop _ -> task.setStopOrdered(false);
             case Order.SetCpuLimit _ -> {}
         }
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -95,7 +95,7 @@
             return;
         }
         if (!task.stopOrdered || now - task.stopOrderedAt >= STOP_REPEAT_INTERVAL.toNanos()) {
-            task.stopOrdered = true;
+            task.setStopOrdered(true);
             task.stopOrderedAt = now;
             orders.add(new Order.Stop(
                     task.name, task.run, task.assignedNode.id(), task.assignedNode.incarnation(), reason));
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -4,25 +4,28 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SequencedMap;
+import java.util.Set;
 import org.chestnutbarrow.model.Resources;
 
 /**
- * Keeps room on workers for long-running tasks that run again soon: those without a worker, and those that move from a
- * draining one. Without a claim, short tasks take each piece of room that gets free, and a task that needs several
+ * Keeps room on workers for tasks that run again soon: long-running ones without a worker or on a draining one, and
+ * best-effort ones that were stopped because they disturb others. Without a claim, short tasks take each piece of room that gets free, and a task that needs several
  * pieces waits until the load falls. Guarded by the lock of its {@link BatchScheduler}.
  *
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
  * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims beyond
- * the room that is free now hold a bounded share of all workers, and leave a share of their service to short tasks.
+ * the room that is free now hold a bounded share of their service, and leave another share of it to short tasks.
  */
 final class RoomClaims {
     /**
-     * Share of the total CPU capacity that claims of waiting tasks may hold, so that the loss of many workers does not
-     * keep all short tasks waiting. A single claim may hold more.
+     * Share of the CPU capacity of a service that claims of waiting tasks may hold, so that the loss of many workers
+     * does not keep all short tasks waiting. A single claim may hold more.
      */
     private static final double MAX_CLAIMED_SHARE = 0.125;
     /** The same for tasks that move, whose runs still go on. */
@@ -38,8 +41,13 @@
 
     private final WorkerSelector workerSelector;
     private final WorkerIndex index;
-    private final Map<TaskEntry, Claim> claims = new LinkedHashMap<>();
-    private long claimedMilliCores;
+    /** Claims by task, earliest made first. */
+    private final SequencedMap<TaskEntry, Claim> claims = new LinkedHashMap<>();
+
+    private final Map<String, Long> claimedMilliCoresByService = new HashMap<>();
+    /** Services with a task that waits until claims of others have been met. */
+    private final Set<String> servicesAtBound = new HashSet<>();
+
     private int searchesLeft = MAX_SEARCHES;
 
     /** A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns. */
@@ -50,10 +58,14 @@
         this.index = index;
     }
 
-    /** Releases the claims that are no longer needed or can no longer be met. Called at the start of each plan. */
+    /**
+     * Releases the claims that are no longer needed or can no longer be met, of several on one worker the latest first.
+     * Called at the start of each plan.
+     */
     void review(long now) {
         searchesLeft = MAX_SEARCHES;
-        List.copyOf(claims.keySet()).forEach(task -> validClaim(task, now));
+        servicesAtBound.clear();
+        List.copyOf(claims.sequencedKeySet().reversed()).forEach(task -> validClaim(task, now));
     }
 
     /**
@@ -86,6 +98,23 @@
         }
     }
 
+    /** Keeps room for the next run of a task on another worker that has it now, and returns whether there is one. */
+    boolean claimElsewhere(TaskEntry task, long now) {
+        WorkerNode worker = workerSelector.selectElsewhere(task, now);
+        if (worker == null) {
+            return false;
+        }
+        claim(task, worker, now);
+        return true;
+    }
+
+    /** Returns the tasks without a worker for which room is kept, those with the earliest claims first. */
+    List<TaskEntry> waitingClaimants() {
+        return claims.keySet().stream()
+                .filter(task -> task.assignedNode == null)
+                .toList();
+    }
+
     /**
      * Makes sure that a task for which no worker has room now has a claim on the one that is expected to have room
      * first, as far as the bounds on claims allow.
@@ -103,7 +132,7 @@
     void release(TaskEntry task) {
         Claim claim = claims.remove(task);
         if (claim != null) {
-            claimedMilliCores -= task.step.reservation().milliCores();
+            addClaimed(claim.worker(), -task.step.reservation().milliCores());
             claim.worker().removeClaim(task);
         }
     }
@@ -118,10 +147,14 @@
     private void put(TaskEntry task, WorkerNode worker, long now) {
         release(task);
         claims.put(task, new Claim(worker, task.run, now));
-        claimedMilliCores += task.step.reservation().milliCores();
+        addClaimed(worker, task.step.reservation().milliCores());
         worker.addClaim(task);
     }
 
+    private void addClaimed(WorkerNode worker, long milliCores) {
+        claimedMilliCoresByService.merge(worker.registration.service(), milliCores, Long::sum);
+    }
+
     /** Returns the claim of a task, or null if it has none or its claim had to be released. */
     private Claim validClaim(TaskEntry task, long now) {
         Claim claim = claims.get(task);
@@ -141,41 +174,45 @@
                         .fitsIn(claim.worker().registration.capacity());
     }
 
-    /** Returns whether a task waits for a worker or moves from a draining one that still answers. */
+    /**
+     * Returns whether a task waits for a worker, or will once a stop that was ordered takes effect, or may move from a
+     * draining worker that still answers.
+     */
     private static boolean needsRoom(TaskEntry task, long now) {
         if (task.done || !task.job.isPlaceable()) {
             return false;
         }
         WorkerNode node = task.assignedNode;
-        return node == null || (node.isDraining() && node.listed() && !node.isUnresponsive(now));
+        return node == null || task.stopOrdered || (node.isDraining() && node.listed() && !node.isUnresponsive(now));
     }
 
     private void addClaim(TaskEntry task, long now) {
-        if (!leavesShortTaskShare(task)) {
-            return;
-        }
-        if (!isWithinBound(task)) {
-            if (task.assignedNode == null) {
-                // Smaller tasks that come later must not use up the share that this one waits for.
-                searchesLeft = 0;
-            }
-            return;
-        }
-        if (searchesLeft == 0 || !workerSelector.mayClaim(task, now)) {
+        String service = task.job.policy.service();
+        boolean waits = task.assignedNode == null;
+        boolean withinBound = isWithinBound(task, service);
+        if (searchesLeft == 0
+                || servicesAtBound.contains(service)
+                || (!withinBound && !waits)
+                || !leavesShortTaskShare(task)
+                || !workerSelector.mayClaim(task, now)) {
             return;
         }
         LaterRoom room = soonestRoom(task, now);
         if (room == null) {
             workerSelector.markUnclaimable(task);
-        } else {
+        } else if (withinBound) {
             put(task, room.worker(), now);
+        } else {
+            // Smaller tasks that come later must not use up the share that this one waits for.
+            servicesAtBound.add(service);
         }
     }
 
-    private boolean isWithinBound(TaskEntry task) {
+    private boolean isWithinBound(TaskEntry task, String service) {
         double share = task.assignedNode == null ? MAX_CLAIMED_SHARE : MAX_CLAIMED_SHARE_FOR_MOVES;
-        long wanted = claimedMilliCores + task.step.reservation().milliCores();
-        return claims.isEmpty() || wanted <= share * index.capacityMilliCores();
+        long claimed = claimedMilliCoresByService.getOrDefault(service, 0L);
+        long wanted = claimed + task.step.reservation().milliCores();
+        return claimed == 0 || wanted <= share * index.pool(service).capacityMilliCores();
     }
 
     private void moveIfSooner(TaskEntry task, Claim claim, long now) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -8,6 +8,8 @@
     static final long NEVER = Long.MIN_VALUE;
 
     private static final int FULL_SPEED_PERCENT = 100;
+    /** Progress of a long-running task that is at work. */
+    private static final int READY_PERCENT = 100;
 
     final JobEntry job;
     final TaskName name;
@@ -18,6 +20,9 @@
     /** Latest run whose failure is counted or which an earlier owner has released. */
     int settledRun;
 
+    /** Number of latest runs that failed one after the other before they were ready. */
+    int failedStarts;
+
     String checkpoint = "";
     /** Worker to which the latest run is assigned; null while the task waits. */
     WorkerNode assignedNode;
@@ -68,6 +73,27 @@
         assignedNode = node;
     }
 
+    /** Records that the worker has listed the latest run. */
+    void progressReported(WorkerReport.Running report) {
+        confirmed = true;
+        listed = true;
+        progressPercent = report.progressPercent();
+        loadMetric = report.loadMetric();
+        if (isAtWork()) {
+            failedStarts = 0;
+        }
+    }
+
+    /** Sets whether a stop of the latest run was ordered. */
+    void setStopOrdered(boolean newValue) {
+        if (stopOrdered != newValue) {
+            stopOrdered = newValue;
+            if (assignedNode != null) {
+                assignedNode.stopOrderChanged(this);
+            }
+        }
+    }
+
     /** Releases the task from its worker and resets the state of its run. */
     void release() {
         if (assignedNode != null) {
@@ -87,6 +113,11 @@
         baseline = new BaselineHeadroom();
     }
 
+    /** Returns whether the latest run is known to be ready and has not been stopped. */
+    boolean isAtWork() {
+        return assignedNode != null && !stopOrdered && confirmed && progressPercent >= READY_PERCENT;
+    }
+
     /** Returns whether the latest run goes on until its job is cancelled. */
     boolean lasts() {
         return step.longRunning() && !stopOrdered;
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collections;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.chestnutbarrow.model.TimeSource;
 
 /** Assigns waiting tasks to workers, most urgent jobs first. Guarded by the lock of its {@link BatchScheduler}. */
@@ -16,6 +18,12 @@
      */
     private static final Duration UNFINISHED_TASK_DELAY = Duration.ofMillis(400);
 
+    /**
+     * A long-running task that failed this often before it was ready is placed in the order of jobs, since it would
+     * otherwise take starts and room from all others again and again.
+     */
+    private static final int MAX_FAILED_STARTS = 3;
+
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
@@ -64,12 +72,14 @@
     }
 
     /**
-     * Places the long-running tasks that must run again and come first, or claims room for them, before any task of a
-     * more urgent job. The others come in the order of the jobs.
+     * Places the long-running tasks that must run again and come first, or claims room for them, and the other tasks for
+     * which room is kept, before any task of a more urgent job. The others come in the order of the jobs.
      */
     private void placeRestarted(long now) {
         roomClaims.review(now);
-        for (TaskEntry task : jobTable.restartedTasks()) {
+        Set<TaskEntry> tasks = new LinkedHashSet<>(jobTable.restartedTasks());
+        tasks.addAll(roomClaims.waitingClaimants());
+        for (TaskEntry task : tasks) {
             if (startsLeft == 0) {
                 return;
             }
@@ -85,6 +95,10 @@
         if (!task.job.isReady(task.name.step()) || !roomClaims.comesFirst(task)) {
             return;
         }
+        if (task.failedStarts >= MAX_FAILED_STARTS) {
+            roomClaims.release(task);
+            return;
+        }
         WorkerNode node = roomClaims.workerWithRoom(task, now);
         if (node == null) {
             roomClaims.claimLaterRoom(task, now);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -44,7 +44,8 @@
     private boolean zoneEvacuated;
     private long lastResponseAt;
     private Resources reserved = Resources.NONE;
-    private long longRunningMilliCores;
+    /** CPU of the tasks that last, see {@link TaskEntry#lasts}. */
+    private long lastingTaskMilliCores;
     /** Cached results of {@link #bestEffortDemandByImage()} and {@link #minBaselineByImage()}; null after a change. */
     private Map<String, Double> bestEffortDemandByImage;
 
@@ -168,8 +169,8 @@
         }
         task.assignTo(this);
         reserved = reserved.plus(task.step.reservation());
-        if (task.step.longRunning()) {
-            longRunningMilliCores += task.step.reservation().milliCores();
+        if (task.lasts()) {
+            lastingTaskMilliCores += task.step.reservation().milliCores();
         }
         if (task.step.behaviour().bestEffort()) {
             addBestEffortDemand(task, task.limitedMilliCores());
@@ -189,8 +190,8 @@
             return;
         }
         reserved = reserved.minus(task.step.reservation());
-        if (task.step.longRunning()) {
-            longRunningMilliCores -= task.step.reservation().milliCores();
+        if (task.lasts()) {
+            lastingTaskMilliCores -= task.step.reservation().milliCores();
         }
         if (task.step.behaviour().bestEffort()) {
             addBestEffortDemand(task, -task.limitedMilliCores());
@@ -221,6 +222,15 @@
         bestEffortMilliCoresByImage.merge(task.step.behaviour().image(), milliCores, Long::sum);
     }
 
+    /** Records that a stop of a task on this worker was ordered, or that its order was dropped. */
+    void stopOrderChanged(TaskEntry task) {
+        if (task.step.longRunning()) {
+            long milliCores = task.step.reservation().milliCores();
+            lastingTaskMilliCores += task.lasts() ? milliCores : -milliCores;
+            index.refresh(this);
+        }
+    }
+
     /** Keeps room for the next run of a task. */
     void addClaim(TaskEntry task) {
         if (claimants.add(task)) {
@@ -256,9 +266,9 @@
         return reserved.plus(claimed);
     }
 
-    /** Returns the CPU that long-running tasks hold and that is kept for claimants. */
+    /** Returns the CPU part of {@link #lastingReservation()}. */
     long lastingMilliCores() {
-        return longRunningMilliCores + claimed.milliCores();
+        return lastingTaskMilliCores + claimed.milliCores();
     }
 
     /** Returns what is kept for claimants and what tasks hold that go on until their jobs are cancelled. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -126,7 +126,7 @@
             node.add(task);
             task.confirmed = false;
             task.listed = false;
-            task.stopOrdered = false;
+            task.setStopOrdered(false);
             task.inherited = !startInFlight;
             task.progressedAt = now;
             jobTable.markChanged(task.job);
