Count the waits of tasks over changes of the owner

waitedMs of a start counted from the start of the owner's term, or from the release by the same owner: 2,094 ms was logged where a task had waited 21 s.

- A release, or the end of the last dependency, is stored with the task as a wall-clock time in the progress that is written at that moment anyway.
Tasks of steps without dependencies wait since the submission, which is stored with the job.
A damaged rest leaves the tasks as they are.

waitOfRestoredTaskBeginsWithTerm asserted the fault. It is kept for records without the time, and the restored wait has tests of its own.

A run whose end the next owner notices first still waits from then on: the end of a run isn't stored when its stop is ordered.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -114,7 +114,7 @@
                 restore(job, job.tasksByStep.get(step).get(index), records.get(index));
             }
         }
-        job.markReadySteps(time.nanos());
+        job.markReadySteps(time);
     }
 
     private void restore(JobEntry job, TaskEntry task, TaskRecord record) {
@@ -125,6 +125,7 @@
         if (record.done()) {
             job.taskFinished(task);
         }
+        record.waitingSince().ifPresent(since -> task.waitStart = WaitStart.restored(since, time));
         record.placedOn().ifPresent(incarnation -> {
             registry.nodeFor(incarnation).add(task);
             task.inherited = true;
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -6,7 +6,9 @@
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import org.chestnutbarrow.model.TimeSource;
 
 /**
  * In-memory state of one job. Guarded by the lock of its {@link BatchScheduler}.
@@ -26,8 +28,8 @@
 
     private final Set<JobEntry> waitingJobs;
     private final int[] unfinishedByStep;
-    /** Since when this owner has known each step as ready, in ns; {@link TaskEntry#NEVER} before that. */
-    private final long[] readySinceByStep;
+    /** Since when each step has been ready as far as this owner knows; null before that. */
+    private final WaitStart[] readySinceByStep;
 
     private final List<BitSet> waitingByStep = new ArrayList<>();
     private boolean setAside;
@@ -43,8 +45,7 @@
         this.spec = spec;
         this.waitingJobs = waitingJobs;
         unfinishedByStep = new int[spec.steps().size()];
-        readySinceByStep = new long[spec.steps().size()];
-        Arrays.fill(readySinceByStep, TaskEntry.NEVER);
+        readySinceByStep = new WaitStart[spec.steps().size()];
         equivalenceClasses = new EquivalenceClass[spec.steps().size()][2];
         for (int stepIndex = 0; stepIndex < spec.steps().size(); stepIndex++) {
             Step step = spec.steps().get(stepIndex);
@@ -95,22 +96,40 @@
         return true;
     }
 
-    /** Records that the steps that are ready now have been so since {@code now}, unless this is known already. */
-    void markReadySteps(long now) {
+    /**
+     * Records that the steps that are ready now have just become so, unless this is known already. Steps without
+     * dependencies have been ready since the submission.
+     */
+    void markReadySteps(TimeSource time) {
         for (int step = 0; step < readySinceByStep.length; step++) {
-            if (readySinceByStep[step] == TaskEntry.NEVER && isReady(step)) {
-                readySinceByStep[step] = now;
+            if (readySinceByStep[step] == null && isReady(step)) {
+                readySinceByStep[step] =
+                        hasDependencies(step) ? WaitStart.now(time) : WaitStart.restored(spec.submitted(), time);
             }
         }
     }
 
+    private boolean hasDependencies(int step) {
+        return !spec.steps().get(step).dependencies().isEmpty();
+    }
+
     /**
-     * Returns for how long a task of a ready step has waited for a worker under this owner: since its step became
-     * ready or its last run was released.
+     * Returns for how long a task of a ready step has waited for a worker under this and earlier owners: since its step
+     * became ready or its last run was released.
      */
     Duration waited(TaskEntry task, long now) {
-        long since = Math.max(readySinceByStep[task.name.step()], task.releasedAt);
-        return Duration.ofNanos(Math.max(0, now - since));
+        WaitStart start = task.waitStart == null ? readySinceByStep[task.name.step()] : task.waitStart;
+        return start.elapsed(now);
+    }
+
+    /** Returns the time since when a task has waited, if a later owner cannot take it from the job's specification. */
+    Optional<Instant> storedWaitStart(TaskEntry task) {
+        if (task.done || task.assignedNode != null) {
+            return Optional.empty();
+        }
+        int step = task.name.step();
+        WaitStart start = task.waitStart == null && hasDependencies(step) ? readySinceByStep[step] : task.waitStart;
+        return Optional.ofNullable(start).map(WaitStart::instant);
     }
 
     /** Returns the indexes of the tasks of a step that have neither finished nor been placed. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -45,7 +45,7 @@
     /** Adds a job that is not known yet. */
     JobEntry add(JobSpec spec) {
         JobEntry job = new JobEntry(spec, policy(spec), waitingJobs);
-        job.markReadySteps(time.nanos());
+        job.markReadySteps(time);
         jobs.put(spec.id(), job);
         return job;
     }
@@ -101,7 +101,7 @@
     /** Releases a task from its worker. */
     void release(TaskEntry task) {
         task.release();
-        task.releasedAt = time.nanos();
+        task.waitStart = WaitStart.now(time);
         markChanged(task.job);
     }
 
@@ -119,7 +119,7 @@
             stop(task, "finished-elsewhere");
         }
         task.job.taskFinished(task);
-        task.job.markReadySteps(time.nanos());
+        task.job.markReadySteps(time);
         markChanged(task.job);
         if (task.job.allTasksFinished() && !task.job.state.isFinal()) {
             task.job.setState(JobState.COMPLETED, time.now());
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -4,9 +4,6 @@
 
 /** In-memory state of one task. Guarded by the lock of its {@link BatchScheduler}. */
 final class TaskEntry {
-    /** Time in ns of an event that has not happened. */
-    static final long NEVER = Long.MIN_VALUE;
-
     private static final int FULL_SPEED_PERCENT = 100;
 
     final JobEntry job;
@@ -45,8 +42,11 @@
     BaselineHeadroom baseline = new BaselineHeadroom();
 
     long progressedAt;
-    /** When this owner last released a run of the task, in ns; {@link #NEVER} before that. */
-    long releasedAt = NEVER;
+    /**
+     * Since when the task has waited for its next run; null while it is assigned or if it has waited since its step
+     * became ready.
+     */
+    WaitStart waitStart;
     /** Since when the reported tail latency has exceeded its target, in ns; 0 while it does not. */
     long overTargetSince;
     /** CPU limit of the latest run, in percent of its demand. */
@@ -64,6 +64,7 @@
             job.taskPlaced(this);
         }
         assignedNode = node;
+        waitStart = null;
     }
 
     /** Releases the task from its worker and resets the state of its run. */
@@ -108,6 +109,7 @@
                 checkpoint,
                 assignedNode == null
                         ? Optional.empty()
-                        : Optional.of(new TaskRecord.WorkerIncarnation(assignedNode.id(), assignedNode.incarnation())));
+                        : Optional.of(new TaskRecord.WorkerIncarnation(assignedNode.id(), assignedNode.incarnation())),
+                job.storedWaitStart(this));
     }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/ProgressCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/ProgressCodec.java
@@ -23,7 +23,8 @@
  *
  * <p>A record is written on each change of a job and read by every node, so it is kept small: each worker incarnation
  * is written once, equal consecutive tasks are written once with a count, and the checkpoint and the failure count of
- * a finished task are omitted because no later run needs them.
+ * a finished task are omitted because no later run needs them. Since when tasks have waited follows as an optional
+ * section, which nodes of earlier builds ignore.
  */
 final class ProgressCodec {
     /** Format 1, which is still read, contains the job id and one record per task. */
@@ -58,6 +59,7 @@
                 for (List<TaskRecord> tasks : progress.steps()) {
                     writeTasks(packer, tasks, incarnations);
                 }
+                WaitSection.write(packer, progress);
             }
         });
     }
@@ -105,7 +107,9 @@
 
     /** Returns the task without the fields that a later owner does not need. */
     private static TaskRecord withoutUnneededFields(TaskRecord task) {
-        return task.done() ? new TaskRecord(true, task.run(), 0, "", task.placedOn()) : task;
+        return task.done()
+                ? new TaskRecord(true, task.run(), 0, "", task.placedOn())
+                : task.withWaitingSince(Optional.empty());
     }
 
     private static void writeRepeatedTask(
@@ -172,7 +176,14 @@
         return StateCodec.decodeRecord(bytes, CURRENT_FORMAT, (format, unpacker) -> {
             JobState state = readState(format, unpacker);
             Instant changed = Instant.ofEpochMilli(unpacker.unpackLong());
-            return new JobProgress(id, state, changed, format == 1 ? readStepsV1(unpacker) : readSteps(unpacker));
+            if (format == 1) {
+                return new JobProgress(id, state, changed, readStepsV1(unpacker));
+            }
+            List<List<TaskRecord>> steps = readSteps(unpacker);
+            if (unpacker.hasNext()) {
+                WaitSection.read(unpacker, changed, steps);
+            }
+            return new JobProgress(id, state, changed, steps);
         });
     }
 
