Hand failures and quarantines of workers on to the next owner

A worker is quarantined once runs of two jobs fail on it within 5 s. The failures and the quarantine lived in one term: through a series of short terms a faulty worker was never quarantined, and a quarantined one was used at once by the next owner.

- The health of workers with failures or quarantines follows the sensitivities in the record of estimates, which builds before read without it.
It is stored at once if it changes, at most every 500 ms, and when a term is closed.
At most 128 workers are stored, each with the latest failures of two jobs.
- Times are wall-clock times.
A time further in the future than a clock that is about right can show is ignored, because each later owner would read it again; the quarantine is at most 16 s after a restore.
- Health is stored by incarnation, so a restarted worker begins anew, and the silence of a worker changes nothing in it.
- What decides when estimates are stored moved out of OwnershipTerm.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -38,7 +38,7 @@
     public BatchScheduler(TimeSource time) {
         this.time = time;
         jobTable = new JobTable(time);
-        registry = new WorkerRegistry(jobTable);
+        registry = new WorkerRegistry(jobTable, time);
         reportProcessor = new ReportProcessor(jobTable);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
@@ -61,14 +61,20 @@
         registry.index().setReportInterval(interval, time.nanos());
     }
 
-    /** Restores the interference estimates that an earlier owner stored. */
-    public synchronized void restoreSensitivities(List<Sensitivity> sensitivities) {
-        interferenceModel.restore(sensitivities);
+    /** Restores the estimates that an earlier owner stored. Called before jobs and workers are added. */
+    public synchronized void restore(Estimates estimates) {
+        interferenceModel.restore(estimates.sensitivities());
+        registry.restoreHealth(estimates.health());
     }
 
-    /** Returns the current interference estimates. */
-    public synchronized List<Sensitivity> sensitivities() {
-        return interferenceModel.sensitivities();
+    /** Returns the current estimates. */
+    public synchronized Estimates estimates() {
+        return new Estimates(interferenceModel.sensitivities(), registry.health());
+    }
+
+    /** Returns whether the health of a worker has changed since the last call. */
+    public synchronized boolean takeHealthChange() {
+        return registry.takeHealthChange();
     }
 
     /**
--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
@@ -0,0 +1,19 @@
+package org.chestnutbarrow.batch;
+
+import java.util.List;
+
+/**
+ * What an owner has observed and the next owner continues with. Immutable. Nothing in it permits a run to be started.
+ *
+ * @param sensitivities interference between images
+ * @param health health of the workers with recent failures or quarantines
+ */
+public record Estimates(List<Sensitivity> sensitivities, List<HealthRecord> health) {
+    /** The estimates before the first observation. */
+    public static final Estimates NONE = new Estimates(List.of(), List.of());
+
+    public Estimates {
+        sensitivities = List.copyOf(sensitivities);
+        health = List.copyOf(health);
+    }
+}
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,20 +13,58 @@
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.WorkerId;
 
 /** The worker incarnations that may run tasks. Guarded by the lock of its {@link BatchScheduler}. */
 final class WorkerRegistry {
+    /** Bounds the stored record to a few KB; workers that have been quarantined most often come first. */
+    private static final int MAX_HEALTH_RECORDS = 128;
+
     private final JobTable jobTable;
     private final WorkerIndex index = new WorkerIndex();
     private final Map<WorkerId, WorkerNode> workers = new HashMap<>();
     /** Incarnations that stored progress refers to and that were not listed when it was restored. */
     private final List<WorkerNode> unlisted = new ArrayList<>();
 
+    /** Stored health of incarnations that are not listed yet. */
+    private final Map<TaskRecord.WorkerIncarnation, HealthRecord> storedHealth = new HashMap<>();
+
+    private final TimeSource time;
+
     private Set<AvailabilityZone> evacuatedZones = Set.of();
 
-    WorkerRegistry(JobTable jobTable) {
+    WorkerRegistry(JobTable jobTable, TimeSource time) {
         this.jobTable = jobTable;
+        this.time = time;
+    }
+
+    /** Restores the health that an earlier owner stored; takes effect on workers that are listed from now on. */
+    void restoreHealth(List<HealthRecord> records) {
+        records.forEach(health -> storedHealth.put(health.worker(), health));
+    }
+
+    /** Returns whether the health of a worker has changed since the last call. */
+    boolean takeHealthChange() {
+        boolean changed = false;
+        for (WorkerNode node : workers.values()) {
+            changed |= node.health.takeChange();
+        }
+        return changed;
+    }
+
+    /** Returns the health of listed workers for the next owner, at most {@link #MAX_HEALTH_RECORDS}. */
+    List<HealthRecord> health() {
+        return workers.values().stream()
+                .filter(WorkerNode::listed)
+                .flatMap(
+                        node -> node
+                                .health
+                                .toRecord(new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), time)
+                                .stream())
+                .sorted(Comparator.comparing(HealthRecord::nextQuarantine).reversed())
+                .limit(MAX_HEALTH_RECORDS)
+                .toList();
     }
 
     WorkerNode find(WorkerId id) {
@@ -81,6 +120,7 @@
             WorkerNode node = new WorkerNode(registration, index);
             node.markNeverResponded(now);
             node.setZoneEvacuated(evacuatedZones.contains(registration.zone()));
+            restoreHealth(node);
             workers.put(registration.id(), node);
             if (current != null) {
                 current.setListed(false);
@@ -91,6 +131,13 @@
         workers.values().forEach(node -> node.setListed(listedIds.contains(node.id())));
     }
 
+    private void restoreHealth(WorkerNode node) {
+        HealthRecord stored = storedHealth.remove(new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()));
+        if (stored != null && node.health.restore(stored, time)) {
+            index.quarantined(node);
+        }
+    }
+
     /** Moves the runs that stored progress assigns to this worker to its node. */
     private void adopt(WorkerNode node, long now) {
         for (WorkerNode earlier : List.copyOf(unlisted)) {
--- a/batch/src/test/java/org/chestnutbarrow/batch/InterferenceModelTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/InterferenceModelTest.java
@@ -81,7 +81,8 @@
     /** Guards against misclassifying interfering images as harmless, and the reverse. */
     @Test
     public void distinguishesInterferingImages() {
-        List<Sensitivity> sensitivities = runAlternatingLoad(this, 60).scheduler.sensitivities();
+        List<Sensitivity> sensitivities =
+                runAlternatingLoad(this, 60).scheduler.estimates().sensitivities();
         assertTrue(weight(sensitivities, "noisy") > 4, sensitivities.toString());
         assertTrue(weight(sensitivities, "quiet") < 2.5, sensitivities.toString());
     }
@@ -89,10 +90,12 @@
     /** Guards against a new owner that discards the estimates of an earlier one. */
     @Test
     public void nextOwnerRestoresSensitivities() {
-        List<Sensitivity> sensitivities = runAlternatingLoad(this, 60).scheduler.sensitivities();
+        List<Sensitivity> sensitivities =
+                runAlternatingLoad(this, 60).scheduler.estimates().sensitivities();
         SchedulerFixture nextOwner = new SchedulerFixture();
-        nextOwner.scheduler.restoreSensitivities(sensitivities);
-        assertEquals(weight(nextOwner.scheduler.sensitivities(), "noisy"), weight(sensitivities, "noisy"), 1e-9);
+        nextOwner.scheduler.restore(new Estimates(sensitivities, List.of()));
+        assertEquals(
+                weight(nextOwner.scheduler.estimates().sensitivities(), "noisy"), weight(sensitivities, "noisy"), 1e-9);
     }
 
     /** Guards against best-effort tasks that keep running beside a task that has missed its latency target for long. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
@@ -34,7 +34,7 @@
 
     private final ManualTime time = new ManualTime();
     private final JobTable jobTable = new JobTable(time);
-    private final WorkerRegistry registry = new WorkerRegistry(jobTable);
+    private final WorkerRegistry registry = new WorkerRegistry(jobTable, time);
     private final WorkerSelector selector = new WorkerSelector(new InterferenceModel(), registry.index());
     private final TaskPlacer placer = new TaskPlacer(jobTable, selector, time);
     private final ReportProcessor reports = new ReportProcessor(jobTable);
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
@@ -0,0 +1,98 @@
+package org.chestnutbarrow.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chestnutbarrow.batch.Estimates;
+import org.chestnutbarrow.batch.HealthRecord;
+import org.chestnutbarrow.batch.Sensitivity;
+import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.model.InvalidInputException;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.WorkerId;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes the estimates of an owner. Stateless.
+ *
+ * <p>Nodes of earlier builds write and read the sensitivities only. What follows them is omitted when it is empty.
+ */
+final class EstimatesCodec {
+    /** Encodes that there is no quarantine. */
+    private static final long NOT_QUARANTINED = 0;
+
+    private EstimatesCodec() {}
+
+    static byte[] encode(Estimates estimates) {
+        return StateCodec.encodeRecord(packer -> {
+            packer.packArrayHeader(estimates.sensitivities().size());
+            for (Sensitivity sensitivity : estimates.sensitivities()) {
+                packer.packString(sensitivity.bestEffortImage()).packString(sensitivity.latencyCriticalImage());
+                packer.packDouble(sensitivity.weight()).packDouble(sensitivity.variance());
+            }
+            if (!estimates.health().isEmpty()) {
+                writeHealth(packer, estimates.health());
+            }
+        });
+    }
+
+    private static void writeHealth(MessageBufferPacker packer, List<HealthRecord> records) throws IOException {
+        packer.packArrayHeader(records.size());
+        for (HealthRecord health : records) {
+            packer.packString(health.worker().worker().value())
+                    .packLong(health.worker().incarnation());
+            packer.packLong(health.quarantinedUntil().map(Instant::toEpochMilli).orElse(NOT_QUARANTINED));
+            packer.packLong(health.nextQuarantine().toMillis());
+            packer.packArrayHeader(health.failures().size());
+            for (HealthRecord.Failure failure : health.failures()) {
+                packer.packLong(failure.at().toEpochMilli())
+                        .packString(failure.job().value());
+            }
+        }
+    }
+
+    static Estimates decode(byte[] bytes) throws InvalidInputException {
+        return StateCodec.decodeRecord(
+                bytes,
+                (_, unpacker) -> new Estimates(
+                        readSensitivities(unpacker), unpacker.hasNext() ? readHealth(unpacker) : List.of()));
+    }
+
+    private static List<Sensitivity> readSensitivities(MessageUnpacker unpacker) throws IOException {
+        List<Sensitivity> sensitivities = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            sensitivities.add(new Sensitivity(
+                    unpacker.unpackString(),
+                    unpacker.unpackString(),
+                    unpacker.unpackDouble(),
+                    unpacker.unpackDouble()));
+        }
+        return sensitivities;
+    }
+
+    private static List<HealthRecord> readHealth(MessageUnpacker unpacker) throws IOException {
+        List<HealthRecord> records = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            TaskRecord.WorkerIncarnation worker =
+                    new TaskRecord.WorkerIncarnation(new WorkerId(unpacker.unpackString()), unpacker.unpackLong());
+            long untilMs = unpacker.unpackLong();
+            Duration next = Duration.ofMillis(unpacker.unpackLong());
+            List<HealthRecord.Failure> failures = new ArrayList<>();
+            int failureCount = unpacker.unpackArrayHeader();
+            for (int failure = 0; failure < failureCount; failure++) {
+                failures.add(new HealthRecord.Failure(
+                        Instant.ofEpochMilli(unpacker.unpackLong()), new JobId(unpacker.unpackString())));
+            }
+            Optional<Instant> until =
+                    untilMs == NOT_QUARANTINED ? Optional.empty() : Optional.of(Instant.ofEpochMilli(untilMs));
+            records.add(new HealthRecord(worker, failures, until, next));
+        }
+        return records;
+    }
+}
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -11,10 +11,10 @@
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Predicate;
+import org.chestnutbarrow.batch.Estimates;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
-import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
@@ -33,8 +33,8 @@
     private static final String OWNER_KEY = "owner/";
     /** Key of the worker incarnations that have not answered the owner; cannot be a job id. */
     private static final String SILENCES_KEY = "silent/";
-    /** Key of the interference sensitivities that owners have measured; cannot be a job id. */
-    private static final String SENSITIVITIES_KEY = "learned/";
+    /** Key of the estimates of the latest owner; cannot be a job id. */
+    private static final String ESTIMATES_KEY = "learned/";
 
     /**
      * Newest progress of a job. The tasks stay encoded because only an owner needs them.
@@ -88,7 +88,7 @@
     private volatile Consumer<JobId> changeListener = _ -> {};
     private volatile ObjLongConsumer<List<StateStore.Entry>> storedListener = (_, _) -> {};
     private final AtomicReference<OwnerChange> ownerChange = new AtomicReference<>(OwnerChange.NONE);
-    private volatile List<Sensitivity> sensitivities = List.of();
+    private volatile Estimates estimates = Estimates.NONE;
     private volatile Map<TaskRecord.WorkerIncarnation, Duration> silences = Map.of();
 
     JobReplica() {
@@ -116,13 +116,13 @@
         return new StateStore.Entry(progress.id().value(), Optional.of(ProgressCodec.encode(progress)));
     }
 
-    static StateStore.Entry sensitivitiesEntry(List<Sensitivity> sensitivities) {
-        return new StateStore.Entry(SENSITIVITIES_KEY, Optional.of(StateCodec.encode(sensitivities)));
+    static StateStore.Entry estimatesEntry(Estimates estimates) {
+        return new StateStore.Entry(ESTIMATES_KEY, Optional.of(EstimatesCodec.encode(estimates)));
     }
 
-    /** Returns the interference sensitivities that the latest owner has stored. */
-    List<Sensitivity> sensitivities() {
-        return sensitivities;
+    /** Returns the estimates that the latest owner has stored. */
+    Estimates estimates() {
+        return estimates;
     }
 
     static StateStore.Entry ownerEntry(OwnerRecord owner) {
@@ -357,8 +357,8 @@
                 silences = value.isPresent() ? StateCodec.decodeSilences(value.get()) : Map.of();
                 return;
             }
-            if (key.equals(SENSITIVITIES_KEY)) {
-                sensitivities = value.isPresent() ? StateCodec.decodeSensitivities(value.get()) : List.of();
+            if (key.equals(ESTIMATES_KEY)) {
+                estimates = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
                 return;
             }
             JobId id = new JobId(key);
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -44,9 +44,6 @@
     /** Covers an earlier owner that paused for less than a lease and then extended leases once more. */
     private static final Duration MAX_OWNER_PAUSE = Duration.ofMillis(1200);
 
-    /** Time between two writes of the measured sensitivities, which a new owner can measure again in a few seconds. */
-    private static final Duration SENSITIVITIES_INTERVAL = Duration.ofSeconds(2);
-
     private final long token;
     private final WorkerPort port;
     private final JobReplica replica;
@@ -67,6 +64,8 @@
     /** Accessed only by the planning thread. */
     private final PlanRateLimiter planRateLimiter = new PlanRateLimiter();
 
+    private final EstimateSchedule estimateSchedule;
+
     private final StartWindow startWindow;
     /** Accessed only by the thread that renews the membership. */
     private final HandoverPolicy handoverPolicy = new HandoverPolicy();
@@ -75,9 +74,6 @@
     private final CountDownLatch planningEnded = new CountDownLatch(1);
     /** What the next owner has to know of leases; present from the call of {@link #close} on. */
     private volatile Optional<Map<TaskRecord.WorkerIncarnation, Duration>> remainingLeases = Optional.empty();
-    /** Time of the last write of the measured sensitivities, ns; accessed only by the planning thread. */
-    private long sensitivitiesStoredAt;
-
     /** Whether a majority of the workers has answered under this token; accessed only by the planning thread. */
     private boolean majorityAnswered;
 
@@ -109,6 +105,7 @@
         this.holds = new HoldControl(settings.capacity(), relays);
         this.metrics = metrics;
         this.scheduler = new BatchScheduler(time);
+        this.estimateSchedule = new EstimateSchedule(scheduler, time);
         this.startWindow = new StartWindow(time);
         Duration maxSilence =
                 ANSWER_WINDOW.plus(MAX_OWNER_PAUSE).plus(LeaseTimes.upperBound(LeaseTimes.requested(maxLease)));
@@ -261,7 +258,7 @@
     void start(ControlState control, Collection<WorkerRegistration> workers) {
         scheduler.configure(control.queues());
         scheduler.setEvacuatedZones(control.evacuatedZones());
-        scheduler.restoreSensitivities(replica.sensitivities());
+        scheduler.restore(replica.estimates());
         // Workers are contacted only after all jobs are loaded, because runs that belong to no known job are stopped.
         scheduler.updateWorkers(workers);
         // Registered before the scan so that no job read in the meantime is missed; adding a job twice has no effect.
@@ -400,11 +397,9 @@
         plan.setAside().forEach(job -> setAside(job.job(), job.cause()));
         List<StateStore.Entry> entries = new ArrayList<>();
         plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
-        long now = time.nanos();
-        if (!entries.isEmpty() && now - sensitivitiesStoredAt > SENSITIVITIES_INTERVAL.toNanos()) {
-            sensitivitiesStoredAt = now;
-            entries.add(JobReplica.sensitivitiesEntry(scheduler.sensitivities()));
-        }
+        estimateSchedule
+                .due(!entries.isEmpty(), isClosing())
+                .ifPresent(estimates -> entries.add(JobReplica.estimatesEntry(estimates)));
         // While the store does not answer, a record would only keep workers that answer again from being extended.
         Optional<Map<TaskRecord.WorkerIncarnation, Duration>> silenceRecord =
                 storage.confirmationAge().compareTo(ANSWER_WINDOW) < 0 ? leases.dueRecord() : Optional.empty();
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -12,7 +12,6 @@
 import java.util.function.UnaryOperator;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.Queue;
-import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.Step;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.InvalidInputException;
@@ -122,31 +121,6 @@
         return new Step(count, demand, estimate, after, placement, behaviour);
     }
 
-    static byte[] encode(List<Sensitivity> sensitivities) {
-        return encodeRecord(packer -> {
-            packer.packArrayHeader(sensitivities.size());
-            for (Sensitivity sensitivity : sensitivities) {
-                packer.packString(sensitivity.bestEffortImage()).packString(sensitivity.latencyCriticalImage());
-                packer.packDouble(sensitivity.weight()).packDouble(sensitivity.variance());
-            }
-        });
-    }
-
-    static List<Sensitivity> decodeSensitivities(byte[] bytes) throws InvalidInputException {
-        return decodeRecord(bytes, (_, unpacker) -> {
-            List<Sensitivity> sensitivities = new ArrayList<>();
-            int count = unpacker.unpackArrayHeader();
-            for (int i = 0; i < count; i++) {
-                sensitivities.add(new Sensitivity(
-                        unpacker.unpackString(),
-                        unpacker.unpackString(),
-                        unpacker.unpackDouble(),
-                        unpacker.unpackDouble()));
-            }
-            return sensitivities;
-        });
-    }
-
     static byte[] encode(OwnerRecord owner) {
         return encodeRecord(packer -> {
             packer.packString(owner.member()).packLong(owner.token()).packString(owner.relayKey());
@@ -208,7 +182,7 @@
         return value.isEmpty() ? Optional.empty() : Optional.of(value);
     }
 
-    private static byte[] encodeRecord(FieldWriter writer) {
+    static byte[] encodeRecord(FieldWriter writer) {
         return encodeRecord(CURRENT_FORMAT, writer);
     }
 
@@ -222,7 +196,7 @@
         }
     }
 
-    private static <T> T decodeRecord(byte[] bytes, FieldReader<T> reader) throws InvalidInputException {
+    static <T> T decodeRecord(byte[] bytes, FieldReader<T> reader) throws InvalidInputException {
         return decodeRecord(bytes, CURRENT_FORMAT, reader);
     }
 
--- /dev/null
+++ b/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
@@ -0,0 +1,76 @@
+package org.chestnutbarrow.node;
+
+import static org.testng.Assert.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import org.chestnutbarrow.batch.Estimates;
+import org.chestnutbarrow.batch.HealthRecord;
+import org.chestnutbarrow.batch.Sensitivity;
+import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.model.InvalidInputException;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.WorkerId;
+import org.msgpack.core.MessagePack;
+import org.testng.annotations.Test;
+
+/** Tests that estimates are read as written, and that nodes of earlier builds and later ones read each other's. */
+public class EstimatesCodecTest {
+    private static final List<Sensitivity> SENSITIVITIES = List.of(new Sensitivity("a", "b", 1.5, 0.25));
+    private static final Instant NOW = Instant.ofEpochMilli(1_760_000_000_000L);
+    private static final TaskRecord.WorkerIncarnation INCARNATION =
+            new TaskRecord.WorkerIncarnation(new WorkerId("w"), 9);
+    private static final List<HealthRecord> HEALTH = List.of(
+            new HealthRecord(INCARNATION, List.of(), Optional.of(NOW), Duration.ofSeconds(8)),
+            new HealthRecord(
+                    INCARNATION,
+                    List.of(new HealthRecord.Failure(NOW, new JobId("j"))),
+                    Optional.empty(),
+                    Duration.ofSeconds(4)));
+
+    @Test
+    public void estimatesAreReadAsWritten() throws InvalidInputException {
+        for (Estimates estimates : List.of(
+                Estimates.NONE,
+                new Estimates(SENSITIVITIES, List.of()),
+                new Estimates(List.of(), HEALTH),
+                new Estimates(SENSITIVITIES, HEALTH))) {
+            assertEquals(EstimatesCodec.decode(EstimatesCodec.encode(estimates)), estimates);
+        }
+    }
+
+    /** Nodes of earlier builds ignore what follows the sensitivities, and their records are read. */
+    @Test
+    public void healthFollowsTheEarlierLayout() throws Exception {
+        byte[] earlier;
+        try (var packer = MessagePack.newDefaultBufferPacker()) {
+            packer.packInt(1).packArrayHeader(1);
+            packer.packString("a").packString("b").packDouble(1.5).packDouble(0.25);
+            earlier = packer.toByteArray();
+        }
+        assertEquals(EstimatesCodec.encode(new Estimates(SENSITIVITIES, List.of())), earlier);
+        assertEquals(EstimatesCodec.decode(earlier), new Estimates(SENSITIVITIES, List.of()));
+        byte[] record = EstimatesCodec.encode(new Estimates(SENSITIVITIES, HEALTH));
+        assertEquals(Arrays.copyOf(record, earlier.length), earlier);
+    }
+
+    /** A damaged record must not end the thread that follows the store. */
+    @Test
+    public void damagedRecordsAreReported() {
+        Random random = new Random(7);
+        byte[] record = EstimatesCodec.encode(new Estimates(SENSITIVITIES, HEALTH));
+        for (int i = 0; i < 5000; i++) {
+            byte[] damaged = Arrays.copyOf(record, 1 + random.nextInt(record.length));
+            damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
+            try {
+                EstimatesCodec.decode(damaged);
+            } catch (InvalidInputException e) {
+                assertEquals(e.getMessage().startsWith("stored record"), true, e.getMessage());
+            }
+        }
+    }
+}
--- a/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/StateCodecTest.java
@@ -12,7 +12,6 @@
 import java.util.Random;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.Queue;
-import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.Step;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.InvalidInputException;
@@ -49,8 +48,6 @@
     @Test
     public void recordsAreReadAsWritten() throws InvalidInputException {
         assertEquals(StateCodec.decodeJob(StateCodec.encode(JOB)), JOB);
-        List<Sensitivity> sensitivities = List.of(new Sensitivity("a", "b", 1.5, 0.25));
-        assertEquals(StateCodec.decodeSensitivities(StateCodec.encode(sensitivities)), sensitivities);
         OwnerRecord owner = new OwnerRecord("node", 7);
         assertEquals(StateCodec.decodeOwner(StateCodec.encode(owner)), owner);
         Map<TaskRecord.WorkerIncarnation, Duration> silences =
