Hand the time without progress of runs on to the next owner

A run without progress for 1.8 s (4 s for a long-running task that does not become ready) is stopped. The time began anew with each owner, so that a stuck run blocked its job through a series of shorter terms.

- When a term is closed, its estimates hold the runs without progress, at most 256, with the time between the first and the last report that showed the same progress.
- The next owner adds that time once its first report lists the same run on the same worker incarnation with the same progress.
The silence of a worker and the time between owners do not count, so that a worker that was only silent or slow has no run stopped because of it.
- Runs of best-effort tasks are left out: an owner may have paused them with a CPU limit that the next one does not know.
- A term that ends without its last write hands nothing on, as before.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -26,6 +26,7 @@
     private final JobTable jobTable;
     private final WorkerRegistry registry;
     private final InterferenceModel interferenceModel = new InterferenceModel();
+    private final StalledRuns stalledRuns = new StalledRuns();
     private final ReportProcessor reportProcessor;
     private final InterferenceController interferenceController;
     private final DrainController drainController;
@@ -39,7 +40,7 @@
         this.time = time;
         jobTable = new JobTable(time);
         registry = new WorkerRegistry(jobTable, time);
-        reportProcessor = new ReportProcessor(jobTable);
+        reportProcessor = new ReportProcessor(jobTable, stalledRuns);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         drainController = new DrainController(jobTable, workerSelector);
@@ -65,11 +66,13 @@
     public synchronized void restore(Estimates estimates) {
         interferenceModel.restore(estimates.sensitivities());
         registry.restoreHealth(estimates.health());
+        stalledRuns.restore(estimates.stalledRuns());
     }
 
     /** Returns the current estimates. */
     public synchronized Estimates estimates() {
-        return new Estimates(interferenceModel.sensitivities(), registry.health());
+        return new Estimates(
+                interferenceModel.sensitivities(), registry.health(), stalledRuns.records(registry.listed()));
     }
 
     /** Returns whether the health of a worker has changed since the last call. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
@@ -7,13 +7,20 @@
  *
  * @param sensitivities interference between images
  * @param health health of the workers with recent failures or quarantines
+ * @param stalledRuns runs without recent progress
  */
-public record Estimates(List<Sensitivity> sensitivities, List<HealthRecord> health) {
+public record Estimates(List<Sensitivity> sensitivities, List<HealthRecord> health, List<StalledRun> stalledRuns) {
     /** The estimates before the first observation. */
-    public static final Estimates NONE = new Estimates(List.of(), List.of());
+    public static final Estimates NONE = new Estimates(List.of(), List.of(), List.of());
 
     public Estimates {
         sensitivities = List.copyOf(sensitivities);
         health = List.copyOf(health);
+        stalledRuns = List.copyOf(stalledRuns);
+    }
+
+    /** Returns these estimates without the runs, which change with each report. */
+    public Estimates withoutStalledRuns() {
+        return new Estimates(sensitivities, health, List.of());
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -24,12 +24,14 @@
     /** Maximum number of ends in one report; later ends are listed once these have been acknowledged. */
     private static final int MAX_LISTED_ENDS = 500;
 
-    private static final int READY_PERCENT = 100;
+    static final int READY_PERCENT = 100;
 
     private final JobTable jobTable;
+    private final StalledRuns stalledRuns;
 
-    ReportProcessor(JobTable jobTable) {
+    ReportProcessor(JobTable jobTable, StalledRuns stalledRuns) {
         this.jobTable = jobTable;
+        this.stalledRuns = stalledRuns;
     }
 
     /**
@@ -99,11 +101,14 @@
             }
         }
         jobTable.markRunning(task.job);
-        if (!task.confirmed || run.progressPercent() != task.progressPercent || task.cpuLimitPercent < READY_PERCENT) {
+        if (!task.confirmed) {
+            task.progressedAt = now - stalledRuns.takeEarlier(node, run).toNanos();
+        } else if (run.progressPercent() != task.progressPercent || task.cpuLimitPercent < READY_PERCENT) {
             task.progressedAt = now;
         }
         task.confirmed = true;
         task.listed = true;
+        task.listedAt = now;
         task.progressPercent = run.progressPercent();
         task.loadMetric = run.loadMetric();
         boolean overTarget = task.isLatencyCritical()
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -42,6 +42,8 @@
     BaselineHeadroom baseline = new BaselineHeadroom();
 
     long progressedAt;
+    /** When a report listed the latest run last, in ns. */
+    long listedAt;
     /**
      * Since when the task has waited for its next run; null while it is assigned or if it has waited since its step
      * became ready.
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -44,6 +44,11 @@
         records.forEach(health -> storedHealth.put(health.worker(), health));
     }
 
+    /** Returns the workers that are listed. */
+    List<WorkerNode> listed() {
+        return workers.values().stream().filter(WorkerNode::listed).toList();
+    }
+
     /** Returns whether the health of a worker has changed since the last call. */
     boolean takeHealthChange() {
         boolean changed = false;
@@ -55,8 +60,7 @@
 
     /** Returns the health of listed workers for the next owner, at most {@link #MAX_HEALTH_RECORDS}. */
     List<HealthRecord> health() {
-        return workers.values().stream()
-                .filter(WorkerNode::listed)
+        return listed().stream()
                 .flatMap(
                         node -> node
                                 .health
--- a/batch/src/test/java/org/chestnutbarrow/batch/InterferenceModelTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/InterferenceModelTest.java
@@ -93,7 +93,7 @@
         List<Sensitivity> sensitivities =
                 runAlternatingLoad(this, 60).scheduler.estimates().sensitivities();
         SchedulerFixture nextOwner = new SchedulerFixture();
-        nextOwner.scheduler.restore(new Estimates(sensitivities, List.of()));
+        nextOwner.scheduler.restore(new Estimates(sensitivities, List.of(), List.of()));
         assertEquals(
                 weight(nextOwner.scheduler.estimates().sensitivities(), "noisy"), weight(sensitivities, "noisy"), 1e-9);
     }
--- a/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
@@ -30,7 +30,7 @@
     }
 
     private static Estimates health(HealthRecord... records) {
-        return new Estimates(List.of(), List.of(records));
+        return new Estimates(List.of(), List.of(records), List.of());
     }
 
     private static void failOnce(SchedulerFixture fixture, long sequence, String job) {
--- a/node/src/main/java/org/chestnutbarrow/node/EstimateSchedule.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimateSchedule.java
@@ -10,7 +10,7 @@
  * Decides when an owner stores its estimates for the next one. Accessed only by the planning thread.
  *
  * <p>Invariant: a change of the health of a worker is stored within {@link #HEALTH_INTERVAL}, and before the term is
- * closed.
+ * closed. Runs without recent progress are stored only then.
  */
 final class EstimateSchedule {
     /** Time between two writes beside other changes; a new owner can measure sensitivities again in a few seconds. */
@@ -51,6 +51,7 @@
             healthStoredAt = now;
             healthChanged = false;
         }
-        return Optional.of(scheduler.estimates());
+        Estimates estimates = scheduler.estimates();
+        return Optional.of(closing ? estimates : estimates.withoutStalledRuns());
     }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
@@ -9,6 +9,8 @@
 import org.chestnutbarrow.batch.Estimates;
 import org.chestnutbarrow.batch.HealthRecord;
 import org.chestnutbarrow.batch.Sensitivity;
+import org.chestnutbarrow.batch.StalledRun;
+import org.chestnutbarrow.batch.TaskName;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.JobId;
@@ -34,9 +36,12 @@
                 packer.packString(sensitivity.bestEffortImage()).packString(sensitivity.latencyCriticalImage());
                 packer.packDouble(sensitivity.weight()).packDouble(sensitivity.variance());
             }
-            if (!estimates.health().isEmpty()) {
+            if (!estimates.health().isEmpty() || !estimates.stalledRuns().isEmpty()) {
                 writeHealth(packer, estimates.health());
             }
+            if (!estimates.stalledRuns().isEmpty()) {
+                writeStalledRuns(packer, estimates.stalledRuns());
+            }
         });
     }
 
@@ -55,11 +60,23 @@
         }
     }
 
+    private static void writeStalledRuns(MessageBufferPacker packer, List<StalledRun> runs) throws IOException {
+        packer.packArrayHeader(runs.size());
+        for (StalledRun run : runs) {
+            packer.packString(run.task().job().value());
+            packer.packInt(run.task().step()).packInt(run.task().index()).packInt(run.run());
+            packer.packLong(run.incarnation()).packInt(run.progressPercent());
+            packer.packLong(run.observed().toMillis());
+        }
+    }
+
     static Estimates decode(byte[] bytes) throws InvalidInputException {
         return StateCodec.decodeRecord(
                 bytes,
                 (_, unpacker) -> new Estimates(
-                        readSensitivities(unpacker), unpacker.hasNext() ? readHealth(unpacker) : List.of()));
+                        readSensitivities(unpacker),
+                        unpacker.hasNext() ? readHealth(unpacker) : List.of(),
+                        unpacker.hasNext() ? readStalledRuns(unpacker) : List.of()));
     }
 
     private static List<Sensitivity> readSensitivities(MessageUnpacker unpacker) throws IOException {
@@ -95,4 +112,20 @@
         }
         return records;
     }
+
+    private static List<StalledRun> readStalledRuns(MessageUnpacker unpacker) throws IOException {
+        List<StalledRun> runs = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            TaskName task =
+                    new TaskName(new JobId(unpacker.unpackString()), unpacker.unpackInt(), unpacker.unpackInt());
+            runs.add(new StalledRun(
+                    task,
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackInt(),
+                    Duration.ofMillis(unpacker.unpackLong())));
+        }
+        return runs;
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/EstimateHandoverTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EstimateHandoverTest.java
@@ -23,7 +23,7 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-/** Tests what an owner knows of the failures of its workers while the owner changes again and again. */
+/** Tests what an owner knows of faulty workers and stuck runs while the owner changes again and again. */
 public class EstimateHandoverTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int TERMS = 4;
@@ -105,6 +105,60 @@
         assertEquals(worker.started(), List.of("job1", "job2"));
     }
 
+    /** Guards against a stuck run that blocks its job as long as the owner changes again and again. */
+    @Test
+    public void stuckRunIsStoppedOverChangesOfTheOwner() throws Exception {
+        FakeStore store = new FakeStore();
+        StuckWorker worker = new StuckWorker();
+        JobSpec job = job("job");
+        for (int i = 1; i <= 6 && !worker.stopped(); i++) {
+            JobReplica replica = new JobReplica();
+            replica.applyJob(job);
+            OwnershipTerm term = takeOver(i, store, worker, replica);
+            Thread.sleep(700);
+            term.close(TIMEOUT);
+        }
+        assertTrue(worker.stopped());
+    }
+
+    /** A worker on which the first run makes no progress. Thread-safe. */
+    private static final class StuckWorker implements WorkerPort {
+        private Optional<Order> start = Optional.empty();
+        private boolean stopped;
+
+        synchronized boolean stopped() {
+            return stopped;
+        }
+
+        @Override
+        public synchronized Answer send(
+                WorkerRegistration worker, Order order, long token, long leaseUntilMs, Duration timeout) {
+            switch (order) {
+                case Order.Start _ -> start = Optional.of(order);
+                case Order.Stop _ -> stopped = true;
+                case Order.SetCpuLimit _ -> {}
+            }
+            return new Done(1000);
+        }
+
+        @Override
+        public Answer hold(
+                WorkerRegistration worker,
+                long token,
+                long leaseUntilMs,
+                long acknowledged,
+                Duration wait,
+                Duration timeout) {
+            Threads.sleep(Duration.ofMillis(20));
+            synchronized (this) {
+                List<WorkerReport.Running> runs = start.stream()
+                        .map(order -> new WorkerReport.Running(order.task(), order.run(), 10, 0))
+                        .toList();
+                return new StatusReport(new WorkerReport(worker.id(), worker.incarnation(), runs, List.of()), 1000);
+            }
+        }
+    }
+
     /** A worker on which each run fails at once. Thread-safe. */
     private static final class FailingWorker implements WorkerPort {
         private final List<String> started = new ArrayList<>();
--- a/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
@@ -11,6 +11,8 @@
 import org.chestnutbarrow.batch.Estimates;
 import org.chestnutbarrow.batch.HealthRecord;
 import org.chestnutbarrow.batch.Sensitivity;
+import org.chestnutbarrow.batch.StalledRun;
+import org.chestnutbarrow.batch.TaskName;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.JobId;
@@ -31,30 +33,33 @@
                     List.of(new HealthRecord.Failure(NOW, new JobId("j"))),
                     Optional.empty(),
                     Duration.ofSeconds(4)));
+    private static final List<StalledRun> STALLED =
+            List.of(new StalledRun(new TaskName(new JobId("j"), 1, 2), 3, 9, 40, Duration.ofMillis(700)));
 
     @Test
     public void estimatesAreReadAsWritten() throws InvalidInputException {
         for (Estimates estimates : List.of(
                 Estimates.NONE,
-                new Estimates(SENSITIVITIES, List.of()),
-                new Estimates(List.of(), HEALTH),
-                new Estimates(SENSITIVITIES, HEALTH))) {
+                new Estimates(SENSITIVITIES, List.of(), List.of()),
+                new Estimates(List.of(), HEALTH, List.of()),
+                new Estimates(SENSITIVITIES, List.of(), STALLED),
+                new Estimates(SENSITIVITIES, HEALTH, STALLED))) {
             assertEquals(EstimatesCodec.decode(EstimatesCodec.encode(estimates)), estimates);
         }
     }
 
     /** Nodes of earlier builds ignore what follows the sensitivities, and their records are read. */
     @Test
-    public void healthFollowsTheEarlierLayout() throws Exception {
+    public void otherEstimatesFollowTheEarlierLayout() throws Exception {
         byte[] earlier;
         try (var packer = MessagePack.newDefaultBufferPacker()) {
             packer.packInt(1).packArrayHeader(1);
             packer.packString("a").packString("b").packDouble(1.5).packDouble(0.25);
             earlier = packer.toByteArray();
         }
-        assertEquals(EstimatesCodec.encode(new Estimates(SENSITIVITIES, List.of())), earlier);
-        assertEquals(EstimatesCodec.decode(earlier), new Estimates(SENSITIVITIES, List.of()));
-        byte[] record = EstimatesCodec.encode(new Estimates(SENSITIVITIES, HEALTH));
+        assertEquals(EstimatesCodec.encode(new Estimates(SENSITIVITIES, List.of(), List.of())), earlier);
+        assertEquals(EstimatesCodec.decode(earlier), new Estimates(SENSITIVITIES, List.of(), List.of()));
+        byte[] record = EstimatesCodec.encode(new Estimates(SENSITIVITIES, HEALTH, STALLED));
         assertEquals(Arrays.copyOf(record, earlier.length), earlier);
     }
 
@@ -62,7 +67,7 @@
     @Test
     public void damagedRecordsAreReported() {
         Random random = new Random(7);
-        byte[] record = EstimatesCodec.encode(new Estimates(SENSITIVITIES, HEALTH));
+        byte[] record = EstimatesCodec.encode(new Estimates(SENSITIVITIES, HEALTH, STALLED));
         for (int i = 0; i < 5000; i++) {
             byte[] damaged = Arrays.copyOf(record, 1 + random.nextInt(record.length));
             damaged[random.nextInt(damaged.length)] = (byte) random.nextInt();
