Count the retention of ended jobs over changes of the owner

Each owner began anew: with a change every 150 s nothing was removed and the store grew.

- Each node notes with its copy of the jobs when it learnt that a job had ended with all its runs, that a job was removed, and that a cancellation had no job (JobShard).
The cleaner of a term uses these times.
A node that has just started still waits the full time.
- Progress is removed without a removal of the job by the same owner only if the node has read that removal from the store.
A copy that merely lacks the job proves nothing, because it may lag.

--- a/node/src/main/java/org/chestnutbarrow/node/EndedJobCleaner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EndedJobCleaner.java
@@ -21,7 +21,9 @@
  * bounded. Safe for use by two threads: one sweeps, the other takes the progress removals that are due.
  *
  * <p>Invariant: the progress of a job is removed no earlier than {@link #PROGRESS_DELAY} after the job itself, because
- * a job without progress would run again.
+ * a job without progress would run again. The times are counted by the node and not by the term, so that a change of the
+ * owner does not begin them anew; the wall-clock time at which a job ended is not used, because a wrong clock would
+ * remove jobs that callers still query.
  */
 final class EndedJobCleaner {
     /** Callers may query a job until 120 s after its end; the rest covers the delay until the end is visible. */
@@ -29,6 +31,9 @@
     /** Much longer than a takeover, which reads jobs and progress at most a few seconds apart. */
     static final Duration PROGRESS_DELAY = Duration.ofSeconds(30);
 
+    /** Shorter than a term in a series of changes of the owner. */
+    private static final Duration FIRST_SWEEP_DELAY = Duration.ofSeconds(1);
+
     private static final Duration SWEEP_INTERVAL = Duration.ofSeconds(10);
     private static final String WRITER = "ended-jobs";
     /** Maximum number of jobs removed with one append. */
@@ -37,12 +42,8 @@
     private final JobReplica replica;
     private final TimeSource time;
     private final SequencedWriter writer;
-    /** Time at which a sweep first found a job ended, ns; accessed only by the sweeping thread. */
-    private final Map<JobId, Long> endSeenAt = new HashMap<>();
-    /** Time at which a job was removed, ns; accessed only by the sweeping thread. */
+    /** Time at which this owner removed a job, ns; accessed only by the sweeping thread. */
     private final Map<JobId, Long> removedAt = new HashMap<>();
-    /** Time at which a sweep first found a cancellation without its job, ns; accessed only by the sweeping thread. */
-    private final Map<JobId, Long> cancelledUnknownSeenAt = new HashMap<>();
     /** Jobs whose progress may be removed. */
     private final Set<JobId> progressToRemove = ConcurrentHashMap.newKeySet();
 
@@ -54,23 +55,23 @@
 
     /** Sweeps periodically while {@code active} is true. */
     void run(BooleanSupplier active) {
+        Threads.sleep(FIRST_SWEEP_DELAY);
         while (active.getAsBoolean()) {
-            Threads.sleep(SWEEP_INTERVAL);
             sweep(active);
+            Threads.sleep(SWEEP_INTERVAL);
         }
     }
 
     /** Removes the jobs whose retention time has passed. */
     void sweep(BooleanSupplier active) {
-        Set<JobId> ended = replica.settledJobs();
-        endSeenAt.keySet().retainAll(ended);
-        removedAt.keySet().retainAll(ended);
-        long now = time.nanos();
-        ended.forEach(id -> endSeenAt.putIfAbsent(id, now));
-        List<JobId> expired = ended.stream()
-                .filter(id -> !removedAt.containsKey(id) && now - endSeenAt.get(id) >= RETENTION.toNanos())
+        EndedJobs ended = replica.endedJobs();
+        removedAt.keySet().retainAll(ended.settledFor().keySet());
+        List<JobId> expired = longerThan(RETENTION, ended.settledFor()).stream()
+                .filter(id -> !removedAt.containsKey(id) && !ended.removedFor().containsKey(id))
                 .toList();
-        List<JobId> expiredCancellations = expiredCancellations(now);
+        // Writers stop repeating the append of a job after JobWriter.MAX_REPEAT_TIME, so the job can no longer appear.
+        List<JobId> expiredCancellations = longerThan(RETENTION, ended.cancelledUnknownFor());
+        long now = time.nanos();
         try {
             for (List<JobId> jobs : batches(expired)) {
                 remove(jobs, active);
@@ -88,18 +89,15 @@
                 progressToRemove.add(id);
             }
         });
+        longerThan(PROGRESS_DELAY, ended.removedFor()).stream()
+                .filter(ended.settledFor()::containsKey)
+                .forEach(progressToRemove::add);
     }
 
-    /**
-     * Returns the cancellations of unknown jobs that were stored long ago. Writers stop repeating the append of a job
-     * after {@link JobWriter#MAX_REPEAT_TIME}, so the job can no longer appear.
-     */
-    private List<JobId> expiredCancellations(long now) {
-        Set<JobId> unknown = replica.cancelledUnknownJobs();
-        cancelledUnknownSeenAt.keySet().retainAll(unknown);
-        unknown.forEach(id -> cancelledUnknownSeenAt.putIfAbsent(id, now));
-        return unknown.stream()
-                .filter(id -> now - cancelledUnknownSeenAt.get(id) >= RETENTION.toNanos())
+    private static List<JobId> longerThan(Duration min, Map<JobId, Duration> times) {
+        return times.entrySet().stream()
+                .filter(entry -> entry.getValue().compareTo(min) >= 0)
+                .map(Map.Entry::getKey)
                 .toList();
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -19,6 +19,7 @@
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.TimeSource;
 
 /**
  * Local replica of all jobs and their progress. Thread-safe: jobs are sharded by id, and each shard has its own lock.
@@ -91,9 +92,9 @@
     private volatile Estimates estimates = Estimates.NONE;
     private volatile Map<TaskRecord.WorkerIncarnation, Duration> silences = Map.of();
 
-    JobReplica() {
+    JobReplica(TimeSource time) {
         for (int i = 0; i < SHARD_COUNT; i++) {
-            shards.add(new JobShard());
+            shards.add(new JobShard(time));
         }
     }
 
@@ -185,32 +186,13 @@
         return result;
     }
 
-    /** Returns the jobs that have ended with all their runs, including removed jobs whose progress is still stored. */
-    Set<JobId> settledJobs() {
-        Set<JobId> result = new HashSet<>();
-        for (JobShard shard : shards) {
-            synchronized (shard) {
-                shard.progress.forEach((id, progress) -> {
-                    if (progress.isSettled()) {
-                        result.add(id);
-                    }
-                });
-            }
-        }
-        return result;
-    }
-
-    /** Returns the jobs that were cancelled and are not stored. */
-    Set<JobId> cancelledUnknownJobs() {
-        Set<JobId> result = new HashSet<>();
-        for (JobShard shard : shards) {
-            synchronized (shard) {
-                shard.cancelled.stream()
-                        .filter(id -> !shard.specs.containsKey(id) && !shard.progress.containsKey(id))
-                        .forEach(result::add);
-            }
-        }
-        return result;
+    /** Returns the jobs with records that can be removed at some time. */
+    EndedJobs endedJobs() {
+        Map<JobId, Duration> settledFor = new HashMap<>();
+        Map<JobId, Duration> removedFor = new HashMap<>();
+        Map<JobId, Duration> cancelledUnknownFor = new HashMap<>();
+        shards.forEach(shard -> shard.addTimes(settledFor, removedFor, cancelledUnknownFor));
+        return new EndedJobs(settledFor, removedFor, cancelledUnknownFor);
     }
 
     /** Applies entries of the progress topic that this node has stored, the first of them at {@code firstOffset}. */
@@ -327,7 +309,7 @@
         JobShard shard = shard(id);
         shard.update(id, () -> {
             if (isSpec) {
-                shard.specs.remove(id);
+                shard.removeSpec(id);
             } else {
                 shard.cancelled.remove(id);
             }
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -65,7 +65,7 @@
     private final RelayNetwork relays;
     private final TimeSource time;
     private final PermissionTime permissionTime;
-    private final JobReplica replica = new JobReplica();
+    private final JobReplica replica;
     private final ControlTable control;
     private final WorkerTable workers;
     private final JobWriter writer;
@@ -93,12 +93,12 @@
         this.port = port;
         this.time = time;
         this.permissionTime = new PermissionTime(time);
+        this.replica = new JobReplica(time);
         this.membership = new GroupMembership(settings, store, time, new MembershipOwnership());
         this.control = new ControlTable(codec);
         this.workers = new WorkerTable(codec);
-        // An earlier process may have had the same member id by a clock that has stepped back since, and the store
-        // would
-        // take appends under its name for repeated ones.
+        // A clock that has stepped back may give this process the member id of an earlier one, and the store would take
+        // appends under its name for repeated ones.
         this.writer = new JobWriter(store, membership.memberId() + "/" + UUID.randomUUID(), time);
         this.controlFollower =
                 new TopicFollower(store, StateStore.Topic.CONTROL, control, () -> LONG_POLL, permissionTime);
--- a/node/src/test/java/org/chestnutbarrow/node/EndedJobCleanerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EndedJobCleanerTest.java
@@ -29,6 +29,7 @@
     private ManualTime time;
     private JobReplica replica;
     private EndedJobCleaner cleaner;
+    private long epoch;
     private TopicFollower jobFollower;
     private TopicFollower progressFollower;
 
@@ -36,8 +37,9 @@
     public void setUp() {
         store = new FakeStore();
         time = new ManualTime();
-        replica = new JobReplica();
-        cleaner = new EndedJobCleaner(store, replica, time, 1);
+        replica = new JobReplica(time);
+        epoch = 1;
+        cleaner = new EndedJobCleaner(store, replica, time, epoch);
         jobFollower = follower(StateStore.Topic.JOBS, replica.jobsListener());
         progressFollower = follower(StateStore.Topic.PROGRESS, replica.progressListener());
     }
@@ -98,6 +100,60 @@
         assertEquals(cleaner.takeProgressRemovals(), List.of());
     }
 
+    /** Continues with the cleaner of the next owner on the same node. */
+    private void changeOwner() {
+        epoch++;
+        cleaner = new EndedJobCleaner(store, replica, time, epoch);
+    }
+
+    /** Guards against a store that grows without bound while each owner leaves before the retention time has passed. */
+    @Test
+    public void retentionContinuesAfterChangesOfTheOwner() throws NotRunException {
+        putJob("a", JobState.COMPLETED, List.of());
+        store.put(StateStore.Topic.JOBS, JobReplica.cancelEntry(new JobId("unknown")));
+        Duration term = EndedJobCleaner.RETENTION.dividedBy(3);
+        for (int i = 0; i < 3; i++) {
+            sweep();
+            time.advance(term);
+            assertEquals(keys(StateStore.Topic.JOBS), Set.of("j/a", "c/unknown"));
+            changeOwner();
+        }
+        sweep();
+        assertEquals(keys(StateStore.Topic.JOBS), Set.of());
+        changeOwner();
+        // This owner reads that the job is removed.
+        sweep();
+        for (int i = 0; i < 3; i++) {
+            assertEquals(cleaner.takeProgressRemovals(), List.of());
+            time.advance(EndedJobCleaner.PROGRESS_DELAY.dividedBy(3));
+            changeOwner();
+            sweep();
+        }
+        assertEquals(cleaner.takeProgressRemovals(), List.of(new StateStore.Entry("a", Optional.empty())));
+    }
+
+    /**
+     * Guards against progress that is removed at once by a node that has not seen when the job was removed, so that a
+     * node that still knows the job runs it again.
+     */
+    @Test
+    public void newNodeWaitsBeforeItRemovesProgress() throws NotRunException {
+        putJob("a", JobState.COMPLETED, List.of());
+        JobReplica.removalEntries(new JobId("a")).forEach(entry -> store.put(StateStore.Topic.JOBS, entry));
+        sweep();
+        time.advance(EndedJobCleaner.RETENTION.minusMillis(1));
+        sweep();
+        time.advance(Duration.ofMillis(1));
+        sweep();
+        assertEquals(cleaner.takeProgressRemovals(), List.of());
+        time.advance(EndedJobCleaner.PROGRESS_DELAY.minusMillis(1));
+        sweep();
+        assertEquals(cleaner.takeProgressRemovals(), List.of());
+        time.advance(Duration.ofMillis(1));
+        sweep();
+        assertEquals(cleaner.takeProgressRemovals(), List.of(new StateStore.Entry("a", Optional.empty())));
+    }
+
     /** Guards against an orphaned task, whose job was removed before the task was stopped. */
     @Test
     public void jobsThatMayRunAreRetained() throws NotRunException {
--- a/node/src/test/java/org/chestnutbarrow/node/EstimateHandoverTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EstimateHandoverTest.java
@@ -85,7 +85,7 @@
         FakeStore store = new FakeStore();
         FailingWorker worker = new FailingWorker();
         for (int i = 1; i <= TERMS; i++) {
-            JobReplica replica = new JobReplica();
+            JobReplica replica = new JobReplica(clock);
             JobSpec job = job("job" + i);
             replica.applyJob(job);
             OwnershipTerm term = takeOver(i, store, worker, replica);
@@ -112,7 +112,7 @@
         StuckWorker worker = new StuckWorker();
         JobSpec job = job("job");
         for (int i = 1; i <= 6 && !worker.stopped(); i++) {
-            JobReplica replica = new JobReplica();
+            JobReplica replica = new JobReplica(clock);
             replica.applyJob(job);
             OwnershipTerm term = takeOver(i, store, worker, replica);
             Thread.sleep(700);
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -22,6 +22,7 @@
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
@@ -30,7 +31,7 @@
     private static final Queue A = queue("/a/");
     private static final Queue B = queue("/b/");
 
-    private final JobReplica fuzzedReplica = new JobReplica();
+    private final JobReplica fuzzedReplica = new JobReplica(TimeSource.SYSTEM);
 
     private static Queue queue(String prefix) {
         return new Queue("host", prefix, "service", 0, 2, 2, Duration.ofSeconds(1));
@@ -125,7 +126,7 @@
     /** The cost of counting pending jobs must not grow with the number of jobs. */
     @Test
     public void pendingCountDoesNotVisitEachJob() {
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
         int jobs = 20_000;
         for (int i = 0; i < jobs; i++) {
             replica.applyJob(job("j" + i, A));
@@ -149,7 +150,7 @@
     /** A job must not run again because both its end and its removal were missed. */
     @Test
     public void jobRemovedBetweenSnapshotsIsForgotten() {
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
         JobId removed = new JobId("dropped");
         JobId kept = new JobId("kept");
         replica.jobsListener()
@@ -165,7 +166,7 @@
         assertEquals(replica.find(removed), Optional.empty());
         assertEquals(replica.find(kept).orElseThrow().state(), JobState.RUNNING);
         replica.progressListener().onSnapshot(snapshot(20, progress("kept", JobState.COMPLETED)));
-        assertEquals(replica.settledJobs(), Set.of(kept));
+        assertEquals(replica.endedJobs().settledFor().keySet(), Set.of(kept));
         replica.applyJob(job("dropped", A));
         assertEquals(replica.find(removed).orElseThrow().state(), JobState.QUEUED);
     }
@@ -173,7 +174,7 @@
     /** A snapshot that began before the owner stored progress must not overwrite that progress. */
     @Test
     public void progressStoredAfterSnapshotIsKept() {
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
         replica.applyJob(job("a", A));
         replica.applyStored(List.of(progress("a", JobState.RUNNING)), 7);
         replica.progressListener().onSnapshot(snapshot(7));
@@ -192,7 +193,7 @@
         OwnerRecord closed = first.closed(Map.of(incarnation, Duration.ofSeconds(4)));
         OwnerRecord second = new OwnerRecord("second", 2);
         OwnerRecord third = new OwnerRecord("third", 3);
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
         replica.progressListener().onEntry(stored(0, first));
         replica.progressListener().onEntry(stored(1, closed));
         replica.progressListener().onEntry(stored(2, second));
@@ -209,7 +210,7 @@
         TaskRecord.WorkerIncarnation incarnation = new TaskRecord.WorkerIncarnation(new WorkerId("w"), 1);
         OwnerRecord closed = new OwnerRecord("first", 1).closed(Map.of(incarnation, Duration.ofSeconds(4)));
         OwnerRecord third = new OwnerRecord("third", 3);
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
         replica.progressListener().onEntry(stored(0, closed));
         replica.progressListener().onSnapshot(snapshot(9, JobReplica.ownerEntry(third)));
         assertEquals(replica.ownerChange(), new OwnerChange(Optional.of(third), Optional.empty()));
--- a/node/src/test/java/org/chestnutbarrow/node/OwnerRelaysTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OwnerRelaysTest.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.chestnutbarrow.batch.WorkerRegistration;
+import org.chestnutbarrow.model.TimeSource;
 import org.testng.annotations.Test;
 
 /** Guards against weak owners that call all workers themselves, and strong ones that take the longer way. */
@@ -49,7 +50,7 @@
                 7,
                 new FakeStore(),
                 new FakeWorkers(),
-                new JobReplica(),
+                new JobReplica(TimeSource.SYSTEM),
                 new PermissionTime(new OffsetClock()),
                 new NodeSettings("node", capacity, Optional.empty(), Duration.ofSeconds(1), Duration.ofSeconds(6)),
                 network,
--- a/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OwnershipTermTest.java
@@ -40,7 +40,7 @@
     private final OffsetClock clock = new OffsetClock();
 
     private OwnershipTerm term(StateStore store) {
-        return term(store, new FakeWorkers(), new JobReplica());
+        return term(store, new FakeWorkers(), new JobReplica(clock));
     }
 
     private OwnershipTerm term(StateStore store, WorkerPort port, JobReplica replica) {
@@ -55,7 +55,7 @@
 
     /** Returns a term that is recorded in the store. */
     private OwnershipTerm recordedTerm(StateStore store, WorkerPort port) throws Exception {
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(clock);
         OwnershipTerm term = unstartedTerm(store, port, replica, () -> Duration.ZERO);
         term.storage().fenceEarlierOwners("node-1500m-1", progressFollower(store, replica));
         term.start(new ControlState(1, Map.of(), Set.of()), List.of());
@@ -71,7 +71,7 @@
 
     /** Takes the ownership over; returns the leases that the predecessor has left. */
     private Map<TaskRecord.WorkerIncarnation, Duration> takeOver(long token, StateStore store) throws Exception {
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(clock);
         TopicFollower progress = progressFollower(store, replica);
         progress.catchUp();
         TermStorage storage = new TermStorage(token, store, replica, new PermissionTime(clock));
@@ -155,7 +155,7 @@
     public void goneWorkersAreNeitherCalledNorCounted() throws Exception {
         FakeStore store = new FakeStore();
         SilencedWorkers port = new SilencedWorkers();
-        OwnershipTerm term = term(store, port, new JobReplica());
+        OwnershipTerm term = term(store, port, new JobReplica(clock));
         WorkerRegistration gone = TestWorkers.worker("w");
         WorkerRegistration kept = TestWorkers.worker("v");
         term.updateWorkers(List.of(gone, kept));
@@ -200,7 +200,7 @@
     @Test
     public void termEndsAfterAnErrorInAPlan() throws InterruptedException {
         AtomicBoolean failing = new AtomicBoolean();
-        OwnershipTerm term = term(new FakeStore(), new FakeWorkers(), new JobReplica(), () -> {
+        OwnershipTerm term = term(new FakeStore(), new FakeWorkers(), new JobReplica(clock), () -> {
             if (failing.get()) {
                 throw new StackOverflowError("test");
             }
@@ -246,7 +246,7 @@
         Queue queue = new Queue("host", "/q/", "service", 0, 2, 2, Duration.ofSeconds(1));
         JobSpec job = new JobSpec(new JobId("a"), queue, Instant.EPOCH, "payload", List.of(step));
         TaskRecord placed = new TaskRecord(false, 1, 0, "", Optional.of(INCARNATION));
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(clock);
         replica.applyJob(job);
         replica.applyStored(
                 List.of(JobReplica.progressEntry(
--- a/node/src/test/java/org/chestnutbarrow/node/SlowOwnerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SlowOwnerTest.java
@@ -18,6 +18,7 @@
 import org.chestnutbarrow.batch.WorkerRegistration;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.TimeSource;
 import org.testng.annotations.Test;
 
 /** Tests an owner that can send orders only slowly. */
@@ -86,7 +87,7 @@
     /** Guards against starts that are ordered faster than they are sent, withdrawn for their age and ordered again. */
     @Test
     public void startsAreNotOrderedFasterThanTheyAreSent() throws InterruptedException {
-        JobReplica replica = new JobReplica();
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
         addJobs(replica);
         LimitedPort port = new LimitedPort();
         OwnershipTerm term = new OwnershipTerm(
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -246,7 +246,7 @@
     private static final class SimulatedMember {
         final Member self;
         final TakeoverPolicy policy;
-        final JobReplica replica = new JobReplica();
+        final JobReplica replica = new JobReplica(TimeSource.SYSTEM);
         final TopicFollower progress;
         Optional<StateStore.Membership> membership = Optional.empty();
         Optional<OwnershipTerm> takeover = Optional.empty();
