Do not take the pause of a worker for a run without progress

The first report of a worker after a pause of 1.8 s lists its runs with the progress that they had before. All were stopped as stuck, counted as failures, and the worker was quarantined, although it was only silent.

A gap between two reports now counts towards the time without progress for the report interval and 0.4 s at most. A run on a worker that reports in time is stopped as soon as before.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -40,7 +40,7 @@
         this.time = time;
         jobTable = new JobTable(time);
         registry = new WorkerRegistry(jobTable, time);
-        reportProcessor = new ReportProcessor(jobTable, stalledRuns);
+        reportProcessor = new ReportProcessor(jobTable, registry.index(), stalledRuns);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         drainController = new DrainController(jobTable, workerSelector);
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -17,6 +17,8 @@
      * reported in whole percent, and estimates are rough.
      */
     private static final int STUCK_ESTIMATE_PERCENT = 3;
+    /** A report that is later than this after the interval of reports shows that the worker was silent. */
+    private static final Duration MAX_REPORT_DELAY = Duration.ofMillis(400);
     /** Time within which a long-running task must become ready. */
     private static final Duration WARM_UP_TIMEOUT = Duration.ofSeconds(4);
     /** A run that is still not listed this long after its last order is over; a stop takes up to 0.9 s. */
@@ -27,10 +29,12 @@
     static final int READY_PERCENT = 100;
 
     private final JobTable jobTable;
+    private final WorkerIndex index;
     private final StalledRuns stalledRuns;
 
-    ReportProcessor(JobTable jobTable, StalledRuns stalledRuns) {
+    ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns) {
         this.jobTable = jobTable;
+        this.index = index;
         this.stalledRuns = stalledRuns;
     }
 
@@ -105,6 +109,8 @@
             task.progressedAt = now - stalledRuns.takeEarlier(node, run).toNanos();
         } else if (run.progressPercent() != task.progressPercent || task.cpuLimitPercent < READY_PERCENT) {
             task.progressedAt = now;
+        } else {
+            task.progressedAt += silence(task, now);
         }
         task.confirmed = true;
         task.listed = true;
@@ -127,6 +133,17 @@
         return task;
     }
 
+    /**
+     * Returns for how long, in ns, the worker of a run was silent before a report. A worker that was paused makes no
+     * progress in that time, so that it does not count as time without progress.
+     */
+    private long silence(TaskEntry task, long now) {
+        long sinceProgress = now - task.progressedAt;
+        long sinceReport = task.listed ? Math.min(sinceProgress, now - task.listedAt) : sinceProgress;
+        return Math.max(
+                0, sinceReport - index.reportInterval().plus(MAX_REPORT_DELAY).toNanos());
+    }
+
     private static boolean isStuck(TaskEntry task, long now) {
         return task.progressPercent < READY_PERCENT
                 && now - task.progressedAt > stuckTimeout(task.step).toNanos();
--- a/batch/src/main/java/org/chestnutbarrow/batch/StalledRun.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/StalledRun.java
@@ -10,8 +10,7 @@
  * @param run number of the run
  * @param incarnation incarnation of the worker that listed the run
  * @param progressPercent its progress since then
- * @param observed time between the first and the last report with this progress; silence of the worker after that does
- *     not count
+ * @param observed time between the first and the last report with this progress, without silences of the worker
  */
 public record StalledRun(TaskName task, int run, long incarnation, int progressPercent, Duration observed) {
     /** Longer times make no difference; keeps a damaged record from overflowing. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/StalledRunTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/StalledRunTest.java
@@ -112,6 +112,37 @@
         assertTrue(run.isStoppedInTerm(11));
     }
 
+    /** Guards against the runs of a worker that was paused for some seconds, which are stopped at its next report. */
+    @Test
+    public void pauseOfTheWorkerDoesNotCount() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        fixture.add(fixture.job("a", PLAIN));
+        fixture.add(fixture.job("b", PLAIN));
+        List<Order.Start> starts = fixture.starts();
+        starts.forEach(start -> fixture.scheduler.confirmStarted(start.task(), start.run()));
+        List<WorkerReport.Running> runs = starts.stream()
+                .map(start -> SchedulerFixture.running(start, 0, 0))
+                .toList();
+        for (int pause = 0; pause < 2; pause++) {
+            // The first pause is before the first report.
+            fixture.time.advance(Duration.ofSeconds(5));
+            fixture.report("w1", runs, List.of());
+            assertEquals(fixture.stops(), List.of(), "pause " + pause);
+            runs = starts.stream()
+                    .map(start -> SchedulerFixture.running(start, 10, 0))
+                    .toList();
+            fixture.time.advance(TERM);
+            fixture.report("w1", runs, List.of());
+        }
+        fixture.add(fixture.job("c", PLAIN));
+        assertEquals(fixture.starts().size(), 1, "the worker is not quarantined");
+        fixture.time.advance(TERM);
+        fixture.report("w1", runs, List.of());
+        fixture.time.advance(TERM);
+        fixture.report("w1", runs, List.of());
+        assertEquals(fixture.stops().size(), 2, "the runs are stuck");
+    }
+
     /** Guards against a run to which the time of an earlier run or of an earlier process of its worker is added. */
     @Test
     public void timeOfOtherRunsDoesNotCount() {
