--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -27,6 +27,7 @@
     private final JobTable jobTable;
     private final WorkerRegistry registry;
     private final InterferenceModel interferenceModel = new InterferenceModel();
+    private final StalledRuns stalledRuns = new StalledRuns();
     private final ReportProcessor reportProcessor;
     private final InterferenceController interferenceController;
     private final RoomClaims roomClaims;
@@ -40,8 +41,8 @@
     public BatchScheduler(TimeSource time) {
         this.time = time;
         jobTable = new JobTable(time);
-        registry = new WorkerRegistry(jobTable);
-        reportProcessor = new ReportProcessor(jobTable);
+        registry = new WorkerRegistry(jobTable, time);
+        reportProcessor = new ReportProcessor(jobTable, registry.index(), stalledRuns);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         roomClaims = new RoomClaims(workerSelector, registry.index());
@@ -64,14 +65,22 @@
         registry.index().setReportInterval(interval, time.nanos());
     }
 
-    /** Restores the interference estimates that an earlier owner stored. */
-    public synchronized void restoreSensitivities(List<Sensitivity> sensitivities) {
-        interferenceModel.restore(sensitivities);
+    /** Restores the estimates that an earlier owner stored. Called before jobs and workers are added. */
+    public synchronized void restore(Estimates estimates) {
+        interferenceModel.restore(estimates.sensitivities());
+        registry.restoreHealth(estimates.health());
+        stalledRuns.restore(estimates.stalledRuns());
     }
 
-    /** Returns the current interference estimates. */
-    public synchronized List<Sensitivity> sensitivities() {
-        return interferenceModel.sensitivities();
+    /** Returns the current estimates. */
+    public synchronized Estimates estimates() {
+        return new Estimates(
+                interferenceModel.sensitivities(), registry.health(), stalledRuns.records(registry.listed()));
+    }
+
+    /** Returns whether the health of a worker has changed since the last call. */
+    public synchronized boolean takeHealthChange() {
+        return registry.takeHealthChange();
     }
 
     /**
@@ -117,7 +126,7 @@
                 restore(job, job.tasksByStep.get(step).get(index), records.get(index));
             }
         }
-        job.markReadySteps(time.nanos());
+        job.markReadySteps(time);
     }
 
     private void restore(JobEntry job, TaskEntry task, TaskRecord record) {
@@ -128,6 +137,7 @@
         if (record.done()) {
             job.taskFinished(task);
         }
+        record.waitingSince().ifPresent(since -> task.waitStart = WaitStart.restored(since, time));
         record.placedOn()
                 .ifPresentOrElse(
                         incarnation -> {
--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
@@ -0,0 +1,26 @@
+package org.chestnutbarrow.batch;
+
+import java.util.List;
+
+/**
+ * What an owner has observed and the next owner continues with. Immutable. Nothing in it permits a run to be started.
+ *
+ * @param sensitivities interference between images
+ * @param health health of the workers with recent failures or quarantines
+ * @param stalledRuns runs without recent progress
+ */
+public record Estimates(List<Sensitivity> sensitivities, List<HealthRecord> health, List<StalledRun> stalledRuns) {
+    /** The estimates before the first observation. */
+    public static final Estimates NONE = new Estimates(List.of(), List.of(), List.of());
+
+    public Estimates {
+        sensitivities = List.copyOf(sensitivities);
+        health = List.copyOf(health);
+        stalledRuns = List.copyOf(stalledRuns);
+    }
+
+    /** Returns these estimates without the runs, which change with each report. */
+    public Estimates withoutStalledRuns() {
+        return new Estimates(sensitivities, health, List.of());
+    }
+}
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -49,7 +49,7 @@
     /** Adds a job that is not known yet. */
     JobEntry add(JobSpec spec) {
         JobEntry job = new JobEntry(spec, policy(spec), waitingJobs);
-        job.markReadySteps(time.nanos());
+        job.markReadySteps(time);
         jobs.put(spec.id(), job);
         return job;
     }
@@ -107,7 +107,7 @@
         WorkerNode node = task.assignedNode;
         task.endedInTouch = node != null && node.listed() && !node.isUnresponsive(time.nanos());
         task.release();
-        task.releasedAt = time.nanos();
+        task.waitStart = WaitStart.now(time);
         markChanged(task.job);
         markRestarted(task);
     }
@@ -139,7 +139,7 @@
             stop(task, "finished-elsewhere");
         }
         task.job.taskFinished(task);
-        task.job.markReadySteps(time.nanos());
+        task.job.markReadySteps(time);
         markChanged(task.job);
         if (task.job.allTasksFinished() && !task.job.state.isFinal()) {
             task.job.setState(JobState.COMPLETED, time.now());
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
@@ -0,0 +1,131 @@
+package org.chestnutbarrow.node;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.chestnutbarrow.batch.Estimates;
+import org.chestnutbarrow.batch.HealthRecord;
+import org.chestnutbarrow.batch.Sensitivity;
+import org.chestnutbarrow.batch.StalledRun;
+import org.chestnutbarrow.batch.TaskName;
+import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.model.InvalidInputException;
+import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.WorkerId;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * Encodes the estimates of an owner. Stateless.
+ *
+ * <p>Nodes of earlier builds write and read the sensitivities only. What follows them is omitted when it is empty.
+ */
+final class EstimatesCodec {
+    /** Encodes that there is no quarantine. */
+    private static final long NOT_QUARANTINED = 0;
+
+    private EstimatesCodec() {}
+
+    static byte[] encode(Estimates estimates) {
+        return StateCodec.encodeRecord(packer -> {
+            packer.packArrayHeader(estimates.sensitivities().size());
+            for (Sensitivity sensitivity : estimates.sensitivities()) {
+                packer.packString(sensitivity.bestEffortImage()).packString(sensitivity.latencyCriticalImage());
+                packer.packDouble(sensitivity.weight()).packDouble(sensitivity.variance());
+            }
+            if (!estimates.health().isEmpty() || !estimates.stalledRuns().isEmpty()) {
+                writeHealth(packer, estimates.health());
+            }
+            if (!estimates.stalledRuns().isEmpty()) {
+                writeStalledRuns(packer, estimates.stalledRuns());
+            }
+        });
+    }
+
+    private static void writeHealth(MessageBufferPacker packer, List<HealthRecord> records) throws IOException {
+        packer.packArrayHeader(records.size());
+        for (HealthRecord health : records) {
+            packer.packString(health.worker().worker().value())
+                    .packLong(health.worker().incarnation());
+            packer.packLong(health.quarantinedUntil().map(Instant::toEpochMilli).orElse(NOT_QUARANTINED));
+            packer.packLong(health.nextQuarantine().toMillis());
+            packer.packArrayHeader(health.failures().size());
+            for (HealthRecord.Failure failure : health.failures()) {
+                packer.packLong(failure.at().toEpochMilli())
+                        .packString(failure.job().value());
+            }
+        }
+    }
+
+    private static void writeStalledRuns(MessageBufferPacker packer, List<StalledRun> runs) throws IOException {
+        packer.packArrayHeader(runs.size());
+        for (StalledRun run : runs) {
+            packer.packString(run.task().job().value());
+            packer.packInt(run.task().step()).packInt(run.task().index()).packInt(run.run());
+            packer.packLong(run.incarnation()).packInt(run.progressPercent());
+            packer.packLong(run.observed().toMillis());
+        }
+    }
+
+    static Estimates decode(byte[] bytes) throws InvalidInputException {
+        return StateCodec.decodeRecord(
+                bytes,
+                (_, unpacker) -> new Estimates(
+                        readSensitivities(unpacker),
+                        unpacker.hasNext() ? readHealth(unpacker) : List.of(),
+                        unpacker.hasNext() ? readStalledRuns(unpacker) : List.of()));
+    }
+
+    private static List<Sensitivity> readSensitivities(MessageUnpacker unpacker) throws IOException {
+        List<Sensitivity> sensitivities = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            sensitivities.add(new Sensitivity(
+                    unpacker.unpackString(),
+                    unpacker.unpackString(),
+                    unpacker.unpackDouble(),
+                    unpacker.unpackDouble()));
+        }
+        return sensitivities;
+    }
+
+    private static List<HealthRecord> readHealth(MessageUnpacker unpacker) throws IOException {
+        List<HealthRecord> records = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            TaskRecord.WorkerIncarnation worker =
+                    new TaskRecord.WorkerIncarnation(new WorkerId(unpacker.unpackString()), unpacker.unpackLong());
+            long untilMs = unpacker.unpackLong();
+            Duration next = Duration.ofMillis(unpacker.unpackLong());
+            List<HealthRecord.Failure> failures = new ArrayList<>();
+            int failureCount = unpacker.unpackArrayHeader();
+            for (int failure = 0; failure < failureCount; failure++) {
+                failures.add(new HealthRecord.Failure(
+                        Instant.ofEpochMilli(unpacker.unpackLong()), new JobId(unpacker.unpackString())));
+            }
+            Optional<Instant> until =
+                    untilMs == NOT_QUARANTINED ? Optional.empty() : Optional.of(Instant.ofEpochMilli(untilMs));
+            records.add(new HealthRecord(worker, failures, until, next));
+        }
+        return records;
+    }
+
+    private static List<StalledRun> readStalledRuns(MessageUnpacker unpacker) throws IOException {
+        List<StalledRun> runs = new ArrayList<>();
+        int count = unpacker.unpackArrayHeader();
+        for (int i = 0; i < count; i++) {
+            TaskName task =
+                    new TaskName(new JobId(unpacker.unpackString()), unpacker.unpackInt(), unpacker.unpackInt());
+            runs.add(new StalledRun(
+                    task,
+                    unpacker.unpackInt(),
+                    unpacker.unpackLong(),
+                    unpacker.unpackInt(),
+                    Duration.ofMillis(unpacker.unpackLong())));
+        }
+        return runs;
+    }
+}
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -11,14 +11,15 @@
 import java.util.function.Consumer;
 import java.util.function.ObjLongConsumer;
 import java.util.function.Predicate;
+import org.chestnutbarrow.batch.Estimates;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
-import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.TimeSource;
 
 /**
  * Local replica of all jobs and their progress. Thread-safe: jobs are sharded by id, and each shard has its own lock.
@@ -33,8 +34,8 @@
     private static final String OWNER_KEY = "owner/";
     /** Key of the worker incarnations that have not answered the owner; cannot be a job id. */
     private static final String SILENCES_KEY = "silent/";
-    /** Key of the interference sensitivities that owners have measured; cannot be a job id. */
-    private static final String SENSITIVITIES_KEY = "learned/";
+    /** Key of the estimates of the latest owner; cannot be a job id. */
+    private static final String ESTIMATES_KEY = "learned/";
 
     /**
      * Newest progress of a job. The tasks stay encoded because only an owner needs them.
@@ -88,12 +89,12 @@
     private volatile Consumer<JobId> changeListener = _ -> {};
     private volatile ObjLongConsumer<List<StateStore.Entry>> storedListener = (_, _) -> {};
     private final AtomicReference<OwnerChange> ownerChange = new AtomicReference<>(OwnerChange.NONE);
-    private volatile List<Sensitivity> sensitivities = List.of();
+    private volatile Estimates estimates = Estimates.NONE;
     private volatile Map<TaskRecord.WorkerIncarnation, Duration> silences = Map.of();
 
-    JobReplica() {
+    JobReplica(TimeSource time) {
         for (int i = 0; i < SHARD_COUNT; i++) {
-            shards.add(new JobShard());
+            shards.add(new JobShard(time));
         }
     }
 
@@ -116,13 +117,13 @@
         return new StateStore.Entry(progress.id().value(), Optional.of(ProgressCodec.encode(progress)));
     }
 
-    static StateStore.Entry sensitivitiesEntry(List<Sensitivity> sensitivities) {
-        return new StateStore.Entry(SENSITIVITIES_KEY, Optional.of(StateCodec.encode(sensitivities)));
+    static StateStore.Entry estimatesEntry(Estimates estimates) {
+        return new StateStore.Entry(ESTIMATES_KEY, Optional.of(EstimatesCodec.encode(estimates)));
     }
 
-    /** Returns the interference sensitivities that the latest owner has stored. */
-    List<Sensitivity> sensitivities() {
-        return sensitivities;
+    /** Returns the estimates that the latest owner has stored. */
+    Estimates estimates() {
+        return estimates;
     }
 
     static StateStore.Entry ownerEntry(OwnerRecord owner) {
@@ -185,32 +186,13 @@
         return result;
     }
 
-    /** Returns the jobs that have ended with all their runs, including removed jobs whose progress is still stored. */
-    Set<JobId> settledJobs() {
-        Set<JobId> result = new HashSet<>();
-        for (JobShard shard : shards) {
-            synchronized (shard) {
-                shard.progress.forEach((id, progress) -> {
-                    if (progress.isSettled()) {
-                        result.add(id);
-                    }
-                });
-            }
-        }
-        return result;
-    }
-
-    /** Returns the jobs that were cancelled and are not stored. */
-    Set<JobId> cancelledUnknownJobs() {
-        Set<JobId> result = new HashSet<>();
-        for (JobShard shard : shards) {
-            synchronized (shard) {
-                shard.cancelled.stream()
-                        .filter(id -> !shard.specs.containsKey(id) && !shard.progress.containsKey(id))
-                        .forEach(result::add);
-            }
-        }
-        return result;
+    /** Returns the jobs with records that can be removed at some time. */
+    EndedJobs endedJobs() {
+        Map<JobId, Duration> settledFor = new HashMap<>();
+        Map<JobId, Duration> removedFor = new HashMap<>();
+        Map<JobId, Duration> cancelledUnknownFor = new HashMap<>();
+        shards.forEach(shard -> shard.addTimes(settledFor, removedFor, cancelledUnknownFor));
+        return new EndedJobs(settledFor, removedFor, cancelledUnknownFor);
     }
 
     /** Applies entries of the progress topic that this node has stored, the first of them at {@code firstOffset}. */
@@ -327,7 +309,7 @@
         JobShard shard = shard(id);
         shard.update(id, () -> {
             if (isSpec) {
-                shard.specs.remove(id);
+                shard.removeSpec(id);
             } else {
                 shard.cancelled.remove(id);
             }
@@ -357,8 +339,8 @@
                 silences = value.isPresent() ? StateCodec.decodeSilences(value.get()) : Map.of();
                 return;
             }
-            if (key.equals(SENSITIVITIES_KEY)) {
-                sensitivities = value.isPresent() ? StateCodec.decodeSensitivities(value.get()) : List.of();
+            if (key.equals(ESTIMATES_KEY)) {
+                estimates = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
                 return;
             }
             JobId id = new JobId(key);
