Check the share of short tasks before searching for a claim

Cause: the 8 % that claims leave to short tasks were checked after all workers of a service had been examined, and a task that failed the check was searched for again in each plan that followed the end of a run.

Change: the lasting reservations of a service are summed once for each plan and change of a claim, and the check comes first.

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -48,6 +48,9 @@
     /** Services with a task that waits until claims of others have been met. */
     private final Set<String> servicesAtBound = new HashSet<>();
 
+    /** Lasting reservations on all workers of a service, as of the last review or change of a claim there. */
+    private final Map<String, Long> lastingMilliCoresByService = new HashMap<>();
+
     private int searchesLeft = MAX_SEARCHES;
 
     /** A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns. */
@@ -65,6 +68,7 @@
     void review(long now) {
         searchesLeft = MAX_SEARCHES;
         servicesAtBound.clear();
+        lastingMilliCoresByService.clear();
         List.copyOf(claims.sequencedKeySet().reversed()).forEach(task -> validClaim(task, now));
     }
 
@@ -138,7 +142,9 @@
     }
 
     private void addClaimed(WorkerNode worker, long milliCores) {
-        claimedMilliCoresByService.merge(worker.registration.service(), milliCores, Long::sum);
+        String service = worker.registration.service();
+        claimedMilliCoresByService.merge(service, milliCores, Long::sum);
+        lastingMilliCoresByService.remove(service);
     }
 
     /** Returns the claim of a task, or null if it has none or its claim had to be released. */
@@ -179,6 +185,7 @@
         if (searchesLeft == 0
                 || servicesAtBound.contains(service)
                 || (!withinBound && !waits)
+                || !leavesShortTaskShare(task, service)
                 || !workerSelector.mayClaim(task, now)) {
             return;
         }
@@ -200,6 +207,20 @@
         return claimed == 0 || wanted <= share * index.pool(service).capacityMilliCores();
     }
 
+    private boolean leavesShortTaskShare(TaskEntry task, String service) {
+        long lasting = lastingMilliCoresByService.computeIfAbsent(service, this::lastingMilliCores);
+        long wanted = lasting + task.step.reservation().milliCores();
+        return wanted <= (1 - SHORT_TASK_SHARE) * index.pool(service).capacityMilliCores();
+    }
+
+    private long lastingMilliCores(String service) {
+        long lasting = 0;
+        for (WorkerNode worker : index.pool(service).all()) {
+            lasting += worker.lastingReservation().milliCores();
+        }
+        return lasting;
+    }
+
     private void moveIfSooner(TaskEntry task, Claim claim, long now) {
         if (searchesLeft == 0) {
             return;
@@ -220,10 +241,7 @@
     private LaterRoom soonestRoom(TaskEntry task, long now) {
         searchesLeft--;
         LaterRoom soonest = null;
-        long lasting = 0;
-        WorkerIndex.Pool pool = index.pool(task.job.policy.service());
-        for (WorkerNode worker : pool.all()) {
-            lasting += worker.lastingReservation().milliCores();
+        for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
             if (!workerSelector.couldClaim(task, worker, now)) {
                 continue;
             }
@@ -232,8 +250,7 @@
                 soonest = new LaterRoom(worker, time.get());
             }
         }
-        long wanted = lasting + task.step.reservation().milliCores();
-        return wanted <= (1 - SHORT_TASK_SHARE) * pool.capacityMilliCores() ? soonest : null;
+        return soonest;
     }
 
     /** Returns the expected time until a worker has room beside its claims, or empty if no end of a run makes it. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
@@ -160,6 +160,39 @@
         assertTrue(fixture.scheduler.examinedWorkers() - before < 20);
     }
 
+    /** Guards against plans that search all workers for each task that may not claim what is left to short tasks. */
+    @Test
+    public void tasksBeyondShareOfShortTasksAreNotSearchedFor() {
+        int lost = 20;
+        SchedulerFixture fixture = fixture(WORKERS);
+        for (int i = 0; i < 15; i++) {
+            Step step = SchedulerFixture.step(WORKERS, 500, LATENCY_CRITICAL);
+            Step.Constraints spread = new Step.Constraints(Optional.empty(), Optional.empty(), 2);
+            fixture.add(fixture.job(
+                    "service" + i,
+                    new Step(WORKERS, step.demand(), step.estimate(), List.of(), spread, LATENCY_CRITICAL)));
+        }
+        assertTrue(fixture.starts().size() > 14 * WORKERS);
+        fixture.add(fixture.job("full", SchedulerFixture.step(8 * WORKERS, 100, Step.Behaviour.PLAIN)));
+        Order.Start ended = fixture.starts().getLast();
+        List<WorkerRegistration> zone = fixture.workers.stream()
+                .filter(worker -> !worker.id().equals(ended.worker()))
+                .limit(lost)
+                .toList();
+        fixture.workers.removeAll(zone);
+        fixture.scheduler.updateWorkers(fixture.workers);
+        zone.forEach(worker -> fixture.scheduler.expireLeases(
+                new TaskRecord.WorkerIncarnation(worker.id(), SchedulerFixture.INCARNATION)));
+        fixture.scheduler.plan();
+        fixture.scheduler.plan();
+        fixture.report(
+                ended.worker().value(),
+                List.of(),
+                List.of(SchedulerFixture.ended(1, ended, WorkerReport.EndKind.DONE)));
+        long examined = examinedWorkersByPlan(fixture);
+        assertTrue(examined < 100, "examined " + examined);
+    }
+
     private static long examinedWorkersByReport(SchedulerFixture fixture, Order.Start running) {
         long before = fixture.scheduler.examinedWorkers();
         fixture.report(running.worker().value(), List.of(SchedulerFixture.running(running, 100, 10)), List.of());
