Estimate when room gets free by the progress of runs, too

Cause: a claim went to the worker whose runs end first by their declared run times. On a worker whose runs take many times as long, a half finished run always seems to end soon, so that the claim stayed there until they ended, while others had room earlier.

Change: the remaining time of a run is the longer of that by its estimate and that by its progress since it was confirmed.

Result: ClaimedRoomTest#roomIsClaimedWhereTasksProgressAsEstimated failed before (claim on the slow worker) and passes; all tests of batch passed (one run, x86-64).

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -225,7 +225,7 @@
         if (searchesLeft == 0) {
             return;
         }
-        Optional<Duration> current = timeUntilRoom(claim.worker(), Resources.NONE);
+        Optional<Duration> current = timeUntilRoom(claim.worker(), Resources.NONE, now);
         LaterRoom room = soonestRoom(task, now);
         if (room != null && (current.isEmpty() || room.time().compareTo(current.get()) < 0)) {
             put(task, room.worker(), now);
@@ -245,7 +245,7 @@
             if (!workerSelector.couldClaim(task, worker, now)) {
                 continue;
             }
-            Optional<Duration> time = timeUntilRoom(worker, task.step.reservation());
+            Optional<Duration> time = timeUntilRoom(worker, task.step.reservation(), now);
             if (time.isPresent() && (soonest == null || time.get().compareTo(soonest.time()) < 0)) {
                 soonest = new LaterRoom(worker, time.get());
             }
@@ -254,7 +254,7 @@
     }
 
     /** Returns the expected time until a worker has room beside its claims, or empty if no end of a run makes it. */
-    private static Optional<Duration> timeUntilRoom(WorkerNode worker, Resources demand) {
+    private static Optional<Duration> timeUntilRoom(WorkerNode worker, Resources demand, long now) {
         Resources held = worker.reservedAndClaimed().plus(demand);
         Resources capacity = worker.registration.capacity();
         if (held.fitsIn(capacity)) {
@@ -266,22 +266,34 @@
                 ending.add(task);
             }
         }
-        ending.sort(Comparator.comparing(RoomClaims::remainingTime));
+        ending.sort(Comparator.comparing(task -> remainingTime(task, now)));
         for (TaskEntry task : ending) {
             held = held.minus(task.step.reservation());
             if (held.fitsIn(capacity)) {
-                return Optional.of(remainingTime(task));
+                return Optional.of(remainingTime(task, now));
             }
         }
         return Optional.empty();
     }
 
-    /** Returns the expected remaining time of a run that ends by itself or was stopped. */
-    private static Duration remainingTime(TaskEntry task) {
+    /**
+     * Returns the expected remaining time of a run that ends by itself or was stopped: by the estimate or, if that is
+     * longer, by its progress so far.
+     */
+    private static Duration remainingTime(TaskEntry task, long now) {
         if (task.stopOrdered) {
             return Duration.ZERO;
         }
-        int remainingPercent = Math.clamp(FINISHED_PERCENT - task.progressPercent, 0, FINISHED_PERCENT);
-        return task.step.estimate().multipliedBy(remainingPercent).dividedBy(FINISHED_PERCENT);
+        int percent = Math.clamp(task.progressPercent, 0, FINISHED_PERCENT);
+        int remainingPercent = FINISHED_PERCENT - percent;
+        Duration byEstimate =
+                task.step.estimate().multipliedBy(remainingPercent).dividedBy(FINISHED_PERCENT);
+        if (percent == 0 || task.startSettledAt == 0) {
+            return byEstimate;
+        }
+        Duration byProgress = Duration.ofNanos(now - task.startSettledAt)
+                .multipliedBy(remainingPercent)
+                .dividedBy(percent);
+        return byProgress.compareTo(byEstimate) > 0 ? byProgress : byEstimate;
     }
 }
--- a/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
@@ -200,6 +200,44 @@
         assertEquals(fixture.starts().getFirst().worker(), new WorkerId("w2"));
     }
 
+    private static List<Order.Start> fillNewWorker(SchedulerFixture fixture, String id) {
+        fixture.withWorkers(id);
+        fixture.add(fixture.job("fill-" + id, SchedulerFixture.step(10, 1000, Step.Behaviour.PLAIN)));
+        List<Order.Start> starts = fixture.starts().stream()
+                .filter(start -> start.worker().value().equals(id))
+                .toList();
+        assertEquals(starts.size(), 8);
+        starts.forEach(start -> fixture.scheduler.confirmStarted(start.task(), start.run()));
+        return starts;
+    }
+
+    private static void reportProgress(SchedulerFixture fixture, String id, List<Order.Start> starts, int percent) {
+        fixture.report(
+                id,
+                starts.stream()
+                        .map(start -> SchedulerFixture.running(start, percent, 0))
+                        .toList(),
+                List.of());
+    }
+
+    /** Guards against a claim on a worker whose tasks take many times their estimate. */
+    @Test
+    public void roomIsClaimedWhereTasksProgressAsEstimated() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        Order.Start run = startService(fixture, "service", 6000);
+        List<Order.Start> slow = fillNewWorker(fixture, "w2");
+        for (int second = 1; second <= 10; second++) {
+            fixture.time.advance(Duration.ofSeconds(1));
+            reportProgress(fixture, "w2", slow, 6 * second);
+        }
+        List<Order.Start> fast = fillNewWorker(fixture, "w3");
+        fixture.time.advance(Duration.ofMillis(300));
+        reportProgress(fixture, "w3", fast, 30);
+        lose(fixture, run.worker());
+        fixture.scheduler.plan();
+        assertEquals(fixture.scheduler.claims(), Map.of(run.task(), new WorkerId("w3")));
+    }
+
     private static final Step.Behaviour DISTURBING = new Step.Behaviour("filler", true, true, true, 0, 1);
 
     /** Starts a latency-critical task with two best-effort tasks beside it, and lets it miss its target for 2 s. */
