--- a/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
@@ -200,6 +200,22 @@
         assertEquals(fixture.starts().getFirst().worker(), new WorkerId("w2"));
     }
 
+    /** Guards against a waiting task that has no claim on room after a change of the owner. */
+    @Test
+    public void nextOwnerClaimsRoomForWaitingTask() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        JobSpec service = fixture.job("service", SchedulerFixture.step(1, 6000, LONG_RUNNING));
+        fixture.add(service);
+        Order.Start run = fixture.starts().getFirst();
+        lose(fixture, run.worker());
+        JobProgress progress = fixture.scheduler.plan().changes().getFirst();
+        SchedulerFixture next = new SchedulerFixture().withWorkers("w2");
+        fill(next);
+        next.scheduler.addJob(service, Optional.of(progress));
+        assertEquals(next.starts(), List.of());
+        assertEquals(next.scheduler.claims(), Map.of(run.task(), new WorkerId("w2")));
+    }
+
     private static List<Order.Start> fillNewWorker(SchedulerFixture fixture, String id) {
         fixture.withWorkers(id);
         fixture.add(fixture.job("fill-" + id, SchedulerFixture.step(10, 1000, Step.Behaviour.PLAIN)));
