--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -15,8 +15,9 @@
 
 /**
  * Keeps room on workers for tasks that run again soon: long-running ones without a worker or on a draining one, and
- * best-effort ones that were stopped because they disturb others. Without a claim, short tasks take each piece of room that gets free, and a task that needs several
- * pieces waits until the load falls. Guarded by the lock of its {@link BatchScheduler}.
+ * best-effort ones that were stopped because they disturb others. Without a claim, short tasks take each piece of room
+ * that gets free, and a task that needs several pieces waits until the load falls. Guarded by the lock of its
+ * {@link BatchScheduler}.
  *
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
  * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims beyond
