Throttle disturbing tasks while no task can be started

Cause: DrainController stops runs only while the last plan could start tasks; InterferenceController stopped best-effort tasks at any time. An owner with an old view, or one that ends, stopped work that it could not start again.

Change: the same condition holds for both; without it the task is throttled where it is.

Result: ClaimedRoomTest#disturbingTasksAreNotMovedWhileNoTaskCanBeStarted failed before (1 task stopped) and passes; mvn -pl batch -am verify, 95 tests of batch passed (x86-64).

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -174,7 +174,7 @@
         if (startsAllowed) {
             drainController.drain(node, now);
         }
-        interferenceController.adjust(node, now, task -> roomClaims.claimElsewhere(task, now));
+        interferenceController.adjust(node, now, task -> startsAllowed && roomClaims.claimElsewhere(task, now));
     }
 
     /** Returns whether the run of an order is assigned to the worker incarnation that receives the order. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
@@ -257,7 +257,7 @@
     private static final Step.Behaviour DISTURBING = new Step.Behaviour("filler", true, true, true, 0, 1);
 
     /** Starts a latency-critical task with two best-effort tasks beside it, and lets it miss its target for 2 s. */
-    private static Plan planAfterMissedTarget(SchedulerFixture fixture, Step bestEffort) {
+    private static Plan planAfterMissedTarget(SchedulerFixture fixture, Step bestEffort, int maxStarts) {
         Order.Start critical = startService(fixture, "critical", 2000);
         fixture.add(fixture.job("filler", bestEffort));
         List<Order.Start> fillers = fixture.starts();
@@ -265,6 +265,7 @@
         fixture.withWorkers("w2");
         fixture.add(fixture.job("other", withMemory(1, 5000, label("rack-w2"), Step.Behaviour.PLAIN)));
         Order.Start other = fixture.starts().getFirst();
+        fixture.scheduler.plan(maxStarts);
         for (int i = 0; i < 4; i++) {
             fixture.time.advance(Duration.ofMillis(600));
             fixture.report(
@@ -276,7 +277,7 @@
                     List.of());
             fixture.report("w2", List.of(SchedulerFixture.running(other, 10 + i, 0)), List.of());
         }
-        return fixture.scheduler.plan();
+        return fixture.scheduler.plan(maxStarts);
     }
 
     private static long movedTasks(Plan plan) {
@@ -292,7 +293,14 @@
     @Test
     public void disturbingTasksAreMovedWithinMaxUnavailable() {
         SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
-        assertEquals(movedTasks(planAfterMissedTarget(fixture, SchedulerFixture.step(2, 1000, DISTURBING))), 1);
+        assertEquals(movedTasks(planAfterMissedTarget(fixture, SchedulerFixture.step(2, 1000, DISTURBING), 10)), 1);
+    }
+
+    /** Guards against a task that is stopped to move it while no task can be started. */
+    @Test
+    public void disturbingTasksAreNotMovedWhileNoTaskCanBeStarted() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        assertEquals(movedTasks(planAfterMissedTarget(fixture, SchedulerFixture.step(2, 1000, DISTURBING), 0)), 0);
     }
 
     /** Guards against several tasks that are stopped for the room of one. */
@@ -300,7 +308,7 @@
     public void disturbingTasksAreMovedOnlyIfThereIsRoomForEach() {
         SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
         Step.Behaviour behaviour = new Step.Behaviour("filler", true, false, true, 0, 0);
-        Plan plan = planAfterMissedTarget(fixture, withMemory(2, 7000, Step.Constraints.NONE, behaviour));
+        Plan plan = planAfterMissedTarget(fixture, withMemory(2, 7000, Step.Constraints.NONE, behaviour), 10);
         assertEquals(movedTasks(plan), 1);
         fixture.add(fixture.job("later", withMemory(2, 4000, Step.Constraints.NONE, Step.Behaviour.PLAIN)));
         assertEquals(fixture.starts().size(), 1, "starts beside the room for the moved task");
