Log claims on room that is not free yet

Change: a plan lists the new claims on later room, and the owner logs them as room-claimed, with the worker, the CPU that is needed and the wait so far.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -284,7 +284,8 @@
                         new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), node.lastProcessedEnd);
             }
         }
-        return new Plan(changes, jobTable.takeOrders(), acknowledgements, jobTable.takeSetAside());
+        return new Plan(
+                changes, jobTable.takeOrders(), acknowledgements, jobTable.takeSetAside(), roomClaims.takeNewClaims());
     }
 
     /** Returns the worker on which room is kept for the next run of a task, by task. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
@@ -1,8 +1,10 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.WorkerId;
 
 /**
  * The changes to store and the messages to send after a scheduling decision.
@@ -12,12 +14,14 @@
  * @param acknowledgements highest sequence number of an end, by worker incarnation, that may be acknowledged once the
  *     changes are stored
  * @param setAside jobs that this owner no longer places
+ * @param claims claims that were made on room that is not free yet
  */
 public record Plan(
         List<JobProgress> changes,
         List<Order> orders,
         Map<TaskRecord.WorkerIncarnation, Long> acknowledgements,
-        List<SetAsideJob> setAside) {
+        List<SetAsideJob> setAside,
+        List<Claim> claims) {
     /**
      * A job whose tasks are no longer placed because of an unexpected error. Its runs are not affected.
      *
@@ -26,11 +30,22 @@
      */
     public record SetAsideJob(JobId job, RuntimeException cause) {}
 
+    /**
+     * A claim on the room that the ends of other runs free on a worker.
+     *
+     * @param task the task that runs there next
+     * @param worker the worker
+     * @param milliCores CPU that the task needs
+     * @param waited how long the task has waited for a worker; zero while its last run goes on
+     */
+    public record Claim(TaskName task, WorkerId worker, int milliCores, Duration waited) {}
+
     public Plan {
         changes = List.copyOf(changes);
         orders = List.copyOf(orders);
         acknowledgements = Map.copyOf(acknowledgements);
         setAside = List.copyOf(setAside);
+        claims = List.copyOf(claims);
     }
 
     /** Returns whether there is nothing to store or to send. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -49,6 +49,7 @@
     /** Services with a task that waits until claims of others have been met. */
     private final Set<String> servicesAtBound = new HashSet<>();
 
+    private final List<Plan.Claim> newClaims = new ArrayList<>();
     private int searchesLeft = MAX_SEARCHES;
 
     /** A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns. */
@@ -138,6 +139,13 @@
         }
     }
 
+    /** Returns and clears the claims on room that is not free yet that were made since the last call. */
+    List<Plan.Claim> takeNewClaims() {
+        List<Plan.Claim> result = List.copyOf(newClaims);
+        newClaims.clear();
+        return result;
+    }
+
     /** Returns the worker on which room is kept for a task, by task. */
     Map<TaskEntry, WorkerNode> workers() {
         Map<TaskEntry, WorkerNode> workers = new HashMap<>();
@@ -152,6 +160,12 @@
         worker.addClaim(task);
     }
 
+    private void putOnLaterRoom(TaskEntry task, WorkerNode worker, long now) {
+        put(task, worker, now);
+        Duration waited = task.assignedNode == null ? task.job.waited(task, now) : Duration.ZERO;
+        newClaims.add(new Plan.Claim(task.name, worker.id(), task.step.demand().milliCores(), waited));
+    }
+
     private void addClaimed(WorkerNode worker, long milliCores) {
         claimedMilliCoresByService.merge(worker.registration.service(), milliCores, Long::sum);
     }
@@ -202,7 +216,7 @@
         if (room == null) {
             workerSelector.markUnclaimable(task);
         } else if (withinBound) {
-            put(task, room.worker(), now);
+            putOnLaterRoom(task, room.worker(), now);
         } else {
             // Smaller tasks that come later must not use up the share that this one waits for.
             servicesAtBound.add(service);
@@ -223,7 +237,7 @@
         Optional<Duration> current = timeUntilRoom(claim.worker(), Resources.NONE, now);
         LaterRoom room = soonestRoom(task, now);
         if (room != null && (current.isEmpty() || room.time().compareTo(current.get()) < 0)) {
-            put(task, room.worker(), now);
+            putOnLaterRoom(task, room.worker(), now);
         } else {
             claims.put(task, new Claim(claim.worker(), claim.run(), now));
         }
--- a/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
@@ -61,7 +61,11 @@
         assertEquals(second.worker(), new WorkerId("w6"));
         fill(fixture);
         lose(fixture, first.worker());
-        fixture.scheduler.plan();
+        fixture.time.advance(Duration.ofMillis(300));
+        assertEquals(
+                fixture.scheduler.plan().claims(),
+                List.of(new Plan.Claim(first.task(), new WorkerId("w2"), 1500, Duration.ofMillis(300))));
+        assertEquals(fixture.scheduler.plan().claims(), List.of(), "claims are reported once");
         assertEquals(fixture.scheduler.claims(), Map.of(first.task(), new WorkerId("w2")));
         lose(fixture, second.worker());
         fixture.scheduler.plan();
--- a/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
@@ -1,16 +1,18 @@
 package org.chestnutbarrow.node;
 
 import org.chestnutbarrow.batch.Order;
+import org.chestnutbarrow.batch.Plan;
+import org.chestnutbarrow.batch.TaskName;
 import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.WorkerId;
 
-/** Logs the orders that are sent to workers, and the ends of runs that workers report. Stateless. */
+/** Logs claims on workers, the orders that are sent to them, and the ends of runs that they report. Stateless. */
 final class OrderEvents {
     private OrderEvents() {}
 
     static void log(Order order) {
-        String task = order.task().step() + "/" + order.task().index();
+        String task = indexes(order.task());
         switch (order) {
             case Order.Start start ->
                 Events.info(
@@ -56,13 +58,32 @@
         }
     }
 
+    static void log(Plan.Claim claim) {
+        Events.info(
+                "room-claimed",
+                "job",
+                claim.task().job(),
+                "task",
+                indexes(claim.task()),
+                "worker",
+                claim.worker(),
+                "milliCores",
+                claim.milliCores(),
+                "waitedMs",
+                claim.waited().toMillis());
+    }
+
+    private static String indexes(TaskName task) {
+        return task.step() + "/" + task.index();
+    }
+
     static void logEnd(WorkerReport.Ended ended, WorkerId worker) {
         Events.info(
                 "task-ended",
                 "job",
                 ended.task().job(),
                 "task",
-                ended.task().step() + "/" + ended.task().index(),
+                indexes(ended.task()),
                 "run",
                 ended.run(),
                 "worker",
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -395,6 +395,7 @@
 
     private void execute(Plan plan) {
         plan.setAside().forEach(job -> setAside(job.job(), job.cause()));
+        plan.claims().forEach(OrderEvents::log);
         List<StateStore.Entry> entries = new ArrayList<>();
         plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
         estimateSchedule
