--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -11,6 +11,7 @@
 import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.WorkerId;
 
 /**
  * Schedules the tasks of all jobs of one owner on its workers. Events are reported through the methods of this class;
@@ -26,8 +27,10 @@
     private final JobTable jobTable;
     private final WorkerRegistry registry;
     private final InterferenceModel interferenceModel = new InterferenceModel();
+    private final StalledRuns stalledRuns = new StalledRuns();
     private final ReportProcessor reportProcessor;
     private final InterferenceController interferenceController;
+    private final RoomClaims roomClaims;
     private final DrainController drainController;
     private final TaskPlacer taskPlacer;
     private final WorkerSelector workerSelector;
@@ -38,12 +41,13 @@
     public BatchScheduler(TimeSource time) {
         this.time = time;
         jobTable = new JobTable(time);
-        registry = new WorkerRegistry(jobTable);
-        reportProcessor = new ReportProcessor(jobTable);
+        registry = new WorkerRegistry(jobTable, time);
+        reportProcessor = new ReportProcessor(jobTable, registry.index(), stalledRuns);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
-        drainController = new DrainController(jobTable, workerSelector);
-        taskPlacer = new TaskPlacer(jobTable, workerSelector, time);
+        roomClaims = new RoomClaims(workerSelector, registry.index());
+        drainController = new DrainController(jobTable, roomClaims);
+        taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, time);
     }
 
     /** Replaces the queue policies in force, by queue key. */
@@ -61,14 +65,22 @@
         registry.index().setReportInterval(interval, time.nanos());
     }
 
-    /** Restores the interference estimates that an earlier owner stored. */
-    public synchronized void restoreSensitivities(List<Sensitivity> sensitivities) {
-        interferenceModel.restore(sensitivities);
+    /** Restores the estimates that an earlier owner stored. Called before jobs and workers are added. */
+    public synchronized void restore(Estimates estimates) {
+        interferenceModel.restore(estimates.sensitivities());
+        registry.restoreHealth(estimates.health());
+        stalledRuns.restore(estimates.stalledRuns());
     }
 
-    /** Returns the current interference estimates. */
-    public synchronized List<Sensitivity> sensitivities() {
-        return interferenceModel.sensitivities();
+    /** Returns the current estimates. */
+    public synchronized Estimates estimates() {
+        return new Estimates(
+                interferenceModel.sensitivities(), registry.health(), stalledRuns.records(registry.listed()));
+    }
+
+    /** Returns whether the health of a worker has changed since the last call. */
+    public synchronized boolean takeHealthChange() {
+        return registry.takeHealthChange();
     }
 
     /**
@@ -114,7 +126,7 @@
                 restore(job, job.tasksByStep.get(step).get(index), records.get(index));
             }
         }
-        job.markReadySteps(time.nanos());
+        job.markReadySteps(time);
     }
 
     private void restore(JobEntry job, TaskEntry task, TaskRecord record) {
@@ -125,11 +137,15 @@
         if (record.done()) {
             job.taskFinished(task);
         }
-        record.placedOn().ifPresent(incarnation -> {
-            registry.nodeFor(incarnation).add(task);
-            task.inherited = true;
-            task.progressedAt = time.nanos();
-        });
+        record.waitingSince().ifPresent(since -> task.waitStart = WaitStart.restored(since, time));
+        record.placedOn()
+                .ifPresentOrElse(
+                        incarnation -> {
+                            registry.nodeFor(incarnation).add(task);
+                            task.inherited = true;
+                            task.progressedAt = time.nanos();
+                        },
+                        () -> jobTable.markRestarted(task));
     }
 
     /** Cancels a job. Has no effect if the job is unknown or has ended. */
@@ -168,7 +184,7 @@
         if (startsAllowed) {
             drainController.drain(node, now);
         }
-        interferenceController.adjust(node, now, task -> workerSelector.fitsElsewhere(task, now));
+        interferenceController.adjust(node, now, task -> startsAllowed && roomClaims.claimElsewhere(task, now));
     }
 
     /** Returns whether the run of an order is assigned to the worker incarnation that receives the order. */
@@ -202,7 +218,7 @@
         switch (order) {
             case Order.Start _ -> rejectStart(order.task(), order.run(), false);
             // The next report that lists the run orders the stop again.
-            case Order.Stop _ -> task.stopOrdered = false;
+            case Order.Stop _ -> task.setStopOrdered(false);
             case Order.SetCpuLimit _ -> {}
         }
     }
@@ -268,7 +284,15 @@
                         new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), node.lastProcessedEnd);
             }
         }
-        return new Plan(changes, jobTable.takeOrders(), acknowledgements, jobTable.takeSetAside());
+        return new Plan(
+                changes, jobTable.takeOrders(), acknowledgements, jobTable.takeSetAside(), roomClaims.takeNewClaims());
+    }
+
+    /** Returns the worker on which room is kept for the next run of a task, by task. */
+    synchronized Map<TaskName, WorkerId> claims() {
+        Map<TaskName, WorkerId> claims = new HashMap<>();
+        roomClaims.workers().forEach((task, worker) -> claims.put(task.name, worker.id()));
+        return claims;
     }
 
     /** Returns the number of workers that decisions have examined so far, as a measure of scheduling cost. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.SequencedSet;
 import java.util.Set;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.TimeSource;
@@ -26,6 +27,9 @@
     private final List<Order> orders = new ArrayList<>();
     private final List<Plan.SetAsideJob> setAsideJobs = new ArrayList<>();
     private final Set<JobEntry> waitingJobs = new LinkedHashSet<>();
+    /** Long-running tasks that must run again, earliest released first, and possibly some that have been placed since. */
+    private final SequencedSet<TaskEntry> restartedTasks = new LinkedHashSet<>();
+
     private Map<String, Queue> queues = Map.of();
 
     JobTable(TimeSource time) {
@@ -45,7 +49,7 @@
     /** Adds a job that is not known yet. */
     JobEntry add(JobSpec spec) {
         JobEntry job = new JobEntry(spec, policy(spec), waitingJobs);
-        job.markReadySteps(time.nanos());
+        job.markReadySteps(time);
         jobs.put(spec.id(), job);
         return job;
     }
@@ -91,7 +95,7 @@
             return;
         }
         if (!task.stopOrdered || now - task.stopOrderedAt >= STOP_REPEAT_INTERVAL.toNanos()) {
-            task.stopOrdered = true;
+            task.setStopOrdered(true);
             task.stopOrderedAt = now;
             orders.add(new Order.Stop(
                     task.name, task.run, task.assignedNode.id(), task.assignedNode.incarnation(), reason));
@@ -100,9 +104,25 @@
 
     /** Releases a task from its worker. */
     void release(TaskEntry task) {
+        WorkerNode node = task.assignedNode;
+        task.endedInTouch = node != null && node.listed() && !node.isUnresponsive(time.nanos());
         task.release();
-        task.releasedAt = time.nanos();
+        task.waitStart = WaitStart.now(time);
         markChanged(task.job);
+        markRestarted(task);
+    }
+
+    /** Records that a task without a worker has run before. */
+    void markRestarted(TaskEntry task) {
+        if (task.step.longRunning() && task.run > 0) {
+            restartedTasks.addLast(task);
+        }
+    }
+
+    /** Returns the long-running tasks that have run before and wait for a worker, earliest released first. */
+    List<TaskEntry> restartedTasks() {
+        restartedTasks.removeIf(task -> task.done || task.assignedNode != null || !task.job.isPlaceable());
+        return List.copyOf(restartedTasks);
     }
 
     /** Marks a job as running because a worker has confirmed or listed one of its runs. */
@@ -119,7 +139,7 @@
             stop(task, "finished-elsewhere");
         }
         task.job.taskFinished(task);
-        task.job.markReadySteps(time.nanos());
+        task.job.markReadySteps(time);
         markChanged(task.job);
         if (task.job.allTasksFinished() && !task.job.state.isFinal()) {
             task.job.setState(JobState.COMPLETED, time.now());
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -17,6 +17,8 @@
      * reported in whole percent, and estimates are rough.
      */
     private static final int STUCK_ESTIMATE_PERCENT = 3;
+    /** A report that is later than this after the interval of reports shows that the worker was silent. */
+    private static final Duration MAX_REPORT_DELAY = Duration.ofMillis(400);
     /** Time within which a long-running task must become ready. */
     private static final Duration WARM_UP_TIMEOUT = Duration.ofSeconds(4);
     /** A run that is still not listed this long after its last order is over; a stop takes up to 0.9 s. */
@@ -24,12 +26,16 @@
     /** Maximum number of ends in one report; later ends are listed once these have been acknowledged. */
     private static final int MAX_LISTED_ENDS = 500;
 
-    private static final int READY_PERCENT = 100;
+    static final int READY_PERCENT = 100;
 
     private final JobTable jobTable;
+    private final WorkerIndex index;
+    private final StalledRuns stalledRuns;
 
-    ReportProcessor(JobTable jobTable) {
+    ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns) {
         this.jobTable = jobTable;
+        this.index = index;
+        this.stalledRuns = stalledRuns;
     }
 
     /**
@@ -99,13 +105,15 @@
             }
         }
         jobTable.markRunning(task.job);
-        if (!task.confirmed || run.progressPercent() != task.progressPercent || task.cpuLimitPercent < READY_PERCENT) {
+        if (!task.confirmed) {
+            task.progressedAt = now - stalledRuns.takeEarlier(node, run).toNanos();
+        } else if (run.progressPercent() != task.progressPercent || task.cpuLimitPercent < READY_PERCENT) {
             task.progressedAt = now;
+        } else {
+            task.progressedAt += silence(task, now);
         }
-        task.confirmed = true;
-        task.listed = true;
-        task.progressPercent = run.progressPercent();
-        task.loadMetric = run.loadMetric();
+        task.progressReported(run);
+        task.listedAt = now;
         boolean overTarget = task.isLatencyCritical()
                 && task.loadMetric > task.step.behaviour().latencyTargetMs();
         task.overTargetSince = !overTarget ? 0 : task.overTargetSince == 0 ? now : task.overTargetSince;
@@ -122,6 +130,17 @@
         return task;
     }
 
+    /**
+     * Returns for how long, in ns, the worker of a run was silent before a report. A worker that was paused makes no
+     * progress in that time, so that it does not count as time without progress.
+     */
+    private long silence(TaskEntry task, long now) {
+        long sinceProgress = now - task.progressedAt;
+        long sinceReport = task.listed ? Math.min(sinceProgress, now - task.listedAt) : sinceProgress;
+        return Math.max(
+                0, sinceReport - index.reportInterval().plus(MAX_REPORT_DELAY).toNanos());
+    }
+
     private static boolean isStuck(TaskEntry task, long now) {
         return task.progressPercent < READY_PERCENT
                 && now - task.progressedAt > stuckTimeout(task.step).toNanos();
@@ -152,6 +171,7 @@
             return;
         }
         boolean stopOrdered = task.stopOrdered;
+        boolean wasAtWork = task.isAtWork();
         jobTable.release(task);
         if (!end.checkpoint().isEmpty()) {
             task.checkpoint = end.checkpoint();
@@ -162,11 +182,11 @@
                 jobTable.finishTask(task);
             }
         } else if (end.kind() == WorkerReport.EndKind.FAILED) {
-            processFailed(node, task, stopOrdered, now);
+            processFailed(node, task, stopOrdered, wasAtWork, now);
         }
     }
 
-    private void processFailed(WorkerNode node, TaskEntry task, boolean stopOrdered, long now) {
+    private void processFailed(WorkerNode node, TaskEntry task, boolean stopOrdered, boolean wasAtWork, long now) {
         // A worker lists an end until it is acknowledged, so that the end may have been counted by an earlier owner.
         if (task.run <= task.settledRun) {
             return;
@@ -174,6 +194,7 @@
         task.settledRun = task.run;
         task.failures++;
         if (!stopOrdered) {
+            task.failedStarts += wasAtWork ? 0 : 1;
             node.recordFailure(now, task.name.job());
         }
         // Only failed runs count towards the limit; interrupted or lost runs do not.
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -4,10 +4,9 @@
 
 /** In-memory state of one task. Guarded by the lock of its {@link BatchScheduler}. */
 final class TaskEntry {
-    /** Time in ns of an event that has not happened. */
-    static final long NEVER = Long.MIN_VALUE;
-
     private static final int FULL_SPEED_PERCENT = 100;
+    /** Progress of a long-running task that is at work. */
+    private static final int READY_PERCENT = 100;
 
     final JobEntry job;
     final TaskName name;
@@ -18,6 +17,9 @@
     /** Latest run whose failure is counted or which an earlier owner has released. */
     int settledRun;
 
+    /** Number of latest runs that failed one after the other before they were ready. */
+    int failedStarts;
+
     String checkpoint = "";
     /** Worker to which the latest run is assigned; null while the task waits. */
     WorkerNode assignedNode;
@@ -45,8 +47,15 @@
     BaselineHeadroom baseline = new BaselineHeadroom();
 
     long progressedAt;
-    /** When this owner last released a run of the task, in ns; {@link #NEVER} before that. */
-    long releasedAt = NEVER;
+    /** Whether this owner has released the last run while its worker was listed and answered. */
+    boolean endedInTouch;
+    /** When a report listed the latest run last, in ns. */
+    long listedAt;
+    /**
+     * Since when the task has waited for its next run; null while it is assigned or if it has waited since its step
+     * became ready.
+     */
+    WaitStart waitStart;
     /** Since when the reported tail latency has exceeded its target, in ns; 0 while it does not. */
     long overTargetSince;
     /** CPU limit of the latest run, in percent of its demand. */
@@ -64,6 +73,28 @@
             job.taskPlaced(this);
         }
         assignedNode = node;
+        waitStart = null;
+    }
+
+    /** Records that the worker has listed the latest run. */
+    void progressReported(WorkerReport.Running report) {
+        confirmed = true;
+        listed = true;
+        progressPercent = report.progressPercent();
+        loadMetric = report.loadMetric();
+        if (isAtWork()) {
+            failedStarts = 0;
+        }
+    }
+
+    /** Sets whether a stop of the latest run was ordered. */
+    void setStopOrdered(boolean newValue) {
+        if (stopOrdered != newValue) {
+            stopOrdered = newValue;
+            if (assignedNode != null) {
+                assignedNode.stopOrderChanged(this);
+            }
+        }
     }
 
     /** Releases the task from its worker and resets the state of its run. */
@@ -85,6 +116,16 @@
         baseline = new BaselineHeadroom();
     }
 
+    /** Returns whether the latest run is known to be ready and has not been stopped. */
+    boolean isAtWork() {
+        return assignedNode != null && !stopOrdered && confirmed && progressPercent >= READY_PERCENT;
+    }
+
+    /** Returns whether the latest run goes on until its job is cancelled. */
+    boolean lasts() {
+        return step.longRunning() && !stopOrdered;
+    }
+
     /** Returns whether the task has a target for its tail latency. */
     boolean isLatencyCritical() {
         return step.behaviour().latencyTargetMs() > 0;
@@ -108,6 +149,7 @@
                 checkpoint,
                 assignedNode == null
                         ? Optional.empty()
-                        : Optional.of(new TaskRecord.WorkerIncarnation(assignedNode.id(), assignedNode.incarnation())));
+                        : Optional.of(new TaskRecord.WorkerIncarnation(assignedNode.id(), assignedNode.incarnation())),
+                job.storedWaitStart(this));
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -4,7 +4,9 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collections;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.chestnutbarrow.model.TimeSource;
 
 /** Assigns waiting tasks to workers, most urgent jobs first. Guarded by the lock of its {@link BatchScheduler}. */
@@ -16,8 +18,15 @@
      */
     private static final Duration UNFINISHED_TASK_DELAY = Duration.ofMillis(400);
 
+    /**
+     * A long-running task that failed this often before it was ready is placed in the order of jobs, since it would
+     * otherwise take starts and room from all others again and again.
+     */
+    private static final int MAX_FAILED_STARTS = 3;
+
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
+    private final RoomClaims roomClaims;
     private final TimeSource time;
     /** Number of tasks that the current plan may still start. */
     private int startsLeft;
@@ -36,9 +45,10 @@
         }
     }
 
-    TaskPlacer(JobTable jobTable, WorkerSelector workerSelector, TimeSource time) {
+    TaskPlacer(JobTable jobTable, WorkerSelector workerSelector, RoomClaims roomClaims, TimeSource time) {
         this.jobTable = jobTable;
         this.workerSelector = workerSelector;
+        this.roomClaims = roomClaims;
         this.time = time;
     }
 
@@ -48,6 +58,7 @@
      */
     void place(long now, int maxStarts) {
         startsLeft = maxStarts;
+        placeRestarted(now);
         for (Candidate candidate : candidates(now)) {
             if (startsLeft == 0) {
                 return;
@@ -60,6 +71,42 @@
         }
     }
 
+    /**
+     * Places the long-running tasks that must run again and come first, or claims room for them, and the other tasks for
+     * which room is kept, before any task of a more urgent job. The others come in the order of the jobs.
+     */
+    private void placeRestarted(long now) {
+        roomClaims.review(now);
+        Set<TaskEntry> tasks = new LinkedHashSet<>(jobTable.restartedTasks());
+        tasks.addAll(roomClaims.waitingClaimants());
+        for (TaskEntry task : tasks) {
+            if (startsLeft == 0) {
+                return;
+            }
+            try {
+                placeRestarted(task, now);
+            } catch (RuntimeException e) {
+                jobTable.setAside(task.job, e);
+            }
+        }
+    }
+
+    private void placeRestarted(TaskEntry task, long now) {
+        if (!task.job.isReady(task.name.step()) || !roomClaims.comesFirst(task)) {
+            return;
+        }
+        if (task.failedStarts >= MAX_FAILED_STARTS) {
+            roomClaims.release(task);
+            return;
+        }
+        WorkerNode node = roomClaims.workerWithRoom(task, now);
+        if (node == null) {
+            roomClaims.claimLaterRoom(task, now);
+        } else {
+            startTask(task.job, task, node, now);
+        }
+    }
+
     private void place(JobEntry job, long now) {
         for (int step = 0; step < job.tasksByStep.size(); step++) {
             if (job.isReady(step)) {
@@ -148,6 +195,7 @@
 
     private void startTask(JobEntry job, TaskEntry task, WorkerNode node, long now) {
         startsLeft--;
+        roomClaims.release(task);
         Duration waited = job.waited(task, now);
         task.run++;
         task.progressedAt = now;
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -44,6 +44,8 @@
     private boolean zoneEvacuated;
     private long lastResponseAt;
     private Resources reserved = Resources.NONE;
+    /** CPU of the tasks that last, see {@link TaskEntry#lasts}. */
+    private long lastingTaskMilliCores;
     /** Cached results of {@link #bestEffortDemandByImage()} and {@link #minBaselineByImage()}; null after a change. */
     private Map<String, Double> bestEffortDemandByImage;
 
@@ -54,6 +56,12 @@
     private final Map<String, Integer> latencyCriticalTasksByImage = new HashMap<>();
     private long latencyCriticalMilliCores;
     private final Map<StepKey, Integer> tasksByStep = new HashMap<>();
+    /** Tasks for which {@link RoomClaims} keeps room here, in the order in which they get it. */
+    private final Set<TaskEntry> claimants = new LinkedHashSet<>();
+
+    private Resources claimed = Resources.NONE;
+    /** CPU that the claimants use at full speed, of which best-effort ones reserve none. */
+    private long claimantMilliCores;
 
     private record StepKey(JobId job, int step) {}
 
@@ -161,6 +169,9 @@
         }
         task.assignTo(this);
         reserved = reserved.plus(task.step.reservation());
+        if (task.lasts()) {
+            lastingTaskMilliCores += task.step.reservation().milliCores();
+        }
         if (task.step.behaviour().bestEffort()) {
             addBestEffortDemand(task, task.limitedMilliCores());
         }
@@ -179,6 +190,9 @@
             return;
         }
         reserved = reserved.minus(task.step.reservation());
+        if (task.lasts()) {
+            lastingTaskMilliCores -= task.step.reservation().milliCores();
+        }
         if (task.step.behaviour().bestEffort()) {
             addBestEffortDemand(task, -task.limitedMilliCores());
         }
@@ -208,29 +222,98 @@
         bestEffortMilliCoresByImage.merge(task.step.behaviour().image(), milliCores, Long::sum);
     }
 
+    /** Records that a stop of a task on this worker was ordered, or that its order was dropped. */
+    void stopOrderChanged(TaskEntry task) {
+        if (task.step.longRunning()) {
+            long milliCores = task.step.reservation().milliCores();
+            lastingTaskMilliCores += task.lasts() ? milliCores : -milliCores;
+            index.refresh(this);
+        }
+    }
+
+    /** Keeps room for the next run of a task. */
+    void addClaim(TaskEntry task) {
+        if (claimants.add(task)) {
+            claimed = claimed.plus(task.step.reservation());
+            claimantMilliCores += task.step.demand().milliCores();
+            index.refresh(this);
+        }
+    }
+
+    void removeClaim(TaskEntry task) {
+        if (claimants.remove(task)) {
+            claimed = claimed.minus(task.step.reservation());
+            claimantMilliCores -= task.step.demand().milliCores();
+            index.refresh(this);
+            index.capacityFreed(this);
+        }
+    }
+
+    /** Returns whether there is room for a claimant beside those that come before it. */
+    boolean hasRoomForClaim(TaskEntry task) {
+        Resources needed = reserved;
+        for (TaskEntry claimant : claimants) {
+            needed = needed.plus(claimant.step.reservation());
+            if (claimant == task) {
+                return needed.fitsIn(registration.capacity());
+            }
+        }
+        return false;
+    }
+
+    /** Returns the resources that tasks hold and those that are kept for claimants. */
+    Resources reservedAndClaimed() {
+        return reserved.plus(claimed);
+    }
+
+    /** Returns the CPU part of {@link #lastingReservation()}. */
+    long lastingMilliCores() {
+        return lastingTaskMilliCores + claimed.milliCores();
+    }
+
+    /** Returns what is kept for claimants and what tasks hold that go on until their jobs are cancelled. */
+    Resources lastingReservation() {
+        Resources lasting = claimed;
+        for (TaskEntry task : tasks) {
+            if (task.lasts()) {
+                lasting = lasting.plus(task.step.reservation());
+            }
+        }
+        return lasting;
+    }
+
+    /** Returns whether there is room beside the tasks and claims on this worker. */
     boolean fits(Resources demand) {
-        return reserved.plus(demand).fitsIn(registration.capacity());
+        return reservedAndClaimed().plus(demand).fitsIn(registration.capacity());
     }
 
-    /** Returns the number of tasks of a step on this worker. */
+    /** Returns the number of tasks of a step on this worker, including those for which room is kept. */
     int countOfStep(JobId job, int step) {
-        return tasksByStep.getOrDefault(new StepKey(job, step), 0);
+        int claimantsOfStep = 0;
+        for (TaskEntry claimant : claimants) {
+            if (claimant.name.job().equals(job) && claimant.name.step() == step) {
+                claimantsOfStep++;
+            }
+        }
+        return tasksByStep.getOrDefault(new StepKey(job, step), 0) + claimantsOfStep;
     }
 
     /**
      * Returns the CPU left for further best-effort tasks: the unreserved CPU plus the part that latency-critical tasks
-     * are expected to leave idle, minus the CPU that the best-effort tasks on this worker may use within their limits.
+     * are expected to leave idle, minus the CPU that the best-effort tasks on this worker may use within their limits
+     * and the CPU that claimants will use.
      */
     long spareMilliCores() {
         return (long) registration.capacity().milliCores()
                 - reserved.milliCores()
+                - claimantMilliCores
                 + (long) (LATENCY_CRITICAL_IDLE_FRACTION * latencyCriticalMilliCores)
                 - bestEffortMilliCores;
     }
 
-    /** Returns the unreserved CPU. */
+    /** Returns the CPU that is neither reserved nor kept for claimants. */
     long freeMilliCores() {
-        return (long) registration.capacity().milliCores() - reserved.milliCores();
+        return Math.max(0, (long) registration.capacity().milliCores() - reserved.milliCores() - claimed.milliCores());
     }
 
     /** Returns the CPU that best-effort tasks may use within their limits, by image, as fractions of the capacity. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
@@ -34,10 +34,11 @@
 
     private final ManualTime time = new ManualTime();
     private final JobTable jobTable = new JobTable(time);
-    private final WorkerRegistry registry = new WorkerRegistry(jobTable);
+    private final WorkerRegistry registry = new WorkerRegistry(jobTable, time);
     private final WorkerSelector selector = new WorkerSelector(new InterferenceModel(), registry.index());
-    private final TaskPlacer placer = new TaskPlacer(jobTable, selector, time);
-    private final ReportProcessor reports = new ReportProcessor(jobTable);
+    private final TaskPlacer placer =
+            new TaskPlacer(jobTable, selector, new RoomClaims(selector, registry.index()), time);
+    private final ReportProcessor reports = new ReportProcessor(jobTable, registry.index(), new StalledRuns());
     private final List<WorkerRegistration> registrations = new ArrayList<>();
     private final List<JobEntry> jobs = new ArrayList<>();
     private final long[] lastEnd = new long[WORKERS];
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlanCostTest.java
@@ -16,6 +16,7 @@
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.Resources;
+import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
 /** Tests the cost of scheduling decisions, measured as the number of examined workers. */
@@ -124,6 +125,74 @@
         assertTrue(fixture.stops().isEmpty());
     }
 
+    /** Guards against plans that search all workers for each task of a lost zone as long as these tasks wait. */
+    @Test
+    public void tasksOfLostZoneAreSearchedForOnce() {
+        int lost = 100;
+        SchedulerFixture fixture = fixture(WORKERS);
+        fixture.add(fixture.job("large", SchedulerFixture.step(WORKERS, 4100, LATENCY_CRITICAL)));
+        fixture.add(fixture.job("small", SchedulerFixture.step(WORKERS, 1900, LATENCY_CRITICAL)));
+        fixture.scheduler.plan();
+        fixture.add(fixture.job("full", SchedulerFixture.step(WORKERS, 2000, Step.Behaviour.PLAIN)));
+        List<Order.Start> full = fixture.starts();
+        assertEquals(full.size(), WORKERS);
+        List<WorkerRegistration> zone = List.copyOf(fixture.workers.subList(0, lost));
+        fixture.workers.subList(0, lost).clear();
+        fixture.scheduler.updateWorkers(fixture.workers);
+        zone.forEach(worker -> fixture.scheduler.expireLeases(
+                new TaskRecord.WorkerIncarnation(worker.id(), SchedulerFixture.INCARNATION)));
+        int plans = 0;
+        for (long examined = examinedWorkersByPlan(fixture); examined > 0; examined = examinedWorkersByPlan(fixture)) {
+            assertTrue(examined < 20 * WORKERS, "plan " + plans + " examined " + examined);
+            plans++;
+        }
+        assertTrue(plans < lost, plans + " plans");
+        assertEquals(fixture.scheduler.claims().size(), lost, "claims of the small tasks");
+        WorkerId claimed = fixture.scheduler.claims().values().iterator().next();
+        Order.Start ended = full.stream()
+                .filter(start -> start.worker().equals(claimed))
+                .findFirst()
+                .orElseThrow();
+        fixture.report(
+                claimed.value(), List.of(), List.of(SchedulerFixture.ended(1, ended, WorkerReport.EndKind.DONE)));
+        long before = fixture.scheduler.examinedWorkers();
+        assertEquals(fixture.starts().size(), 1, "the task with the claim");
+        assertTrue(fixture.scheduler.examinedWorkers() - before < 20);
+    }
+
+    /** Guards against plans that search all workers for each task that may not claim what is left to short tasks. */
+    @Test
+    public void tasksBeyondShareOfShortTasksAreNotSearchedFor() {
+        int lost = 20;
+        SchedulerFixture fixture = fixture(WORKERS);
+        for (int i = 0; i < 15; i++) {
+            Step step = SchedulerFixture.step(WORKERS, 500, LATENCY_CRITICAL);
+            Step.Constraints spread = new Step.Constraints(Optional.empty(), Optional.empty(), 2);
+            fixture.add(fixture.job(
+                    "service" + i,
+                    new Step(WORKERS, step.demand(), step.estimate(), List.of(), spread, LATENCY_CRITICAL)));
+        }
+        assertTrue(fixture.starts().size() > 14 * WORKERS);
+        fixture.add(fixture.job("full", SchedulerFixture.step(8 * WORKERS, 100, Step.Behaviour.PLAIN)));
+        Order.Start ended = fixture.starts().getLast();
+        List<WorkerRegistration> zone = fixture.workers.stream()
+                .filter(worker -> !worker.id().equals(ended.worker()))
+                .limit(lost)
+                .toList();
+        fixture.workers.removeAll(zone);
+        fixture.scheduler.updateWorkers(fixture.workers);
+        zone.forEach(worker -> fixture.scheduler.expireLeases(
+                new TaskRecord.WorkerIncarnation(worker.id(), SchedulerFixture.INCARNATION)));
+        fixture.scheduler.plan();
+        fixture.scheduler.plan();
+        fixture.report(
+                ended.worker().value(),
+                List.of(),
+                List.of(SchedulerFixture.ended(1, ended, WorkerReport.EndKind.DONE)));
+        long examined = examinedWorkersByPlan(fixture);
+        assertTrue(examined < 100, "examined " + examined);
+    }
+
     private static long examinedWorkersByReport(SchedulerFixture fixture, Order.Start running) {
         long before = fixture.scheduler.examinedWorkers();
         fixture.report(running.worker().value(), List.of(SchedulerFixture.running(running, 100, 10)), List.of());
