Say when a claimant can be placed and keep one constant for a task at work

Cause: a newcomer could not tell hasRoomForClaim from fits, the invariant of RoomClaims left out that a single claim may exceed the bound, and two classes had the same constant for full progress.

--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -26,8 +26,6 @@
     /** Maximum number of ends in one report; later ends are listed once these have been acknowledged. */
     private static final int MAX_LISTED_ENDS = 500;
 
-    static final int READY_PERCENT = 100;
-
     private final JobTable jobTable;
     private final WorkerIndex index;
     private final StalledRuns stalledRuns;
@@ -107,7 +105,7 @@
         jobTable.markRunning(task.job);
         if (!task.confirmed) {
             task.progressedAt = now - stalledRuns.takeEarlier(node, run).toNanos();
-        } else if (run.progressPercent() != task.progressPercent || task.cpuLimitPercent < READY_PERCENT) {
+        } else if (run.progressPercent() != task.progressPercent || task.cpuLimitPercent < TaskEntry.READY_PERCENT) {
             task.progressedAt = now;
         } else {
             task.progressedAt += silence(task, now);
@@ -142,7 +140,7 @@
     }
 
     private static boolean isStuck(TaskEntry task, long now) {
-        return task.progressPercent < READY_PERCENT
+        return task.progressPercent < TaskEntry.READY_PERCENT
                 && now - task.progressedAt > stuckTimeout(task.step).toNanos();
     }
 
@@ -151,7 +149,7 @@
             return WARM_UP_TIMEOUT;
         }
         Duration byEstimate =
-                step.estimate().multipliedBy(STUCK_ESTIMATE_PERCENT).dividedBy(READY_PERCENT);
+                step.estimate().multipliedBy(STUCK_ESTIMATE_PERCENT).dividedBy(TaskEntry.READY_PERCENT);
         return byEstimate.compareTo(STUCK_TIMEOUT) > 0 ? byEstimate : STUCK_TIMEOUT;
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -21,7 +21,8 @@
  *
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
  * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims beyond
- * the room that is free now hold a bounded share of their service, and leave another share of it to short tasks.
+ * the room that is free now hold a bounded share of their service, or are one, and leave another share of it to short
+ * tasks.
  */
 final class RoomClaims {
     /**
--- a/batch/src/main/java/org/chestnutbarrow/batch/StalledRuns.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/StalledRuns.java
@@ -55,7 +55,7 @@
                     .filter(run -> run.run() == task.run && run.incarnation() == node.incarnation());
         }
         Duration observed = Duration.ofNanos(task.listedAt - task.progressedAt);
-        return task.listed && task.progressPercent < ReportProcessor.READY_PERCENT && observed.isPositive()
+        return task.listed && task.progressPercent < TaskEntry.READY_PERCENT && observed.isPositive()
                 ? Optional.of(new StalledRun(task.name, task.run, node.incarnation(), task.progressPercent, observed))
                 : Optional.empty();
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -6,7 +6,7 @@
 final class TaskEntry {
     private static final int FULL_SPEED_PERCENT = 100;
     /** Progress of a long-running task that is at work. */
-    private static final int READY_PERCENT = 100;
+    static final int READY_PERCENT = 100;
 
     final JobEntry job;
     final TaskName name;
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -249,7 +249,10 @@
         }
     }
 
-    /** Returns whether there is room for a claimant beside those that come before it. */
+    /**
+     * Returns whether a claimant can be placed now. Those whose claims were made earlier come first, so their room counts
+     * as taken; that of later ones does not.
+     */
     boolean hasRoomForClaim(TaskEntry task) {
         Resources needed = reserved;
         for (TaskEntry claimant : claimants) {
