--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -285,7 +285,12 @@
             }
         }
         return new Plan(
-                changes, jobTable.takeOrders(), acknowledgements, jobTable.takeSetAside(), roomClaims.takeNewClaims());
+                changes,
+                jobTable.takeOrders(),
+                acknowledgements,
+                jobTable.takeSetAside(),
+                roomClaims.takeNewClaims(),
+                registry.index().takeNewQuarantines());
     }
 
     /** Returns the worker on which room is kept for the next run of a task, by task. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
@@ -15,13 +15,15 @@
  *     changes are stored
  * @param setAside jobs that this owner no longer places
  * @param claims claims that were made on room that is not free yet
+ * @param quarantined workers that get no new tasks for some seconds because of failed runs
  */
 public record Plan(
         List<JobProgress> changes,
         List<Order> orders,
         Map<TaskRecord.WorkerIncarnation, Long> acknowledgements,
         List<SetAsideJob> setAside,
-        List<Claim> claims) {
+        List<Claim> claims,
+        List<WorkerId> quarantined) {
     /**
      * A job whose tasks are no longer placed because of an unexpected error. Its runs are not affected.
      *
@@ -46,6 +48,7 @@
         acknowledgements = Map.copyOf(acknowledgements);
         setAside = List.copyOf(setAside);
         claims = List.copyOf(claims);
+        quarantined = List.copyOf(quarantined);
     }
 
     /** Returns whether there is nothing to store or to send. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.batch;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -12,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.chestnutbarrow.model.WorkerId;
 
 /**
  * Indexes the workers that accept new tasks by free capacity, and records the order in which their capacity changed.
@@ -122,6 +124,8 @@
     private final SequencedSet<WorkerNode> recentBestEffortChanges = new LinkedHashSet<>();
     /** Workers that are quarantined after failures. */
     private final Set<WorkerNode> quarantinedWorkers = new LinkedHashSet<>();
+    /** Quarantines that have begun since they were last taken. */
+    private final List<WorkerId> newQuarantines = new ArrayList<>();
 
     private Duration reportInterval = DEFAULT_REPORT_INTERVAL;
     private long latestChange;
@@ -239,6 +243,14 @@
     /** Records that a worker gets no new tasks until its quarantine ends. */
     void quarantined(WorkerNode node) {
         quarantinedWorkers.add(node);
+        newQuarantines.add(node.id());
+    }
+
+    /** Returns and clears the workers whose quarantine has begun since the last call. */
+    List<WorkerId> takeNewQuarantines() {
+        List<WorkerId> result = List.copyOf(newQuarantines);
+        newQuarantines.clear();
+        return result;
     }
 
     /** Makes workers available again whose quarantine has ended. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
@@ -60,6 +60,7 @@
         // The owner in between sees no failure and hands on what it knows.
         SchedulerFixture third = owner(Duration.ofSeconds(4), second.scheduler.estimates());
         failOnce(third, 2, "b");
+        assertEquals(third.scheduler.plan().quarantined(), List.of(new WorkerId("w1")));
         assertFalse(startsTasks(third, "c"));
     }
 
