Name the reason and the daemon of requests that did not run

The integration tests reported only counts of outcomes, and the daemon did not log why a retry was refused, so that known failures could not be traced. The load generator now keeps id, daemon, outcome and reason of such requests, the tests print them, retries and refused retries are logged, and WholePathTest keeps its folder like the other tests.

--- a/bench/src/main/java/org/chestnutbarrow/bench/LoadGenerator.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/LoadGenerator.java
@@ -2,10 +2,13 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
@@ -29,6 +32,7 @@
     private static final Duration EXTRA = Duration.ofSeconds(2);
     private static final long MAX_MICROS = Duration.ofMinutes(1).toNanos() / 1000;
     private static final int DIGITS = 3;
+    private static final int MAX_FAILURES = 50;
 
     private final HttpClient http;
     private final List<Address> daemons;
@@ -36,6 +40,7 @@
     private final Map<String, AtomicLong> outcomes = new ConcurrentHashMap<>();
     private final Set<String> refused = ConcurrentHashMap.newKeySet();
     private final Set<String> nonIdempotent = ConcurrentHashMap.newKeySet();
+    private final Queue<String> failures = new ConcurrentLinkedQueue<>();
     private final Histogram latency = new ConcurrentHistogram(MAX_MICROS, DIGITS);
     private final AtomicLong sent = new AtomicLong();
     private final AtomicLong wrong = new AtomicLong();
@@ -78,7 +83,13 @@
         Map<String, Long> counts = new ConcurrentHashMap<>();
         outcomes.forEach((outcome, count) -> counts.put(outcome, count.get()));
         return new LoadResult(
-                sent.get(), counts, wrong.get(), Set.copyOf(refused), Set.copyOf(nonIdempotent), latency.copy());
+                sent.get(),
+                counts,
+                wrong.get(),
+                Set.copyOf(refused),
+                Set.copyOf(nonIdempotent),
+                failures.stream().limit(MAX_FAILURES).toList(),
+                latency.copy());
     }
 
     private static void sleepUntil(long due) throws InterruptedException {
@@ -115,17 +126,18 @@
     /** Sends a request to one daemon; returns false if nothing was sent, so that the next one may be tried. */
     private boolean sendTo(Address daemon, String id, long due, HttpRequest request) {
         try {
-            take(id, due, http.send(daemon, request, spec.deadline().plus(EXTRA)));
+            take(id, daemon, due, http.send(daemon, request, spec.deadline().plus(EXTRA)));
             return true;
         } catch (NotRunException e) {
             return false;
         } catch (OutcomeUnknownException e) {
             count("no-answer");
+            recordFailure(id, daemon, due, "no-answer", e.getMessage());
             return true;
         }
     }
 
-    private void take(String id, long due, HttpResponse response) {
+    private void take(String id, Address daemon, long due, HttpResponse response) {
         String outcome = response.headers().first("Chestnutbarrow-Outcome").orElse("none");
         count(outcome);
         if (outcome.equals("ran")) {
@@ -136,6 +148,27 @@
         } else if (outcome.equals("not-run")) {
             refused.add(id);
         }
+        if (!outcome.equals("ran")) {
+            recordFailure(
+                    id,
+                    daemon,
+                    due,
+                    outcome,
+                    response.status() + " " + response.text().strip());
+        }
+    }
+
+    private void recordFailure(String id, Address daemon, long due, String outcome, String reason) {
+        long micros = (System.nanoTime() - due) / 1000;
+        failures.add(String.format(
+                Locale.ROOT,
+                "%s at %s: %s %d ms after it was due, %d: %s",
+                id,
+                daemon,
+                outcome,
+                micros / 1000,
+                System.currentTimeMillis(),
+                reason));
     }
 
     private void count(String outcome) {
--- a/bench/src/main/java/org/chestnutbarrow/bench/LoadResult.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/LoadResult.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.bench;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.HdrHistogram.Histogram;
@@ -12,6 +13,7 @@
  * @param wrong answers that belonged to another request or were not whole
  * @param refused ids of requests answered as not run
  * @param nonIdempotent ids of requests marked as non-idempotent
+ * @param failures id, daemon, time, outcome and reason of the first requests that did not run
  * @param latency microseconds from the intended time of sending to the whole answer, of requests that ran
  */
 public record LoadResult(
@@ -20,6 +22,7 @@
         long wrong,
         Set<String> refused,
         Set<String> nonIdempotent,
+        List<String> failures,
         Histogram latency) {
     /** Number of answers with that outcome. */
     public long count(String outcome) {
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
@@ -15,6 +15,7 @@
 import org.chestnutbarrow.http.HttpClient;
 import org.chestnutbarrow.http.HttpRequest;
 import org.chestnutbarrow.http.HttpResponse;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.Configuration;
 import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.Freshness;
@@ -86,10 +87,12 @@
         RequestResult last = execute(request, message, router.route(request), triedWorkers);
         for (int attempts = 1; attempts < MAX_ATTEMPTS && mayRetry(request, last, triedWorkers); attempts++) {
             RoutingDecision decision = router.retry(request, triedWorkers);
-            if (decision instanceof RoutingDecision.Refuse) {
+            if (decision instanceof RoutingDecision.Refuse refuse) {
+                Events.info("retry-refused", "request", request.id(), "reason", refuse.reason());
                 return last;
             }
             metrics.recordRetry(request.workClass().name());
+            Events.info("request-retried", "request", request.id(), "after", last.reason(), "tried", triedWorkers);
             RequestResult next = execute(request, message, decision, triedWorkers);
             // An earlier attempt may have run, whatever the outcome of this one.
             boolean mayHaveRun = last.outcome() instanceof Outcome.Unknown;
--- a/itest/src/test/java/org/chestnutbarrow/itest/DaemonFaultTest.java
+++ b/itest/src/test/java/org/chestnutbarrow/itest/DaemonFaultTest.java
@@ -67,6 +67,6 @@
         assertEquals(
                 load.count("ran") + load.count("not-run"),
                 load.sent(),
-                "requests aborted, outcomes " + load.outcomes());
+                "requests aborted, outcomes " + load.outcomes() + " " + load.failures());
     }
 }
--- a/itest/src/test/java/org/chestnutbarrow/itest/PlatformFaultsTest.java
+++ b/itest/src/test/java/org/chestnutbarrow/itest/PlatformFaultsTest.java
@@ -63,7 +63,9 @@
         if (cluster != null) {
             cluster.close();
         }
-        if (!Boolean.getBoolean("chestnutbarrow.keep")) {
+        if (Boolean.getBoolean("chestnutbarrow.keep")) {
+            System.out.println(getClass().getSimpleName() + ": settings and logs kept in " + folder);
+        } else {
             Cluster.delete(folder);
         }
     }
--- a/itest/src/test/java/org/chestnutbarrow/itest/WholePathTest.java
+++ b/itest/src/test/java/org/chestnutbarrow/itest/WholePathTest.java
@@ -34,12 +34,17 @@
         assertEquals(cluster.cli(cluster.daemonNames(), List.of("apply", file.toString())), 0);
     }
 
+    /** Stops the deployment; keeps its folder if the system property {@code chestnutbarrow.keep} is set. */
     @AfterClass(alwaysRun = true)
     public void stop() throws IOException {
         if (cluster != null) {
             cluster.close();
         }
-        Cluster.delete(folder);
+        if (Boolean.getBoolean("chestnutbarrow.keep")) {
+            System.out.println("WholePathTest: settings and logs kept in " + folder);
+        } else {
+            Cluster.delete(folder);
+        }
     }
 
     @Test
@@ -51,7 +56,7 @@
                 .run();
         Journals journals = new Journals(cluster);
         journals.collect();
-        assertEquals(result.count("ran"), result.sent(), "outcomes " + result.outcomes());
+        assertEquals(result.count("ran"), result.sent(), "outcomes " + result.outcomes() + " " + result.failures());
         assertEquals(result.wrong(), 0);
         assertEquals(Judge.overCommitted(journals.observations(), journals.workers()), List.of());
         assertEquals(Judge.ranMoreThanOnce(journals.observations(), result.nonIdempotent()), List.of());
