Report no attempt as running that ended in the millisecond of its start

Judge.ranTwiceAtOnce sorted ends before starts of the same millisecond. The end of an attempt that its worker ended in the millisecond of its start, for example by a crash, came before that start, so the attempt counted as running for ever and the next attempt of the task was reported as a second one at the same time. The judge now compares attempts as intervals, each with its own end, which also finds an overlap with an attempt that is not the last one started.

That this is the pair that WorkerFaultsTest once reported is likely, not shown: the host crashes there while its tasks are being started, but the logs of that run are gone.

--- a/bench/src/main/java/org/chestnutbarrow/bench/Judge.java
+++ b/bench/src/main/java/org/chestnutbarrow/bench/Judge.java
@@ -1,10 +1,12 @@
 package org.chestnutbarrow.bench;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.PriorityQueue;
 import java.util.Set;
 import org.chestnutbarrow.bench.Journals.WorkerInfo;
 
@@ -34,26 +36,45 @@
         return broken;
     }
 
-    /** No task ran in two places, or twice in one place, at a time. */
+    /**
+     * No task ran in two places, or twice in one place, at a time. An attempt that ends in the millisecond of another
+     * start ended before it, since the workers' clocks are no more exact.
+     */
     public static List<String> ranTwiceAtOnce(List<Observation> seen) {
         List<String> broken = new ArrayList<>();
-        Map<String, Observation.TaskStarted> running = new HashMap<>();
+        Map<String, Run> lastToEnd = new HashMap<>();
+        for (Run run : runs(seen)) {
+            String task = run.start().task();
+            Run other = lastToEnd.get(task);
+            if (other != null && other.endMs() > run.start().atMs()) {
+                broken.add(run.start() + " while " + other.start() + " ran");
+            }
+            if (other == null || run.endMs() >= other.endMs()) {
+                lastToEnd.put(task, run);
+            }
+        }
+        return broken;
+    }
+
+    /** Returns all attempts in the order of their starts, of equal starts the one that ended first before the others. */
+    private static List<Run> runs(List<Observation> seen) {
+        Map<AttemptOnWorker, PriorityQueue<Long>> ends = new HashMap<>();
+        for (Observation observation : seen) {
+            if (observation instanceof Observation.TaskEnded end) {
+                AttemptOnWorker attempt = new AttemptOnWorker(end.worker(), end.task(), end.attempt());
+                ends.computeIfAbsent(attempt, _ -> new PriorityQueue<>()).add(end.atMs());
+            }
+        }
+        List<Run> runs = new ArrayList<>();
         for (Observation observation : ordered(seen)) {
             if (observation instanceof Observation.TaskStarted start) {
-                Observation.TaskStarted other = running.put(start.task(), start);
-                if (other != null) {
-                    broken.add(start + " while " + other + " ran");
-                }
-            } else if (observation instanceof Observation.TaskEnded end) {
-                Observation.TaskStarted start = running.get(end.task());
-                if (start != null
-                        && start.attempt().equals(end.attempt())
-                        && start.worker().equals(end.worker())) {
-                    running.remove(end.task());
-                }
+                AttemptOnWorker attempt = new AttemptOnWorker(start.worker(), start.task(), start.attempt());
+                Long endMs = ends.getOrDefault(attempt, new PriorityQueue<>()).poll();
+                runs.add(new Run(start, endMs == null ? Long.MAX_VALUE : endMs));
             }
         }
-        return broken;
+        runs.sort(Comparator.comparingLong((Run run) -> run.start().atMs()).thenComparingLong(Run::endMs));
+        return runs;
     }
 
     /** At most one attempt of each task ran to its end. */
@@ -128,21 +149,12 @@
         return broken;
     }
 
-    /** Ends come before starts of the same millisecond, which is as exact as the workers' clocks are. */
     private static List<Observation> ordered(List<Observation> seen) {
-        List<Observation> result = new ArrayList<>(seen);
-        result.sort((a, b) -> {
-            int byTime = Long.compare(a.atMs(), b.atMs());
-            return byTime != 0 ? byTime : Integer.compare(rank(a), rank(b));
-        });
-        return result;
+        return seen.stream().sorted(Comparator.comparingLong(Observation::atMs)).toList();
     }
 
-    private static int rank(Observation observation) {
-        return switch (observation) {
-            case Observation.TaskEnded _ -> 0;
-            case Observation.InUse _, Observation.RequestStarted _, Observation.LeaseGranted _ -> 1;
-            case Observation.TaskStarted _ -> 2;
-        };
-    }
+    private record AttemptOnWorker(String worker, String task, String attempt) {}
+
+    /** An attempt from its start to its end; {@link Long#MAX_VALUE} if it has not ended. */
+    private record Run(Observation.TaskStarted start, long endMs) {}
 }
