Follow the host list although it has odd entries

An entry nested deeper than 1,000 levels, a number of more than 1,000 digits, or a text that is no JSON made the whole host list unreadable, so a daemon stopped following it until the entry was gone. Entries with ports out of range were skipped already. Entries are now split without reading them, in constant stack, and parsed one by one. Text after the end of the list makes it unreadable. A periodic task also ended for good after an Error, such as a stack overflow, because only exceptions were caught.

--- a/logging/src/main/java/org/chestnutbarrow/logging/PeriodicTask.java
+++ b/logging/src/main/java/org/chestnutbarrow/logging/PeriodicTask.java
@@ -5,7 +5,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
-/** Runs an action periodically on a dedicated thread. If a run fails, the failure is logged and later runs continue. */
+/**
+ * Runs an action periodically on a dedicated thread. Safe for use by several threads.
+ *
+ * <p>Invariant: a run that fails, even with an error such as a stack overflow, is logged, and later runs continue.
+ */
 public final class PeriodicTask implements AutoCloseable {
     private final ScheduledExecutorService executor;
 
@@ -16,7 +20,7 @@
         Runnable loggingAction = () -> {
             try {
                 action.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 Events.warn("timer-failed", "timer", name, "error", e);
             }
         };
--- a/ports/src/main/java/org/chestnutbarrow/ports/HttpHostList.java
+++ b/ports/src/main/java/org/chestnutbarrow/ports/HttpHostList.java
@@ -6,7 +6,8 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.List;
-import java.util.Objects;
+import java.util.Map;
+import java.util.Optional;
 import org.chestnutbarrow.http.HttpClient;
 import org.chestnutbarrow.http.HttpRequest;
 import org.chestnutbarrow.http.HttpResponse;
@@ -52,21 +53,24 @@
             if (response.status() != OK) {
                 throw unavailable(Responses.describe(response), null);
             }
-            JsonNode body = Json.parse(response.body());
-            List<Worker> workers = Json.list(body, "hosts", HttpHostList::workerOrNull);
-            workers.removeIf(Objects::isNull);
-            return new Listing(Instant.ofEpochMilli(Json.number(body, "asOf")), workers);
+            Map<String, byte[]> fields = JsonParts.fields(response.body());
+            Checks.require(fields.containsKey("asOf") && fields.containsKey("hosts"), "asOf or hosts is missing");
+            List<Worker> workers = JsonParts.elements(fields.get("hosts")).stream()
+                    .map(HttpHostList::readWorker)
+                    .flatMap(Optional::stream)
+                    .toList();
+            return new Listing(Instant.ofEpochMilli(Json.number(fields.get("asOf"), "asOf")), workers);
         } catch (NotRunException | OutcomeUnknownException | IllegalArgumentException e) {
             throw unavailable(e.getMessage(), e);
         }
     }
 
-    private static Worker workerOrNull(JsonNode node) {
+    private static Optional<Worker> readWorker(byte[] entry) {
         try {
-            return worker(node);
+            return Optional.of(worker(Json.parse(entry)));
         } catch (IllegalArgumentException e) {
             log.log(Level.WARNING, () -> "event=host-ignored reason=\"" + e.getMessage() + "\"");
-            return null;
+            return Optional.empty();
         }
     }
 
--- a/ports/src/main/java/org/chestnutbarrow/ports/Json.java
+++ b/ports/src/main/java/org/chestnutbarrow/ports/Json.java
@@ -45,6 +45,17 @@
         }
     }
 
+    /** Parses a text that is an integer only. */
+    static long number(byte[] text, String name) {
+        try {
+            JsonNode value = MAPPER.readTree(text);
+            Checks.require(value.isIntegralNumber() && value.canConvertToLong(), name + " is not an integer");
+            return value.longValue();
+        } catch (IOException e) {
+            throw new IllegalArgumentException(name + " is not JSON", e);
+        }
+    }
+
     static String text(JsonNode node, String name) {
         JsonNode value = field(node, name);
         Checks.require(value.isTextual(), name + " is not a string");
