Answer requests that cross the close of an idle connection

A stopping daemon closes idle connections 300 ms after it stops listening. A request that the client wrote before it saw the close got no answer, and the caller could not know whether it had run. The daemon now sends 408 with the outcome not-run on an idle connection, ends only its output, and discards what still arrives until the client closes or 1 s has passed, so that the answer is not lost to a reset. No request is handled after that answer. A connection on which a request is being received counts as in flight until it is closed. Servers that call drain() without a response, such as those of the node, close idle connections as before.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -427,7 +427,7 @@
         heartbeats.announceShutdown();
         server.disableKeepAlive();
         Thread.sleep(LOAD_BALANCER_DELAY);
-        server.drain();
+        server.drain(RequestHandler.connectionClosing());
         long drainDeadline = time.nanos() + DRAIN_TIMEOUT.toNanos();
         while (server.inFlight() > 0 && time.nanos() - drainDeadline < 0) {
             Thread.sleep(TICK_INTERVAL);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestHandler.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestHandler.java
@@ -105,6 +105,13 @@
                         forwardRequest.requestId(), workClass.get(), forwardRequest.idempotent(), deadline, true));
     }
 
+    /** Returns the response to a request that arrives while its connection is being closed. */
+    static HttpResponse connectionClosing() {
+        return HttpResponse.text(408, "not run: the connection was closing; send the request again\n")
+                .with(OUTCOME_HEADER, new Outcome.NotRun("connection-closing").label())
+                .with(REASON_HEADER, "connection-closing");
+    }
+
     /** Checks the format and length of an id, which is written to log lines, receipts and headers. */
     private static void checkRequestId(Optional<String> id) throws InvalidInputException {
         try {
--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -130,11 +131,24 @@
      * that has not been read yet. When this method returns, the address refuses connections.
      */
     public void drain() {
+        drain(Optional.empty());
+    }
+
+    /**
+     * Drains like {@link #drain()}, and sends a response on idle connections before it closes them. A client that sends
+     * a request at the moment of the close receives this response instead of none; its request is not handled. The
+     * status should be 408, the only one that clients expect without a request (RFC 9110, section 15.5.9).
+     */
+    public void drain(HttpResponse lastResponse) {
+        drain(Optional.of(lastResponse));
+    }
+
+    private void drain(Optional<HttpResponse> lastResponse) {
         if (closed.get()) {
             return;
         }
         closeListener();
-        connections.drain();
+        connections.drain(lastResponse);
     }
 
     /** Closes the listener and all connections immediately. When this method returns, the address refuses connections. */
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnectionHandler.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnectionHandler.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -18,14 +19,21 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.time.Duration;
 import java.util.Objects;
 import java.util.concurrent.Executor;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 
 /**
  * Passes the requests of one connection to the handler, one at a time. Fields are confined to the event loop.
+ *
+ * <p>Invariant: no request is handled after the last response of a drained connection was sent.
  */
 final class ServerConnectionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** Time for the client to read the last response and close an idle connection. */
+    private static final Duration LAST_RESPONSE_TIMEOUT = Duration.ofSeconds(1);
+
     private static final Logger log = System.getLogger(ServerConnectionHandler.class.getName());
 
     private final HttpHandler handler;
@@ -34,6 +42,8 @@
     private final ReceiveTimeout timeout;
     private boolean busy;
     private boolean closeAfterResponse;
+    private boolean lastResponseSent;
+    private boolean drainInFlight;
 
     ServerConnectionHandler(
             HttpHandler handler, Executor executor, ServerConnections connections, ReceiveTimeout timeout) {
@@ -45,6 +55,9 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+        if (lastResponseSent) {
+            return;
+        }
         if (busy) {
             // The response to a pipelined request would be taken for the response to the request in progress.
             closeAfterResponse = true;
@@ -64,6 +77,7 @@
                 NettyConversions.fromNetty(message.headers()),
                 ByteBufUtil.getBytes(message.content()));
         connections.requestStarted();
+        endDrain();
         try {
             executor.execute(() -> handle(ctx, request, keepAlive));
         } catch (RejectedExecutionException e) {
@@ -164,16 +178,48 @@
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
-        if (event != ServerConnections.DrainEvent.DRAIN) {
+        if (!(event instanceof ServerConnections.DrainEvent drain)) {
             return;
         }
-        if (busy || timeout.isReceiving()) {
+        drainInFlight = true;
+        if (busy) {
             closeAfterResponse = true;
+            endDrain();
+        } else if (timeout.isReceiving()) {
+            closeAfterResponse = true;
+        } else if (drain.lastResponse().isPresent()) {
+            sendLastResponse(ctx, drain.lastResponse().get());
         } else {
+            endDrain();
             ctx.close();
         }
     }
 
+    /**
+     * Ends the output only, because closing a socket with unread bytes resets the connection, and the client may lose
+     * the response.
+     */
+    private void sendLastResponse(ChannelHandlerContext ctx, HttpResponse response) {
+        lastResponseSent = true;
+        FullHttpResponse message = encode(response, false);
+        message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        ctx.writeAndFlush(message).addListener(done -> ((SocketChannel) ctx.channel()).shutdownOutput());
+        ctx.executor().schedule(() -> ctx.close(), LAST_RESPONSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void endDrain() {
+        if (drainInFlight) {
+            drainInFlight = false;
+            connections.requestEnded();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        endDrain();
+        ctx.fireChannelInactive();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         log.log(
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -68,19 +69,28 @@
         keepAliveDisabled = true;
     }
 
-    /** Closes idle connections after {@link #DRAIN_GRACE_PERIOD}; until then each one counts as a request in flight. */
-    void drain() {
+    /**
+     * Closes idle connections after {@link #DRAIN_GRACE_PERIOD}; until it is closed each one counts as a request in
+     * flight.
+     *
+     * @param lastResponse sent on idle connections before they are closed; empty to close them without a response
+     */
+    void drain(Optional<HttpResponse> lastResponse) {
         draining = true;
+        DrainEvent event = new DrainEvent(lastResponse);
         for (Channel channel : openChannels) {
             requestStarted();
             channel.eventLoop()
-                    .schedule(() -> closeIfIdle(channel), DRAIN_GRACE_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+                    .schedule(() -> drain(channel, event), DRAIN_GRACE_PERIOD.toMillis(), TimeUnit.MILLISECONDS);
         }
     }
 
-    private void closeIfIdle(Channel channel) {
-        requestEnded();
-        channel.pipeline().fireUserEventTriggered(DrainEvent.DRAIN);
+    private void drain(Channel channel, DrainEvent event) {
+        if (channel.isActive()) {
+            channel.pipeline().fireUserEventTriggered(event);
+        } else {
+            requestEnded();
+        }
     }
 
     void closeAll() {
@@ -90,8 +100,6 @@
         }
     }
 
-    /** Event that closes an idle connection. */
-    enum DrainEvent {
-        DRAIN
-    }
+    /** Closes a connection once it is idle; its handler then calls {@link #requestEnded}. */
+    record DrainEvent(Optional<HttpResponse> lastResponse) {}
 }
--- a/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
+++ b/http/src/test/java/org/chestnutbarrow/http/HttpServerTest.java
@@ -120,6 +120,31 @@
         }
     }
 
+    /** Guards against a request without a response that was sent while the server closes its idle connection. */
+    @Test
+    void requestThatCrossesTheCloseGetsTheLastResponse() throws Exception {
+        AtomicInteger handled = new AtomicInteger();
+        try (HttpServer server = start(LIMITS, request -> {
+                    handled.incrementAndGet();
+                    return HttpResponse.text(200, "ok");
+                });
+                Socket connection = open(server)) {
+            assertStatus(exchange(connection, GET), 200);
+            assertEquals(connection.getInputStream().readNBytes(2).length, 2);
+            server.drain(HttpResponse.text(408, "closing"));
+            // The response is on its way when the request is written, as if both crossed.
+            connection.setSoTimeout(SOCKET_TIMEOUT_MILLIS);
+            int first = connection.getInputStream().read();
+            assertEquals(first, 'H');
+            send(connection, GET);
+            String rest = new String(connection.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+            assertStatus("H" + rest, 408);
+            assertTrue(rest.endsWith("closing"), rest);
+            assertEquals(handled.get(), 1);
+            assertTrue(server.inFlight() > 0, "the connection must count as in flight until the client closes it");
+        }
+    }
+
     /** Guards against losing a request on a connection that was established, but not accepted, when draining starts. */
     @Test
     void drainHandlesRequestsOfBacklog() throws Exception {
