Reroute requests that a daemon without capacity keeps or refuses

WholePathTest reported one request as not run (no-room-before-deadline). Its daemon had forwarded it to a peer that was handing over its last worker. The peer let it wait, the worker left, and nothing could grant the wait any more, so it ended with its deadline of 5 s while other daemons had free slots.

- A worker that is handed over reports no free capacity, so that peers forward nothing to it.
- Waits of a daemon that has lost its last worker end at once; their requests are routed again or refused to the peer.
- A request that one peer refuses is forwarded to another one, each peer once.
- Requests of which no byte was sent use no retry budget.
In EndpointFaultsTest, a worker that refused connections used up the budget of a daemon within 0.5 s, all on that worker, because the others had no free slot.
- A retry prefers a peer with capacity to a worker that was tried.

The tests of the last two changes were not run without these.

--- a/capacity/src/main/java/org/chestnutbarrow/capacity/AvailableCapacity.java
+++ b/capacity/src/main/java/org/chestnutbarrow/capacity/AvailableCapacity.java
@@ -8,7 +8,7 @@
  *
  * @param worker worker that the capacity belongs to
  * @param epoch epoch of the lease of the worker
- * @param free capacity that is not charged
+ * @param free capacity that is not charged; none while the worker is handed over or leaving
  * @param requests number of interactive requests that this daemon has running on the worker
  */
 public record AvailableCapacity(Worker worker, long epoch, Resources free, int requests) {}
--- a/capacity/src/main/java/org/chestnutbarrow/capacity/WorkerLedger.java
+++ b/capacity/src/main/java/org/chestnutbarrow/capacity/WorkerLedger.java
@@ -75,7 +75,8 @@
     }
 
     AvailableCapacity available(long now) {
-        return new AvailableCapacity(worker, epoch, freeCapacity(now), reservations.size());
+        Resources free = acceptsWork(now) ? freeCapacity(now) : Resources.NONE;
+        return new AvailableCapacity(worker, epoch, free, reservations.size());
     }
 
     /** Returns whether new work may be charged now. */
--- a/capacity/src/test/java/org/chestnutbarrow/capacity/CapacityLedgerTest.java
+++ b/capacity/src/test/java/org/chestnutbarrow/capacity/CapacityLedgerTest.java
@@ -50,6 +50,16 @@
         assertTrue(ledger.reserve(WORKER, Resources.ONE_REQUEST).isEmpty(), "a reservation was released twice");
     }
 
+    /** Guards against peers that forward requests to a worker that accepts none while it is handed over. */
+    @Test
+    public void pausedWorkerOffersNoCapacity() {
+        openWorker(2, List.of(), 0);
+        ledger.setPaused(WORKER, true);
+        assertEquals(ledger.availableOn(WORKER).orElseThrow().free(), Resources.NONE);
+        ledger.setPaused(WORKER, false);
+        assertEquals(ledger.availableOn(WORKER).orElseThrow().free().slots(), 2);
+    }
+
     @Test
     public void refusesAfterTheLeaseHasExpired() {
         openWorker(2, List.of(), 0);
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/CapacityWaiters.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/CapacityWaiters.java
@@ -14,19 +14,24 @@
 
 /** Blocks and wakes the threads of requests that wait for capacity. Safe for use by several threads. */
 final class CapacityWaiters {
-    private final Map<Long, CompletableFuture<Reservation>> byTicket = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Optional<Reservation>>> byTicket = new ConcurrentHashMap<>();
 
     /** Wakes the requests that were granted capacity. */
     void wake(List<CapacityGrant> grants) {
         for (CapacityGrant grant : grants) {
-            future(grant.ticket()).complete(grant.reservation());
+            future(grant.ticket()).complete(Optional.of(grant.reservation()));
         }
     }
 
-    /** Waits for a grant; returns empty if there was none within the timeout. */
+    /** Wakes the requests whose waits were withdrawn. */
+    void withdraw(List<Long> tickets) {
+        tickets.forEach(ticket -> future(ticket).complete(Optional.empty()));
+    }
+
+    /** Waits for a grant; returns empty if there was none within the timeout or the wait was withdrawn. */
     Optional<Reservation> await(long ticket, Duration timeout) throws InterruptedException {
         try {
-            return Optional.of(future(ticket).get(timeout.toNanos(), TimeUnit.NANOSECONDS));
+            return future(ticket).get(timeout.toNanos(), TimeUnit.NANOSECONDS);
         } catch (TimeoutException e) {
             return Optional.empty();
         } catch (ExecutionException e) {
@@ -37,7 +42,7 @@
     }
 
     // A grant may arrive before its request waits for it, so either side may create the future.
-    private CompletableFuture<Reservation> future(long ticket) {
+    private CompletableFuture<Optional<Reservation>> future(long ticket) {
         return byTicket.computeIfAbsent(ticket, _ -> new CompletableFuture<>());
     }
 }
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -344,6 +344,7 @@
 
     private void onCapacityChanged() {
         waiters.wake(router.grantFreeCapacity());
+        waiters.withdraw(router.withdrawWaits());
     }
 
     /** Returns the address of the HTTP server for callers and operators. */
--- a/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/RequestRunner.java
@@ -2,10 +2,8 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -24,13 +22,13 @@
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.Worker;
-import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.peer.PeerLink;
 import org.chestnutbarrow.peer.PeerMessage;
 import org.chestnutbarrow.routing.Router;
 import org.chestnutbarrow.routing.RoutingDecision;
 import org.chestnutbarrow.routing.RoutingRequest;
 import org.chestnutbarrow.routing.SendResult;
+import org.chestnutbarrow.routing.Tried;
 
 /**
  * Executes the router's decisions on a request: sends, waits, forwards and retries. Safe for use by several threads; a
@@ -83,17 +81,18 @@
 
     /** Runs a request to its outcome. */
     RequestResult run(RoutingRequest request, HttpRequest message) throws InterruptedException {
-        Set<WorkerId> triedWorkers = new HashSet<>();
-        RequestResult last = execute(request, message, router.route(request), triedWorkers);
-        for (int attempts = 1; attempts < MAX_ATTEMPTS && mayRetry(request, last, triedWorkers); attempts++) {
-            RoutingDecision decision = router.retry(request, triedWorkers);
+        Attempts attempts = new Attempts();
+        RequestResult last = execute(request, message, router.route(request), attempts);
+        for (int count = 1; count < MAX_ATTEMPTS && mayRetry(request, last, attempts); count++) {
+            RoutingDecision decision =
+                    last.isNotRun() ? router.reroute(request, attempts.tried) : router.retry(request, attempts.tried);
             if (decision instanceof RoutingDecision.Refuse refuse) {
                 Events.info("retry-refused", "request", request.id(), "reason", refuse.reason());
                 return last;
             }
             metrics.recordRetry(request.workClass().name());
-            Events.info("request-retried", "request", request.id(), "after", last.reason(), "tried", triedWorkers);
-            RequestResult next = execute(request, message, decision, triedWorkers);
+            Events.info("request-retried", "request", request.id(), "after", last.reason(), "tried", attempts.tried);
+            RequestResult next = execute(request, message, decision, attempts);
             // An earlier attempt may have run, whatever the outcome of this one.
             boolean mayHaveRun = last.outcome() instanceof Outcome.Unknown;
             last = mayHaveRun && next.isNotRun() ? last : next;
@@ -101,49 +100,47 @@
         return last;
     }
 
-    private boolean mayRetry(RoutingRequest request, RequestResult last, Set<WorkerId> triedWorkers) {
+    private boolean mayRetry(RoutingRequest request, RequestResult last, Attempts attempts) {
         if (request.deadline() - time.nanos() <= 0) {
             return false;
         }
         return switch (last.outcome()) {
             case Outcome.Ran _ -> false;
-            case Outcome.NotRun _ -> !triedWorkers.isEmpty();
+            case Outcome.NotRun _ -> !attempts.tried.workers().isEmpty();
             case Outcome.Unknown _ -> request.idempotent();
         };
     }
 
     private RequestResult execute(
-            RoutingRequest request, HttpRequest message, RoutingDecision decision, Set<WorkerId> triedWorkers)
+            RoutingRequest request, HttpRequest message, RoutingDecision decision, Attempts attempts)
             throws InterruptedException {
         return switch (decision) {
-            case RoutingDecision.Send send -> send(request, message, send.reservation(), send.reason(), triedWorkers);
-            case RoutingDecision.Wait wait -> await(request, message, wait, triedWorkers);
-            case RoutingDecision.Forward forward -> forward(request, message, forward, triedWorkers);
+            case RoutingDecision.Send send -> send(request, message, send.reservation(), send.reason(), attempts);
+            case RoutingDecision.Wait wait -> await(request, message, wait, attempts);
+            case RoutingDecision.Forward forward -> forward(request, message, forward, attempts);
             case RoutingDecision.Refuse refuse -> RequestResult.notRun(refuse.reason());
         };
     }
 
     private RequestResult await(
-            RoutingRequest request, HttpRequest message, RoutingDecision.Wait wait, Set<WorkerId> triedWorkers)
+            RoutingRequest request, HttpRequest message, RoutingDecision.Wait wait, Attempts attempts)
             throws InterruptedException {
         Duration remaining = Duration.ofNanos(Math.max(0, request.deadline() - time.nanos()));
         Optional<Reservation> reservation = waiters.await(wait.ticket(), remaining);
         if (reservation.isEmpty()) {
             waiters.wake(router.cancelWait(request, wait.ticket()));
-            return RequestResult.notRun("no-room-before-deadline");
+            return request.deadline() - time.nanos() > 0
+                    ? execute(request, message, router.reroute(request, attempts.tried), attempts)
+                    : RequestResult.notRun("no-room-before-deadline");
         }
         router.confirmGrant(request, wait.ticket());
-        return send(request, message, reservation.get(), wait.reason(), triedWorkers);
+        return send(request, message, reservation.get(), wait.reason(), attempts);
     }
 
     private RequestResult send(
-            RoutingRequest request,
-            HttpRequest message,
-            Reservation reservation,
-            String reason,
-            Set<WorkerId> triedWorkers) {
+            RoutingRequest request, HttpRequest message, Reservation reservation, String reason, Attempts attempts) {
         Worker worker = reservation.worker();
-        triedWorkers.add(worker.id());
+        attempts.tried = attempts.tried.with(worker.id());
         long start = time.nanos();
         Duration remaining = Duration.ofNanos(Math.max(1, request.deadline() - start));
         HttpRequest outgoing = new HttpRequest(
@@ -210,7 +207,7 @@
     }
 
     private RequestResult forward(
-            RoutingRequest request, HttpRequest message, RoutingDecision.Forward forward, Set<WorkerId> triedWorkers)
+            RoutingRequest request, HttpRequest message, RoutingDecision.Forward forward, Attempts attempts)
             throws InterruptedException {
         Duration remaining = Duration.ofNanos(Math.max(1, request.deadline() - time.nanos()));
         PeerMessage.ForwardRequest forwardRequest = new PeerMessage.ForwardRequest(
@@ -225,12 +222,10 @@
         String route = forward.reason() + ":" + forward.peer();
         metrics.recordForward(request.workClass().name());
         RequestResult result = callPeer(forward.peer(), forwardRequest, remaining.plus(FORWARD_OVERHEAD), route);
-        if (result.isNotRun() && request.deadline() - time.nanos() > 0) {
-            RoutingRequest local = new RoutingRequest(
-                    request.id(), request.workClass(), request.idempotent(), request.deadline(), true);
-            return execute(local, message, router.route(local), triedWorkers);
-        }
-        return result;
+        attempts.tried = attempts.tried.with(forward.peer());
+        return result.isNotRun() && request.deadline() - time.nanos() > 0
+                ? execute(request, message, router.reroute(request, attempts.tried), attempts)
+                : result;
     }
 
     private RequestResult callPeer(
@@ -292,4 +287,9 @@
         }
         return new Headers(fields);
     }
+
+    /** Where one request was tried; confined to the thread that runs the request. */
+    private static final class Attempts {
+        private Tried tried = Tried.NOWHERE;
+    }
 }
--- a/routing/src/main/java/org/chestnutbarrow/routing/RetryBudget.java
+++ b/routing/src/main/java/org/chestnutbarrow/routing/RetryBudget.java
@@ -3,8 +3,8 @@
 import java.util.concurrent.locks.ReentrantLock;
 
 /**
- * Limits retries to a share of the requests, so that failing endpoints do not multiply the load: a token bucket that is
- * filled by requests. Safe for use by several threads, under its own lock.
+ * Limits retries of requests that may have reached an endpoint to a share of the requests, so that failing endpoints do not
+ * multiply the load: a token bucket that is filled by requests. Safe for use by several threads, under its own lock.
  *
  * <p>Invariant: over any period, the number of retries is at most {@link #MAX_SAVED_RETRIES} plus {@link
  * #RETRIES_PER_REQUEST} times the number of requests.
--- a/routing/src/main/java/org/chestnutbarrow/routing/Router.java
+++ b/routing/src/main/java/org/chestnutbarrow/routing/Router.java
@@ -13,6 +13,7 @@
 import org.chestnutbarrow.capacity.CapacityLedger;
 import org.chestnutbarrow.capacity.Reservation;
 import org.chestnutbarrow.model.Configuration;
+import org.chestnutbarrow.model.DaemonId;
 import org.chestnutbarrow.model.Freshness;
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.Worker;
@@ -85,21 +86,28 @@
     public RoutingDecision route(RoutingRequest request) {
         ClassRoutingState state = classState(request);
         state.retryBudget().recordRequest();
-        return decide(request, state, Set.of());
+        return decide(request, state, Tried.NOWHERE);
     }
 
     /**
-     * Decides how to handle a request whose last attempt failed.
+     * Decides how to handle a request whose last attempt failed. Peers that were tried do not receive it again.
      *
-     * @param triedWorkers workers to which the request was already sent
      * @return a refusal if the retry budget is exhausted
      */
-    public RoutingDecision retry(RoutingRequest request, Set<WorkerId> triedWorkers) {
+    public RoutingDecision retry(RoutingRequest request, Tried tried) {
         ClassRoutingState state = classState(request);
         if (options.limitRetries() && !state.retryBudget().tryAcquire()) {
             return new RoutingDecision.Refuse("retry-budget-spent", RETRY_AFTER);
         }
-        return decide(request, state, triedWorkers);
+        return decide(request, state, tried);
+    }
+
+    /**
+     * Decides again how to handle a request that has certainly not run, because its wait was withdrawn, a peer refused it,
+     * or no byte of it was written. This needs no retry budget, as no endpoint was loaded.
+     */
+    public RoutingDecision reroute(RoutingRequest request, Tried tried) {
+        return decide(request, classState(request), tried);
     }
 
     /**
@@ -180,6 +188,21 @@
         return grants;
     }
 
+    /**
+     * Ends the waits of all requests if this daemon has no worker left that could be granted to them, for example after
+     * a hand-over.
+     *
+     * @return tickets of the ended waits, whose requests are to be rerouted
+     */
+    public List<Long> withdrawWaits() {
+        if (!eligibleWorkers().workers().isEmpty()) {
+            return List.of();
+        }
+        List<Long> tickets = new ArrayList<>();
+        classStates.values().forEach(state -> tickets.addAll(state.queue().removeAll()));
+        return tickets;
+    }
+
     /** Returns the number of waiting requests of a class. */
     public int waitingRequests(String workClass) {
         ClassRoutingState state = classStates.get(workClass);
@@ -192,7 +215,7 @@
         return state == null ? Optional.empty() : Optional.of(Duration.ofNanos((long) state.typicalLatencyNanos()));
     }
 
-    private RoutingDecision decide(RoutingRequest request, ClassRoutingState state, Set<WorkerId> triedWorkers) {
+    private RoutingDecision decide(RoutingRequest request, ClassRoutingState state, Tried tried) {
         long now = time.nanos();
         if (request.deadline() - now <= 0) {
             return new RoutingDecision.Refuse("deadline-passed", RETRY_AFTER);
@@ -201,14 +224,13 @@
             return new RoutingDecision.Refuse("configuration-stale", RETRY_AFTER);
         }
         if (state.queue().length() == 0) {
-            Optional<Reservation> reservation = reserve(state, triedWorkers);
+            Optional<Reservation> reservation = reserve(state, tried.workers());
             if (reservation.isPresent()) {
-                state.requestStarted();
-                return new RoutingDecision.Send(reservation.get(), "chosen");
+                return sendOrForward(request, state, tried, reservation.get());
             }
         }
         if (!request.forwarded()) {
-            Optional<RoutingDecision> forward = forward();
+            Optional<RoutingDecision> forward = forward(tried.peers());
             if (forward.isPresent()) {
                 return forward.get();
             }
@@ -216,6 +238,21 @@
         return enqueue(request, state, now);
     }
 
+    /** Prefers a peer with capacity to a worker that was tried, which is likely to fail again. */
+    private RoutingDecision sendOrForward(
+            RoutingRequest request, ClassRoutingState state, Tried tried, Reservation reservation) {
+        if (!request.forwarded()
+                && tried.workers().contains(reservation.worker().id())) {
+            Optional<RoutingDecision> forward = forward(tried.peers());
+            if (forward.isPresent()) {
+                ledger.release(reservation);
+                return forward.get();
+            }
+        }
+        state.requestStarted();
+        return new RoutingDecision.Send(reservation, "chosen");
+    }
+
     private RoutingDecision enqueue(RoutingRequest request, ClassRoutingState state, long now) {
         if (eligibleWorkers().workers().isEmpty()) {
             return new RoutingDecision.Refuse("no-worker", RETRY_AFTER);
@@ -231,9 +268,9 @@
         return new RoutingDecision.Wait(ticket, "all-slots-in-use");
     }
 
-    private Optional<RoutingDecision> forward() {
+    private Optional<RoutingDecision> forward(Set<DaemonId> triedPeers) {
         List<PeerCapacity> available = peerCapacities.get().stream()
-                .filter(peer -> peer.freeSlots() > 0)
+                .filter(peer -> peer.freeSlots() > 0 && !triedPeers.contains(peer.peer()))
                 .toList();
         int totalFreeSlots =
                 available.stream().mapToInt(PeerCapacity::freeSlots).sum();
--- a/routing/src/main/java/org/chestnutbarrow/routing/WaitQueue.java
+++ b/routing/src/main/java/org/chestnutbarrow/routing/WaitQueue.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
@@ -66,6 +67,18 @@
         }
     }
 
+    /** Removes all waiting requests and returns their tickets; grants remain. */
+    List<Long> removeAll() {
+        lock.lock();
+        try {
+            List<Long> tickets = waiting.stream().map(WaitingRequest::ticket).toList();
+            waiting.clear();
+            return tickets;
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Confirms that the request has received its grant. */
     void confirm(long ticket) {
         lock.lock();
--- a/routing/src/test/java/org/chestnutbarrow/routing/RouterTest.java
+++ b/routing/src/test/java/org/chestnutbarrow/routing/RouterTest.java
@@ -125,6 +125,47 @@
         assertTrue(router.route(forwarded) instanceof RoutingDecision.Refuse);
     }
 
+    /** Guards against refusing a request because of the peer that no longer has the capacity that it reported. */
+    @Test
+    public void forwardsToAnotherPeerAfterOneHasRefused() {
+        DaemonId refusing = new DaemonId("d2");
+        DaemonId other = new DaemonId("d3");
+        peerCapacities = List.of(new PeerCapacity(refusing, 100), new PeerCapacity(other, 1));
+        RoutingRequest request = newRequest();
+        Tried tried = Tried.NOWHERE.with(refusing);
+        RoutingDecision.Forward forward = (RoutingDecision.Forward) router.reroute(request, tried);
+        assertEquals(forward.peer(), other);
+        assertTrue(router.reroute(request, tried.with(other)) instanceof RoutingDecision.Refuse);
+    }
+
+    /** Guards against retries that use up all attempts on the worker that has just failed. */
+    @Test
+    public void retryPrefersPeerToWorkerThatWasTried() {
+        addWorker("w1", ZONE_A, 2);
+        Tried tried = Tried.NOWHERE.with(new WorkerId("w1"));
+        peerCapacities = List.of(new PeerCapacity(new DaemonId("d2"), 1));
+        assertTrue(router.retry(newRequest(), tried) instanceof RoutingDecision.Forward);
+        peerCapacities = List.of();
+        assertTrue(router.retry(newRequest(), tried) instanceof RoutingDecision.Send);
+        assertTrue(router.retry(newRequest(), tried) instanceof RoutingDecision.Send, "the forward holds no capacity");
+    }
+
+    /** Guards against requests that wait until their deadlines for a worker that was handed over. */
+    @Test
+    public void waitsEndWhenTheLastWorkerIsLost() {
+        addWorker("w1", ZONE_A, 1);
+        addWorker("w2", ZONE_A, 1);
+        routeAndSend(newRequest());
+        routeAndSend(newRequest());
+        RoutingDecision.Wait wait = (RoutingDecision.Wait) router.route(newRequest());
+        ledger.close(new WorkerId("w1"), 1);
+        assertEquals(router.withdrawWaits(), List.of());
+        ledger.close(new WorkerId("w2"), 1);
+        assertEquals(router.withdrawWaits(), List.of(wait.ticket()));
+        addWorker("w3", ZONE_A, 1);
+        assertEquals(router.grantFreeCapacity(), List.of(), "the wait has ended");
+    }
+
     @Test
     public void refusesWhenDeadlineCannotBeMet() {
         addWorker("w1", ZONE_A, 1);
@@ -144,8 +185,8 @@
             RoutingRequest request = newRequest();
             Reservation reservation = routeAndSend(request);
             router.complete(request, reservation, new SendResult.NotSent());
-            RoutingDecision retry =
-                    router.retry(request, Set.of(reservation.worker().id()));
+            RoutingDecision retry = router.retry(
+                    request, Tried.NOWHERE.with(reservation.worker().id()));
             if (retry instanceof RoutingDecision.Send send) {
                 retries++;
                 router.complete(request, send.reservation(), answered(10, 200));
