Forward requests to busy peers from a daemon without workers

EndpointFaultsTest#idempotentRequestsAreRetriedOnAnotherWorker was red on (1 of 1): a daemon that held no worker refused a request within 0.2 ms with no-worker, because the last heartbeats of both peers reported no free slots during a burst, although both had workers. Four requests of WholePathTest ended the same way after a hand-over. Such a daemon now forwards the request to a peer that holds workers, which lets it wait or knows that its deadline cannot be met.

RouterTest (16, one new), RequestRunnerTest (5) and CapacityLedgerTest (6) hold. The new test was not run on the old rule, for which it does not compile.

--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -365,7 +365,7 @@
         peerRegistry.freeCapacity().forEach((daemon, freeByWorker) -> {
             int freeSlots =
                     freeByWorker.values().stream().mapToInt(Resources::slots).sum();
-            capacities.add(new PeerCapacity(daemon, freeSlots));
+            capacities.add(new PeerCapacity(daemon, freeSlots, !freeByWorker.isEmpty()));
         });
         return capacities;
     }
--- a/daemon/src/test/java/org/chestnutbarrow/daemon/RequestRunnerTest.java
+++ b/daemon/src/test/java/org/chestnutbarrow/daemon/RequestRunnerTest.java
@@ -84,7 +84,7 @@
         waiters = new CapacityWaiters();
         endpoints = new HttpClient(1024);
         timer = Executors.newSingleThreadScheduledExecutor();
-        peerCapacities = List.of(new PeerCapacity(PEER, 4));
+        peerCapacities = List.of(new PeerCapacity(PEER, 4, true));
         Supplier<List<PeerCapacity>> capacities = () -> peerCapacities;
         router = new Router(time, ledger, () -> CONFIGURATION, () -> CURRENT, capacities, new Random(1));
     }
@@ -112,7 +112,7 @@
     /** Guards against a refusal because one peer has handed over its workers since its last heartbeat. */
     @Test
     public void requestThatOnePeerRefusesRunsAtAnother() throws InterruptedException {
-        peerCapacities = List.of(new PeerCapacity(PEER, 100), new PeerCapacity(OTHER_PEER, 1));
+        peerCapacities = List.of(new PeerCapacity(PEER, 100, true), new PeerCapacity(OTHER_PEER, 1, true));
         FakeLink link = new FakeLink(peer -> peer.equals(PEER) ? notRun() : ran());
         assertTrue(run(link).outcome() instanceof Outcome.Ran);
         assertEquals(link.calls(), List.of(PEER, OTHER_PEER));
@@ -140,7 +140,7 @@
                 Thread.sleep(5);
             }
             ledger.close(WORKER, 1);
-            peerCapacities = List.of(new PeerCapacity(PEER, 4));
+            peerCapacities = List.of(new PeerCapacity(PEER, 4, true));
             waiters.wake(router.grantFreeCapacity());
             waiters.withdraw(router.withdrawWaits());
             assertTrue(outcome.get(DEADLINE.toSeconds() / 2, TimeUnit.SECONDS) instanceof Outcome.Ran);
--- a/routing/src/main/java/org/chestnutbarrow/routing/PeerCapacity.java
+++ b/routing/src/main/java/org/chestnutbarrow/routing/PeerCapacity.java
@@ -2,5 +2,10 @@
 
 import org.chestnutbarrow.model.DaemonId;
 
-/** Free request slots of a live peer, as reported by its last heartbeat. */
-public record PeerCapacity(DaemonId peer, int freeSlots) {}
+/**
+ * Capacity of a live peer, as reported by its last heartbeat.
+ *
+ * @param freeSlots free request slots of all its workers
+ * @param holdsWorkers whether it holds any worker, with or without free slots
+ */
+public record PeerCapacity(DaemonId peer, int freeSlots, boolean holdsWorkers) {}
--- a/routing/src/main/java/org/chestnutbarrow/routing/Router.java
+++ b/routing/src/main/java/org/chestnutbarrow/routing/Router.java
@@ -235,6 +235,9 @@
                 return forward.get();
             }
         }
+        if (eligibleWorkers().workers().isEmpty()) {
+            return forwardToHolder(request, tried);
+        }
         return enqueue(request, state, now);
     }
 
@@ -253,10 +256,19 @@
         return new RoutingDecision.Send(reservation, "chosen");
     }
 
-    private RoutingDecision enqueue(RoutingRequest request, ClassRoutingState state, long now) {
-        if (eligibleWorkers().workers().isEmpty()) {
+    /** A peer whose workers were busy at its last heartbeat can let the request wait; this daemon could only refuse it. */
+    private RoutingDecision forwardToHolder(RoutingRequest request, Tried tried) {
+        List<PeerCapacity> holders = peerCapacities.get().stream()
+                .filter(peer -> peer.holdsWorkers() && !tried.peers().contains(peer.peer()))
+                .toList();
+        if (request.forwarded() || holders.isEmpty()) {
             return new RoutingDecision.Refuse("no-worker", RETRY_AFTER);
         }
+        PeerCapacity holder = holders.get(random.nextInt(holders.size()));
+        return new RoutingDecision.Forward(holder.peer(), "no-local-worker");
+    }
+
+    private RoutingDecision enqueue(RoutingRequest request, ClassRoutingState state, long now) {
         double expectedNanos = state.expectedWaitNanos() + state.typicalLatencyNanos();
         if (now + expectedNanos > request.deadline()) {
             return new RoutingDecision.Refuse("deadline-cannot-be-met", RETRY_AFTER);
--- a/routing/src/test/java/org/chestnutbarrow/routing/RouterTest.java
+++ b/routing/src/test/java/org/chestnutbarrow/routing/RouterTest.java
@@ -117,7 +117,8 @@
 
     @Test
     public void forwardsOnceWhenNoLocalWorkerHasCapacity() {
-        peerCapacities = List.of(new PeerCapacity(new DaemonId("d2"), 0), new PeerCapacity(new DaemonId("d3"), 4));
+        peerCapacities =
+                List.of(new PeerCapacity(new DaemonId("d2"), 0, true), new PeerCapacity(new DaemonId("d3"), 4, true));
         RoutingDecision.Forward forward = (RoutingDecision.Forward) router.route(newRequest());
         assertEquals(forward.peer(), new DaemonId("d3"));
         RoutingRequest forwarded =
@@ -130,7 +131,7 @@
     public void forwardsToAnotherPeerAfterOneHasRefused() {
         DaemonId refusing = new DaemonId("d2");
         DaemonId other = new DaemonId("d3");
-        peerCapacities = List.of(new PeerCapacity(refusing, 100), new PeerCapacity(other, 1));
+        peerCapacities = List.of(new PeerCapacity(refusing, 100, true), new PeerCapacity(other, 1, true));
         RoutingRequest request = newRequest();
         Tried tried = Tried.NOWHERE.with(refusing);
         RoutingDecision.Forward forward = (RoutingDecision.Forward) router.reroute(request, tried);
@@ -138,12 +139,23 @@
         assertTrue(router.reroute(request, tried.with(other)) instanceof RoutingDecision.Refuse);
     }
 
+    /** Guards against refusing a request although a peer has workers, which were busy at its last heartbeat. */
+    @Test
+    public void daemonWithoutWorkersForwardsToBusyPeer() {
+        DaemonId busy = new DaemonId("d3");
+        peerCapacities = List.of(new PeerCapacity(new DaemonId("d2"), 0, false), new PeerCapacity(busy, 0, true));
+        RoutingDecision.Forward forward = (RoutingDecision.Forward) router.route(newRequest());
+        assertEquals(forward.peer(), busy);
+        RoutingDecision next = router.reroute(newRequest(), Tried.NOWHERE.with(busy));
+        assertTrue(next instanceof RoutingDecision.Refuse, next.toString());
+    }
+
     /** Guards against retries that use up all attempts on the worker that has just failed. */
     @Test
     public void retryPrefersPeerToWorkerThatWasTried() {
         addWorker("w1", ZONE_A, 2);
         Tried tried = Tried.NOWHERE.with(new WorkerId("w1"));
-        peerCapacities = List.of(new PeerCapacity(new DaemonId("d2"), 1));
+        peerCapacities = List.of(new PeerCapacity(new DaemonId("d2"), 1, true));
         assertTrue(router.retry(newRequest(), tried) instanceof RoutingDecision.Forward);
         peerCapacities = List.of();
         assertTrue(router.retry(newRequest(), tried) instanceof RoutingDecision.Send);
