--- a/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
+++ b/daemon/src/main/java/org/chestnutbarrow/daemon/Daemon.java
@@ -344,6 +344,7 @@
 
     private void onCapacityChanged() {
         waiters.wake(router.grantFreeCapacity());
+        waiters.withdraw(router.withdrawWaits());
     }
 
     /** Returns the address of the HTTP server for callers and operators. */
@@ -364,7 +365,7 @@
         peerRegistry.freeCapacity().forEach((daemon, freeByWorker) -> {
             int freeSlots =
                     freeByWorker.values().stream().mapToInt(Resources::slots).sum();
-            capacities.add(new PeerCapacity(daemon, freeSlots));
+            capacities.add(new PeerCapacity(daemon, freeSlots, !freeByWorker.isEmpty()));
         });
         return capacities;
     }
@@ -427,7 +428,7 @@
         heartbeats.announceShutdown();
         server.disableKeepAlive();
         Thread.sleep(LOAD_BALANCER_DELAY);
-        server.drain();
+        server.drain(RequestHandler.connectionClosing());
         long drainDeadline = time.nanos() + DRAIN_TIMEOUT.toNanos();
         while (server.inFlight() > 0 && time.nanos() - drainDeadline < 0) {
             Thread.sleep(TICK_INTERVAL);
