Log why the job that has waited longest has nothing running

Cause: a caller reported a job that stood accepted with nothing running and most room free; no log line told an owner's reasons for not placing a task apart (no room, quarantine, unconfirmed workers, a job set aside, no starts allowed). Change: WaitDiagnosis classifies the workers for the task that has waited longest, once a second and only after 1 s of waiting; the plan hands the reason out, and the owner logs it as job-waits. Its search of the workers counts as cost of decisions. An unexpected error in it sets the job aside, as in the placement. The steps of a partly restored job are marked ready, so that its wait is known. chestnutbarrow_node_log_lines_total counts the event; no metric of its own.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -34,6 +34,7 @@
     private final DrainController drainController;
     private final TaskPlacer taskPlacer;
     private final WorkerSelector workerSelector;
+    private final WaitDiagnosis waitDiagnosis;
     /** Whether the last plan could start tasks. */
     private boolean startsAllowed;
 
@@ -48,6 +49,7 @@
         roomClaims = new RoomClaims(workerSelector, registry.index());
         drainController = new DrainController(jobTable, roomClaims);
         taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, time);
+        waitDiagnosis = new WaitDiagnosis(jobTable, registry, workerSelector, time);
     }
 
     /** Replaces the queue policies in force, by queue key. */
@@ -276,6 +278,9 @@
             registry.index().endQuarantines(now);
             taskPlacer.place(now, maxStarts);
         }
+        List<Order> orders = jobTable.takeOrders();
+        long starts = orders.stream().filter(Order.Start.class::isInstance).count();
+        Optional<Plan.WaitingJob> waiting = waitDiagnosis.diagnose(startsAllowed, starts < maxStarts);
         List<JobProgress> changes = jobTable.takeChanges();
         Map<TaskRecord.WorkerIncarnation, Long> acknowledgements = new HashMap<>();
         for (WorkerNode node : jobTable.takeProcessed()) {
@@ -286,11 +291,12 @@
         }
         return new Plan(
                 changes,
-                jobTable.takeOrders(),
+                orders,
                 acknowledgements,
                 jobTable.takeSetAside(),
                 roomClaims.takeNewClaims(),
-                registry.index().takeNewQuarantines());
+                registry.index().takeNewQuarantines(),
+                waiting);
     }
 
     /** Returns the worker on which room is kept for the next run of a task, by task. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -122,6 +122,25 @@
         return start.elapsed(now);
     }
 
+    /**
+     * Returns the first waiting task of the ready step that has waited longest, or null if the job has ended, one of its
+     * tasks is assigned to a worker or none is ready.
+     */
+    TaskEntry longestWaiting(long now) {
+        TaskEntry longest = null;
+        if (state.isFinal() || placedTasks > 0) {
+            return longest;
+        }
+        for (int step = 0; step < tasksByStep.size(); step++) {
+            int index = waitingByStep.get(step).nextSetBit(0);
+            if (index >= 0 && isReady(step)) {
+                TaskEntry task = tasksByStep.get(step).get(index);
+                longest = longest == null || waited(task, now).compareTo(waited(longest, now)) > 0 ? task : longest;
+            }
+        }
+        return longest;
+    }
+
     /** Returns the time since when a task has waited, if a later owner cannot take it from the job's specification. */
     Optional<Instant> storedWaitStart(TaskEntry task) {
         if (task.done || task.assignedNode != null) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -59,6 +59,11 @@
         return waitingJobs;
     }
 
+    /** Returns all jobs that have not ended or have runs left. */
+    Collection<JobEntry> jobs() {
+        return jobs.values();
+    }
+
     /** Returns the job, or null if it is unknown. */
     JobEntry job(JobId id) {
         return jobs.get(id);
@@ -177,6 +182,7 @@
     /** Excludes a job of which only part of the stored progress was restored because of an unexpected error. */
     void setAsidePartlyRestored(JobEntry job, RuntimeException cause) {
         job.setAsidePartlyRestored();
+        job.markReadySteps(time);
         setAsideJobs.add(new Plan.SetAsideJob(job.spec.id(), cause));
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.WorkerId;
 
@@ -16,6 +17,7 @@
  * @param setAside jobs that this owner no longer places
  * @param claims claims that were made on room that is not free yet
  * @param quarantined workers that get no new tasks for some seconds because of failed runs
+ * @param waiting the job that has waited longest with nothing running, at most once a second
  */
 public record Plan(
         List<JobProgress> changes,
@@ -23,7 +25,8 @@
         Map<TaskRecord.WorkerIncarnation, Long> acknowledgements,
         List<SetAsideJob> setAside,
         List<Claim> claims,
-        List<WorkerId> quarantined) {
+        List<WorkerId> quarantined,
+        Optional<WaitingJob> waiting) {
     /**
      * A job whose tasks are no longer placed because of an unexpected error. Its runs are not affected.
      *
@@ -42,6 +45,17 @@
      */
     public record Claim(TaskName task, WorkerId worker, int milliCores, Duration waited) {}
 
+    /**
+     * A job with a task that is ready and nothing running.
+     *
+     * @param task the task that has waited longest
+     * @param milliCores CPU that the task needs
+     * @param waited how long the task has waited for a worker
+     * @param jobs number of jobs with nothing running that have waited for over a second, including this one
+     * @param reason why the task has not been placed
+     */
+    public record WaitingJob(TaskName task, int milliCores, Duration waited, int jobs, WaitReason reason) {}
+
     public Plan {
         changes = List.copyOf(changes);
         orders = List.copyOf(orders);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -290,6 +290,11 @@
         return reservedAndClaimed().plus(demand).fitsIn(registration.capacity());
     }
 
+    /** Returns whether there is room beside the tasks on this worker if nothing is kept for claimants. */
+    boolean fitsBesideTasks(Resources demand) {
+        return reserved.plus(demand).fitsIn(registration.capacity());
+    }
+
     /** Returns the number of tasks of a step on this worker, including those for which room is kept. */
     int countOfStep(JobId job, int step) {
         int claimantsOfStep = 0;
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -166,7 +166,13 @@
         equivalenceClass(task).markUnclaimable(index.latestChange());
     }
 
-    private boolean isFeasible(WorkerNode worker, Requirement requirement, long now) {
+    /** Returns the requirement of a task on its worker as of now. */
+    Requirement requirement(TaskEntry task) {
+        return equivalenceClass(task).requirement;
+    }
+
+    /** Returns whether a worker can take the tasks with a requirement now. */
+    boolean isFeasible(WorkerNode worker, Requirement requirement, long now) {
         examinedWorkers++;
         return worker.fits(requirement.freeResources())
                 && isEligible(worker, requirement, 0, now)
--- a/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
@@ -1,13 +1,16 @@
 package org.chestnutbarrow.node;
 
+import java.util.Locale;
+import java.util.stream.Collectors;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskName;
+import org.chestnutbarrow.batch.WaitReason;
 import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.WorkerId;
 
-/** Logs claims on workers, the orders that are sent to them, and the ends of runs that they report. Stateless. */
+/** Logs why jobs wait, claims on workers, the orders that are sent to them, and the ends of runs that they report. Stateless. */
 final class OrderEvents {
     private OrderEvents() {}
 
@@ -73,6 +76,57 @@
                 claim.waited().toMillis());
     }
 
+    static void log(Plan.WaitingJob waiting) {
+        Events.info(
+                "job-waits",
+                "job",
+                waiting.task().job(),
+                "task",
+                indexes(waiting.task()),
+                "milliCores",
+                waiting.milliCores(),
+                "waitedMs",
+                waiting.waited().toMillis(),
+                "jobs",
+                waiting.jobs(),
+                "reason",
+                name(waiting.reason()),
+                "workers",
+                workers(waiting.reason()));
+    }
+
+    private static String name(WaitReason reason) {
+        return switch (reason) {
+            case WaitReason.SetAside _ -> "set-aside";
+            case WaitReason.UnknownRuns _ -> "unknown-runs";
+            case WaitReason.StartWindow _ -> "start-window";
+            case WaitReason.NoWorkers _ -> "no-workers";
+            case WaitReason.NoLabel _ -> "no-label";
+            case WaitReason.NoRoom _ -> "no-room";
+            case WaitReason.NotPlaced _ -> "not-placed";
+            case WaitReason.Excluded excluded -> name(excluded.mostFrequent());
+        };
+    }
+
+    private static String name(WaitReason.Exclusion exclusion) {
+        return exclusion.name().toLowerCase(Locale.ROOT);
+    }
+
+    /** Returns the numbers of workers by cause, or what it is that no worker has. */
+    private static String workers(WaitReason reason) {
+        return switch (reason) {
+            case WaitReason.SetAside _, WaitReason.UnknownRuns _, WaitReason.StartWindow _ -> "";
+            case WaitReason.NoWorkers noWorkers -> "0 of " + noWorkers.service();
+            case WaitReason.NoLabel noLabel -> "0 with " + noLabel.label();
+            case WaitReason.NoRoom noRoom -> String.valueOf(noRoom.workers());
+            case WaitReason.NotPlaced notPlaced -> String.valueOf(notPlaced.workers());
+            case WaitReason.Excluded excluded ->
+                excluded.workers().entrySet().stream()
+                        .map(entry -> entry.getValue() + " " + name(entry.getKey()))
+                        .collect(Collectors.joining(", "));
+        };
+    }
+
     private static String indexes(TaskName task) {
         return task.step() + "/" + task.index();
     }
--- a/node/src/test/java/org/chestnutbarrow/node/OrderEventsTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OrderEventsTest.java
@@ -1,21 +1,25 @@
 package org.chestnutbarrow.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import org.chestnutbarrow.batch.Order;
+import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskName;
+import org.chestnutbarrow.batch.WaitReason;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
-/** Tests the log lines of orders. */
+/** Tests the log lines of orders and of waiting jobs. */
 public class OrderEventsTest {
     private static final Logger LOGGER = Logger.getLogger("chestnutbarrow");
     private static final String JOB = "order-events-test";
@@ -38,29 +42,61 @@
         public void close() {}
     }
 
-    /** Guards against starts in the log that do not tell tasks of different sizes apart. */
-    @Test
-    public void startShowsCpuAndWaitOfTask() {
+    /** Returns the lines that are logged meanwhile. */
+    private static List<String> linesOf(Runnable logging) {
         LineCollector collector = new LineCollector();
         Level level = LOGGER.getLevel();
         LOGGER.setLevel(Level.INFO);
         LOGGER.addHandler(collector);
         try {
-            OrderEvents.log(new Order.Start(
-                    new TaskName(new JobId(JOB), 1, 4),
-                    2,
-                    new WorkerId("w"),
-                    7,
-                    "payload",
-                    "",
-                    20_500,
-                    Duration.ofMillis(1300)));
+            logging.run();
         } finally {
             LOGGER.removeHandler(collector);
             LOGGER.setLevel(level);
         }
+        return collector.lines;
+    }
+
+    /** Guards against starts in the log that do not tell tasks of different sizes apart. */
+    @Test
+    public void startShowsCpuAndWaitOfTask() {
+        List<String> lines = linesOf(() -> OrderEvents.log(new Order.Start(
+                new TaskName(new JobId(JOB), 1, 4),
+                2,
+                new WorkerId("w"),
+                7,
+                "payload",
+                "",
+                20_500,
+                Duration.ofMillis(1300))));
         assertEquals(
-                collector.lines,
+                lines,
                 List.of("event=task-start job=" + JOB + " task=1/4 run=2 worker=w milliCores=20500 waitedMs=1300"));
     }
+
+    /** Guards against a line on a waiting job that does not tell the causes of its wait apart. */
+    @Test
+    public void waitShowsReasonAndWorkers() {
+        assertEquals(
+                waitLine(new WaitReason.Excluded(
+                        Map.of(WaitReason.Exclusion.SPREAD, 2, WaitReason.Exclusion.QUARANTINED, 5))),
+                "reason=quarantined workers=\"5 quarantined, 2 spread\"");
+        assertEquals(waitLine(new WaitReason.NoRoom(40)), "reason=no-room workers=40");
+        assertEquals(waitLine(new WaitReason.NotPlaced(3)), "reason=not-placed workers=3");
+        assertEquals(waitLine(new WaitReason.NoLabel("fast")), "reason=no-label workers=\"0 with fast\"");
+        assertEquals(waitLine(new WaitReason.NoWorkers("s")), "reason=no-workers workers=\"0 of s\"");
+        assertEquals(waitLine(new WaitReason.StartWindow()), "reason=start-window workers=\"\"");
+        assertEquals(waitLine(new WaitReason.SetAside()), "reason=set-aside workers=\"\"");
+        assertEquals(waitLine(new WaitReason.UnknownRuns()), "reason=unknown-runs workers=\"\"");
+    }
+
+    private static String waitLine(WaitReason reason) {
+        TaskName task = new TaskName(new JobId(JOB), 1, 4);
+        String line = linesOf(
+                        () -> OrderEvents.log(new Plan.WaitingJob(task, 20_500, Duration.ofMillis(1300), 2, reason)))
+                .getFirst();
+        String prefix = "event=job-waits job=" + JOB + " task=1/4 milliCores=20500 waitedMs=1300 jobs=2 ";
+        assertTrue(line.startsWith(prefix), line);
+        return line.substring(prefix.length());
+    }
 }
