Release a stored run that its worker does not list, also if it is known late

A job with stored progress that an owner learns of after the first report of the worker kept its run as inherited. Only a first report settles inherited runs, so the task was neither started nor released until the owner changed: the job stayed accepted with all workers free.

Such a run now counts as settled, because a worker that has reported to this owner refuses starts of earlier ones.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -141,8 +141,11 @@
         record.placedOn()
                 .ifPresentOrElse(
                         incarnation -> {
-                            registry.nodeFor(incarnation).add(task);
-                            task.inherited = true;
+                            WorkerNode node = registry.nodeFor(incarnation);
+                            node.add(task);
+                            // A worker that has reported to this owner refuses starts of earlier ones.
+                            task.inherited = !node.ownershipConfirmed();
+                            task.startSettledAt = task.inherited ? 0 : Math.max(1, time.nanos());
                             task.progressedAt = time.nanos();
                         },
                         () -> jobTable.markRestarted(task));
