Read the jobs again if an owner that was fenced has placed unknown ones

A new owner reads the jobs while it fences the earlier one.

The progress is read after the fence and names all placed jobs, so the jobs are read once more if one of them is missing.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -162,6 +162,24 @@
         }
     }
 
+    /**
+     * Returns whether a job that is not known has unsettled progress. A new owner reads the jobs while it fences the
+     * earlier one, which may have placed a job that was stored after that read.
+     */
+    boolean lacksPlacedJobs() {
+        for (JobShard shard : shards) {
+            synchronized (shard) {
+                for (Map.Entry<JobId, StoredProgress> entry : shard.progress.entrySet()) {
+                    if (!shard.specs.containsKey(entry.getKey())
+                            && !entry.getValue().isSettled()) {
+                        return true;
+                    }
+                }
+            }
+        }
+        return false;
+    }
+
     /** Returns the number of pending jobs of a queue, which are those in state {@link JobState#QUEUED}. */
     int pendingJobs(String queueKey) {
         int sum = 0;
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -323,6 +323,9 @@
             next.storage().fenceEarlierOwners(membership.memberId(), progressFollower);
             jobsCaughtUp.get();
             workersCaughtUp.get();
+            if (replica.lacksPlacedJobs()) {
+                catchUp(jobFollower);
+            }
             term = next;
             if (leaving) {
                 next.end();
--- a/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
@@ -14,6 +14,7 @@
     private volatile Set<Topic> refusedReads = Set.of();
     private volatile boolean refusesProgress;
     private volatile CountDownLatch progressHangs = new CountDownLatch(0);
+    private volatile boolean progressAppended;
 
     NodeStore(StateStore store) {
         this.store = store;
@@ -34,6 +35,11 @@
         progressHangs = released;
     }
 
+    /** Returns whether an append of progress has begun. */
+    boolean progressAppended() {
+        return progressAppended;
+    }
+
     private void checkRead(Topic topic) throws NotRunException {
         if (refusedReads.contains(topic)) {
             throw new NotRunException("refused", "try again");
@@ -47,6 +53,7 @@
             throw new NotRunException("refused", "try again");
         }
         if (topic == Topic.PROGRESS) {
+            progressAppended = true;
             try {
                 progressHangs.await();
             } catch (InterruptedException e) {
