Don't give up a response that has arrived while the client was delayed

Cause: a caller waited for bytes by the time at which the event loop last processed some. If the event loop was behind, for instance after the process was paused or without processor time, a read whose bytes had arrived counted as idle: the store client gave it up, closed its other connections and repeated it, which adds load to a slow store. Change: before an exchange counts as idle, its event loop processes what has arrived; the total deadline still holds. Whether this was the cause of the red PlatformStoreTest#doesNotAbandonReadThatMakesProgress is not shown.

--- a/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpClient.java
@@ -15,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -142,7 +143,7 @@
             throw notRun(address, "the client is closed", e);
         }
         try {
-            HttpResponse response = await(pending, timeouts.idle().toNanos(), deadline);
+            HttpResponse response = await(channel, pending, timeouts.idle().toNanos(), deadline);
             if (pending.isReusable()) {
                 idleConnections.put(address, channel);
             }
@@ -164,7 +165,7 @@
     }
 
     /** Waits for the result until the deadline, or until no byte has been received for {@code idleNanos}. */
-    private static HttpResponse await(PendingExchange pending, long idleNanos, long deadline)
+    private static HttpResponse await(Channel channel, PendingExchange pending, long idleNanos, long deadline)
             throws InterruptedException, ExecutionException, TimeoutException {
         while (true) {
             long now = System.nanoTime();
@@ -172,14 +173,37 @@
             try {
                 return pending.result().get(remaining, TimeUnit.NANOSECONDS);
             } catch (TimeoutException e) {
-                long afterWait = System.nanoTime();
-                if (afterWait - deadline >= 0 || afterWait - pending.lastActivity() >= idleNanos) {
+                if (System.nanoTime() - deadline >= 0) {
                     throw e;
                 }
+                if (System.nanoTime() - pending.lastActivity() >= idleNanos) {
+                    awaitPendingReads(channel, pending, deadline);
+                    if (!pending.result().isDone() && System.nanoTime() - pending.lastActivity() >= idleNanos) {
+                        throw e;
+                    }
+                }
             }
         }
     }
 
+    /**
+     * Waits until the event loop has processed what has arrived. It may be late, for instance after the process was
+     * paused, and has then received bytes that {@link PendingExchange#lastActivity} does not show.
+     */
+    private static void awaitPendingReads(Channel channel, PendingExchange pending, long deadline)
+            throws InterruptedException, ExecutionException, TimeoutException {
+        CompletableFuture<Void> processed = new CompletableFuture<>();
+        Runnable afterReads = () -> processed.complete(null);
+        try {
+            // A task may run before reads that are due; one that its event loop schedules runs after them.
+            channel.eventLoop().execute(() -> channel.eventLoop().schedule(afterReads, 1, TimeUnit.MILLISECONDS));
+        } catch (RejectedExecutionException e) {
+            // The client is closed and reads nothing any more.
+            return;
+        }
+        CompletableFuture.anyOf(processed, pending.result()).get(deadline - System.nanoTime(), TimeUnit.NANOSECONDS);
+    }
+
     /** Returns the number of bytes received from all addresses. */
     public long bytesReceived() {
         return traffic.bytesReceived();
--- a/http/src/test/java/org/chestnutbarrow/http/HttpClientTest.java
+++ b/http/src/test/java/org/chestnutbarrow/http/HttpClientTest.java
@@ -7,6 +7,9 @@
 import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import org.chestnutbarrow.model.Address;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
@@ -113,6 +116,42 @@
         }
     }
 
+    /** Guards against giving up a response that has arrived because the client itself was delayed. */
+    @Test
+    void delayedClientReceivesResponseThatHasArrived() throws Exception {
+        CountDownLatch requestArrived = new CountDownLatch(1);
+        CountDownLatch eventLoopsDelayed = new CountDownLatch(2);
+        SendPrecondition delay = () -> {
+            eventLoopsDelayed.countDown();
+            sleep(SHORT_TIMEOUT.multipliedBy(4));
+        };
+        try (ScriptedServer server = new ScriptedServer((connection, number) -> {
+                    connection.readRequest();
+                    if (number == 1) {
+                        requestArrived.countDown();
+                        eventLoopsDelayed.await();
+                    }
+                    connection.sendOk("ok");
+                });
+                ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor()) {
+            Future<HttpResponse> response =
+                    callers.submit(() -> get(server, new ExchangeTimeouts(LONG_TIMEOUT, Duration.ZERO, SHORT_TIMEOUT)));
+            requestArrived.await();
+            for (int i = 0; i < 2; i++) {
+                callers.submit(() -> client.send(server.address(), HttpRequest.get("/"), LONG_TIMEOUT, delay));
+            }
+            assertEquals(response.get().text(), "ok");
+        }
+    }
+
+    private static void sleep(Duration duration) {
+        try {
+            Thread.sleep(duration);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Guards against an idle timeout during the permitted response delay. */
     @Test
     void delayedResponseDoesNotTimeOut() throws Exception {
