Quarantine workers by comparison with others, and bound it

Cause: a worker was quarantined when runs of two jobs failed on it within 5 s without a success in between: a count without a base rate, which blames the worker for its jobs, and without a bound on the workers that are taken out. Change: evidence per worker is a cumulative log-likelihood ratio against the failure rate of the other workers of its service or the rate of the job, if that is higher. A suspected worker is quarantined while no more than a tenth of its service is, or no other one; beyond that, and after a quarantine, it gets one run at a time, of tasks for which no sound worker has room, until one ends well. The reserve for short tasks no longer counts the room of workers that are quarantined, on probation, draining or evacuated. The evidence is stored behind what earlier builds read; their records are read, and stored quarantines are bounded like new ones. A worker that rejects a start because of its own health no longer counts against the job. That failures are forgotten after 5 s is replaced: evidence ends with successful runs, not with time, and only failures stored by earlier builds count for 5 s.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -133,6 +133,7 @@
         task.run = record.run();
         task.failures = record.failures();
         task.checkpoint = record.checkpoint();
+        job.outcomes.restore(record);
         task.settledRun = record.placedOn().isPresent() ? record.run() - 1 : record.run();
         if (record.done()) {
             job.taskFinished(task);
@@ -242,7 +243,7 @@
         TaskEntry task = jobTable.task(name);
         if (task != null && task.run == run && task.assignedNode != null && !task.confirmed) {
             if (unhealthy) {
-                task.assignedNode.recordFailure(time.nanos(), name.job());
+                task.assignedNode.recordUnhealthy(time.nanos());
             }
             jobTable.release(task);
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -23,6 +23,8 @@
     Instant stateChangedAt = Instant.EPOCH;
     /** The queue policy in force. */
     Queue policy;
+
+    final JobOutcomes outcomes = new JobOutcomes();
     /** Completion deadline under the policy in force, in ms since the epoch. */
     long deadlineMs;
 
--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobOutcomes.java
@@ -0,0 +1,57 @@
+package org.chestnutbarrow.batch;
+
+/**
+ * Ends of the runs of one job, from which follows how often its next run fails if the worker is sound: either as often
+ * as the runs of its service, or the job itself is at fault and any rate is equally likely. Guarded by the lock of its
+ * {@link BatchScheduler}.
+ *
+ * <p>Invariant: there are at least as many runs as failures, and at most {@link #MAX_RUNS}.
+ */
+final class JobOutcomes {
+    /** Share of jobs that are assumed to be at fault themselves. */
+    private static final double FAULTY_SHARE = 0.03;
+    /** Earlier runs count for half as much each time that there are more, because a job may begin to fail. */
+    private static final double MAX_RUNS = 64;
+    /** Bounds the certainty, so that a few ends in a row can change it. */
+    private static final double MAX_LOG_ODDS = 6;
+
+    private double runs;
+    private double failures;
+    /** Logarithm of the odds that the job itself is at fault. */
+    private double logOdds = Math.log(FAULTY_SHARE / (1 - FAULTY_SHARE));
+
+    /** Records the end of a run, given the failure rate of the service. */
+    void record(boolean failed, double serviceRate) {
+        double soundRate = rateOfSoundJob(serviceRate);
+        double ratio = failed ? rateOfFaultyJob() / soundRate : (1 - rateOfFaultyJob()) / (1 - soundRate);
+        logOdds = Math.clamp(logOdds + Math.log(ratio), -MAX_LOG_ODDS, MAX_LOG_ODDS);
+        if (runs + 1 > MAX_RUNS) {
+            runs /= 2;
+            failures /= 2;
+        }
+        runs++;
+        failures += failed ? 1 : 0;
+    }
+
+    /** Records what is known of the runs of a task under earlier owners, lost ones aside. */
+    void restore(TaskRecord task) {
+        if (task.failures() > 0 || task.done()) {
+            record(task.failures() > 0, FailureRates.PRIOR_RATE);
+        }
+    }
+
+    /** Returns the expected failure rate of the next run on a sound worker, given the rate of the service. */
+    double expectedFailureRate(double serviceRate) {
+        double faulty = 1 / (1 + Math.exp(-logOdds));
+        return faulty * rateOfFaultyJob() + (1 - faulty) * rateOfSoundJob(serviceRate);
+    }
+
+    /** Returns the failure rate of jobs that are not at fault, so that the first run of any job fails at the rate of all. */
+    private static double rateOfSoundJob(double serviceRate) {
+        return Math.max(serviceRate / 4, (serviceRate - FAULTY_SHARE / 2) / (1 - FAULTY_SHARE));
+    }
+
+    private double rateOfFaultyJob() {
+        return (failures + 1) / (runs + 2);
+    }
+}
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -110,7 +110,7 @@
         } else {
             task.progressedAt += silence(task, now);
         }
-        task.progressReported(run);
+        recordProgress(node, task, run, now);
         task.listedAt = now;
         boolean overTarget = task.isLatencyCritical()
                 && task.loadMetric > task.step.behaviour().latencyTargetMs();
@@ -122,12 +122,21 @@
         } else if (task.stopOrdered) {
             jobTable.stop(task, "still-running");
         } else if (isStuck(task, now)) {
-            node.recordFailure(now, task.name.job());
+            node.recordFailure(now, task.job);
             jobTable.stop(task, "stuck");
         }
         return task;
     }
 
+    /** Records the progress of a run; a long-running task that gets ready under this owner counts as a success. */
+    private static void recordProgress(WorkerNode node, TaskEntry task, WorkerReport.Running run, long now) {
+        boolean wasAtWork = task.isAtWork();
+        task.progressReported(run);
+        if (task.step.longRunning() && !wasAtWork && task.isAtWork() && !task.inherited) {
+            node.recordSuccess(now, task.job);
+        }
+    }
+
     /**
      * Returns for how long, in ns, the worker of a run was silent before a report. A worker that was paused makes no
      * progress in that time, so that it does not count as time without progress.
@@ -175,7 +184,7 @@
             task.checkpoint = end.checkpoint();
         }
         if (end.kind() == WorkerReport.EndKind.DONE) {
-            node.health.recordSuccess(now);
+            node.recordSuccess(now, task.job);
             if (!task.step.longRunning()) {
                 jobTable.finishTask(task);
             }
@@ -192,8 +201,8 @@
         task.settledRun = task.run;
         task.failures++;
         if (!stopOrdered) {
+            node.recordFailure(now, task.job);
             task.failedStarts += wasAtWork ? 0 : 1;
-            node.recordFailure(now, task.name.job());
         }
         // Only failed runs count towards the limit; interrupted or lost runs do not.
         int maxAttempts = task.job.policy.maxAttempts();
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -25,6 +25,15 @@
 final class WorkerIndex {
     private static final Pool EMPTY_POOL = new Pool();
     private static final Duration DEFAULT_REPORT_INTERVAL = Duration.ofMillis(500);
+    /** Share of the CPU capacity of a service that quarantined workers may have; a single worker may have more. */
+    private static final double MAX_QUARANTINED_SHARE = 0.1;
+
+    /** Which tasks a worker gets, in ascending order. */
+    private enum Availability {
+        NONE,
+        TRIAL_RUNS,
+        FULL
+    }
 
     /** Free or spare CPU of a worker as a fraction of its capacity; the worker ID breaks ties. */
     private record SortKey(double fraction, String workerId) {
@@ -39,13 +48,25 @@
             long freeMilliCores,
             long lastingMilliCores,
             long capacityMilliCores,
-            boolean schedulable) {}
+            boolean schedulable,
+            Availability availability) {}
+
+    /** The usable workers of one service, whether they are reachable or not. */
+    record ServiceSize(int workers, long milliCores) {
+        static final ServiceSize NONE = new ServiceSize(0, 0);
+
+        ServiceSize plus(WorkerNode node) {
+            return new ServiceSize(
+                    workers + 1, milliCores + node.registration.capacity().milliCores());
+        }
+    }
 
     /** The schedulable workers of one service. */
     static final class Pool {
         private final NavigableMap<SortKey, WorkerNode> byFree = new TreeMap<>(SortKey.ORDER);
         private final NavigableMap<SortKey, WorkerNode> bySpare = new TreeMap<>(SortKey.ORDER);
         private final Map<String, Set<WorkerNode>> byLabel = new HashMap<>();
+        private final Set<WorkerNode> onProbation = new LinkedHashSet<>();
         /** Largest worker capacity seen so far; scales absolute demands to fractions. */
         private int maxCapacityMilliCores = 1;
 
@@ -80,6 +101,19 @@
             return byLabel.getOrDefault(label, Set.of());
         }
 
+        /** Returns the workers that are on probation. */
+        Collection<WorkerNode> onProbation() {
+            return onProbation;
+        }
+
+        private void updateProbation(WorkerNode node, IndexedState state) {
+            if (state.availability() == Availability.TRIAL_RUNS) {
+                onProbation.add(node);
+            } else {
+                onProbation.remove(node);
+            }
+        }
+
         private SortKey lowerBound(double milliCores) {
             return new SortKey(milliCores / maxCapacityMilliCores, "");
         }
@@ -91,6 +125,7 @@
             capacityMilliCores += state.capacityMilliCores();
             byFree.put(state.freeKey(), node);
             bySpare.put(state.spareKey(), node);
+            updateProbation(node, state);
             node.registration
                     .labels()
                     .forEach(label -> byLabel.computeIfAbsent(label, _ -> new LinkedHashSet<>())
@@ -102,6 +137,7 @@
             capacityMilliCores -= state.capacityMilliCores();
             byFree.remove(state.freeKey());
             bySpare.remove(state.spareKey());
+            onProbation.remove(node);
             for (String label : node.registration.labels()) {
                 byLabel.computeIfPresent(label, (_, nodes) -> nodes.remove(node) && nodes.isEmpty() ? null : nodes);
             }
@@ -113,6 +149,7 @@
             byFree.put(after.freeKey(), node);
             bySpare.remove(before.spareKey());
             bySpare.put(after.spareKey(), node);
+            updateProbation(node, after);
         }
     }
 
@@ -127,6 +164,8 @@
     /** Quarantines that have begun since they were last taken. */
     private final List<WorkerId> newQuarantines = new ArrayList<>();
 
+    private Map<String, ServiceSize> serviceSizes = Map.of();
+    private final FailureRates failureRates = new FailureRates();
     private Duration reportInterval = DEFAULT_REPORT_INTERVAL;
     private long latestChange;
     private long freeMilliCores;
@@ -159,12 +198,16 @@
         return latestChange;
     }
 
-    /** Returns the CPU of all reachable workers that is neither reserved nor kept for claimants. */
+    FailureRates failureRates() {
+        return failureRates;
+    }
+
+    /** Returns the CPU of all fully used workers that is neither reserved nor kept for claimants. */
     long freeMilliCores() {
         return freeMilliCores;
     }
 
-    /** Returns the CPU capacity of all reachable workers. */
+    /** Returns the CPU capacity of all fully used workers. */
     long capacityMilliCores() {
         return capacityMilliCores;
     }
@@ -195,13 +238,13 @@
         } else {
             indexedStates.put(node, after);
         }
-        if (isSchedulable && !wasSchedulable) {
+        if (isSchedulable && (!wasSchedulable || after.availability().compareTo(before.availability()) > 0)) {
             capacityFreed(node);
         }
     }
 
     private void addToTotals(IndexedState state, int sign) {
-        if (state != null) {
+        if (state != null && state.availability() == Availability.FULL) {
             freeMilliCores += sign * state.freeMilliCores();
             capacityMilliCores += sign * state.capacityMilliCores();
         }
@@ -215,7 +258,19 @@
                 node.freeMilliCores(),
                 node.lastingMilliCores(),
                 node.registration.capacity().milliCores(),
-                node.isSchedulable());
+                node.isSchedulable(),
+                availability(node));
+    }
+
+    private static Availability availability(WorkerNode node) {
+        if (!node.isSchedulable()) {
+            return Availability.NONE;
+        }
+        return switch (node.health.state()) {
+            case WorkerHealth.Sound _ -> Availability.FULL;
+            case WorkerHealth.Quarantined _ -> Availability.NONE;
+            case WorkerHealth.OnProbation _ -> Availability.TRIAL_RUNS;
+        };
     }
 
     private boolean isSchedulable(WorkerNode node) {
@@ -240,10 +295,36 @@
         }
     }
 
-    /** Records that a worker gets no new tasks until its quarantine ends. */
-    void quarantined(WorkerNode node) {
-        quarantinedWorkers.add(node);
-        newQuarantines.add(node.id());
+    /** Sets the sizes of the services, on which the bound on quarantines depends. */
+    void setServiceSizes(Map<String, ServiceSize> sizes) {
+        serviceSizes = Map.copyOf(sizes);
+    }
+
+    /** Records that the state of the health of a worker is of another kind, or that it was restored. */
+    void healthChanged(WorkerNode node) {
+        if (node.health.state() instanceof WorkerHealth.Quarantined && quarantinedWorkers.add(node)) {
+            newQuarantines.add(node.id());
+        }
+        refresh(node);
+    }
+
+    /**
+     * Returns whether a worker may be quarantined beside those that are: a single one if its service has others, and
+     * more as long as they have a bounded share of the capacity.
+     */
+    boolean mayQuarantine(WorkerNode node) {
+        ServiceSize size = serviceSizes.getOrDefault(node.registration.service(), ServiceSize.NONE);
+        long quarantined = 0;
+        for (WorkerNode other : quarantinedWorkers) {
+            if (other != node
+                    && other.isUsable()
+                    && other.registration.service().equals(node.registration.service())) {
+                quarantined += other.registration.capacity().milliCores();
+            }
+        }
+        return quarantined == 0
+                ? size.workers() > 1
+                : quarantined + node.registration.capacity().milliCores() <= MAX_QUARANTINED_SHARE * size.milliCores();
     }
 
     /** Returns and clears the workers whose quarantine has begun since the last call. */
@@ -253,15 +334,19 @@
         return result;
     }
 
-    /** Makes workers available again whose quarantine has ended. */
+    /**
+     * Makes workers available again whose quarantine has ended or, because other workers have left or quarantines were
+     * restored, exceeds the bound on quarantines.
+     */
     void endQuarantines(long now) {
-        quarantinedWorkers.removeIf(node -> {
-            boolean healthy = node.health.isHealthy(now);
-            if (healthy) {
-                capacityFreed(node);
+        for (WorkerNode node : List.copyOf(quarantinedWorkers).reversed()) {
+            boolean ended = node.health.endQuarantine(now)
+                    || (node.isUsable() && !mayQuarantine(node) && node.health.cutQuarantineShort());
+            if (ended) {
+                quarantinedWorkers.remove(node);
+                refresh(node);
             }
-            return healthy;
-        });
+        }
     }
 
     /** Returns whether a worker whose capacity increased after {@code change} satisfies the predicate. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -32,6 +32,8 @@
     long lastBestEffortChange;
 
     final WorkerHealth health = new WorkerHealth();
+    /** Ends of runs on this worker while it was not suspected, see {@link FailureRates}. */
+    Outcomes outcomes = Outcomes.NONE;
     /** When the interference model last processed a report of this worker, in ns. */
     long interferenceObservedAt;
     /** When the CPU limit of a best-effort task was last raised, in ns. */
@@ -63,6 +65,9 @@
     /** CPU that the claimants use at full speed, of which best-effort ones reserve none. */
     private long claimantMilliCores;
 
+    /** The task that this worker got on probation and that is still assigned to it; null if there is none. */
+    private TaskEntry trial;
+
     private record StepKey(JobId job, int step) {}
 
     WorkerNode(WorkerRegistration registration, WorkerIndex index) {
@@ -142,9 +147,41 @@
     }
 
     /** Records a failed or stuck run of a job. */
-    void recordFailure(long now, JobId job) {
-        if (health.recordFailure(now, job)) {
-            index.quarantined(this);
+    void recordFailure(long now, JobEntry job) {
+        double expectedRate = index.failureRates().expected(this, job, now);
+        if (health.isSound()) {
+            job.outcomes.record(true, index.failureRates().ofOtherWorkers(this, now));
+            index.failureRates().record(this, true, now);
+        }
+        recordFailure(now, expectedRate);
+    }
+
+    /** Records that the worker rejected a run because of its own health. */
+    void recordUnhealthy(long now) {
+        recordFailure(now, index.failureRates().ofOtherWorkers(this, now));
+    }
+
+    private void recordFailure(long now, double expectedRate) {
+        if (health.recordFailure(now, expectedRate, () -> index.mayQuarantine(this))) {
+            index.healthChanged(this);
+        }
+    }
+
+    /** Records a run of a job that has ended well or got ready. */
+    void recordSuccess(long now, JobEntry job) {
+        job.outcomes.record(false, index.failureRates().ofOtherWorkers(this, now));
+        if (health.isSound()) {
+            index.failureRates().record(this, false, now);
+        }
+        if (health.recordSuccess()) {
+            index.healthChanged(this);
+        }
+    }
+
+    /** Records that a task which this worker has just got is started. */
+    void taskStarted(TaskEntry task) {
+        if (!health.isSound()) {
+            trial = task;
         }
     }
 
@@ -153,14 +190,27 @@
         return ownershipConfirmed && listed;
     }
 
-    /** Returns whether the worker accepts new tasks as long as it is responsive and healthy. */
+    /** Returns whether the worker accepts new tasks as long as it is responsive and not suspected. */
     boolean isSchedulable() {
-        return ownershipConfirmed && listed && !draining && !zoneEvacuated;
+        return ownershipConfirmed && isUsable();
+    }
+
+    /** Returns whether the worker is listed and neither draining nor in an evacuated zone. */
+    boolean isUsable() {
+        return listed && !draining && !zoneEvacuated;
     }
 
     /** Returns whether the worker accepts new tasks now. */
     boolean acceptsTasks(long now) {
-        return isSchedulable() && !isUnresponsive(now) && health.isHealthy(now);
+        return isSchedulable() && !isUnresponsive(now) && healthPermitsTask();
+    }
+
+    private boolean healthPermitsTask() {
+        return switch (health.state()) {
+            case WorkerHealth.Sound _ -> true;
+            case WorkerHealth.Quarantined _ -> false;
+            case WorkerHealth.OnProbation _ -> trial == null;
+        };
     }
 
     void add(TaskEntry task) {
@@ -189,6 +239,9 @@
         if (!tasks.remove(task)) {
             return;
         }
+        if (trial == task) {
+            trial = null;
+        }
         reserved = reserved.minus(task.step.reservation());
         if (task.lasts()) {
             lastingTaskMilliCores -= task.step.reservation().milliCores();
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -18,7 +18,7 @@
 
 /** The worker incarnations that may run tasks. Guarded by the lock of its {@link BatchScheduler}. */
 final class WorkerRegistry {
-    /** Bounds the stored record to a few KB; workers that have been quarantined most often come first. */
+    /** Bounds the stored record to a few KB; suspected workers come first, then those with the most evidence. */
     private static final int MAX_HEALTH_RECORDS = 128;
 
     private final JobTable jobTable;
@@ -66,7 +66,10 @@
                                 .health
                                 .toRecord(new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), time)
                                 .stream())
-                .sorted(Comparator.comparing(HealthRecord::nextQuarantine).reversed())
+                .sorted(Comparator.comparing(HealthRecord::nextQuarantine)
+                        .thenComparing(HealthRecord::onProbation)
+                        .thenComparing(HealthRecord::evidence)
+                        .reversed())
                 .limit(MAX_HEALTH_RECORDS)
                 .toList();
     }
@@ -83,6 +86,20 @@
     void setEvacuatedZones(Set<AvailabilityZone> zones) {
         evacuatedZones = Set.copyOf(zones);
         workers.values().forEach(node -> node.setZoneEvacuated(evacuatedZones.contains(node.registration.zone())));
+        updateServiceSizes();
+    }
+
+    private void updateServiceSizes() {
+        Map<String, WorkerIndex.ServiceSize> sizes = new HashMap<>();
+        for (WorkerNode node : workers.values()) {
+            if (node.isUsable()) {
+                sizes.merge(
+                        node.registration.service(),
+                        WorkerIndex.ServiceSize.NONE.plus(node),
+                        (size, _) -> size.plus(node));
+            }
+        }
+        index.setServiceSizes(sizes);
     }
 
     /** Returns the node of an incarnation. If the incarnation is not listed, the node accepts no new tasks. */
@@ -133,12 +150,14 @@
             adopt(node, now);
         }
         workers.values().forEach(node -> node.setListed(listedIds.contains(node.id())));
+        updateServiceSizes();
     }
 
     private void restoreHealth(WorkerNode node) {
         HealthRecord stored = storedHealth.remove(new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()));
-        if (stored != null && node.health.restore(stored, time)) {
-            index.quarantined(node);
+        if (stored != null) {
+            node.health.restore(stored, time);
+            index.healthChanged(node);
         }
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -142,7 +142,8 @@
 
     private boolean couldClaim(WorkerNode worker, Requirement requirement, long now) {
         examinedWorkers++;
-        return isEligible(worker, requirement, 0, now)
+        return worker.health.isSound()
+                && isEligible(worker, requirement, 0, now)
                 && !(requirement.mode() instanceof Requirement.BestEffort)
                 && worker.lastingReservation().plus(requirement.freeResources()).fitsIn(worker.registration.capacity());
     }
@@ -193,7 +194,16 @@
         return worker.countOfStep(spread.job(), spread.step()) - ownClaims < spread.maxPerWorker();
     }
 
+    /** Returns the best sound worker or, if none has room, the best one on probation. */
     private WorkerNode bestWorker(TaskEntry task, Requirement requirement, Predicate<WorkerNode> candidate, long now) {
+        Predicate<WorkerNode> soundCandidate = worker -> worker.health.isSound() && candidate.test(worker);
+        WorkerNode best = bestSoundWorker(task, requirement, soundCandidate, now);
+        Collection<WorkerNode> onProbation = index.pool(requirement.service()).onProbation();
+        return best != null ? best : bestWorker(task, requirement, onProbation, false, candidate, now);
+    }
+
+    private WorkerNode bestSoundWorker(
+            TaskEntry task, Requirement requirement, Predicate<WorkerNode> candidate, long now) {
         WorkerIndex.Pool pool = index.pool(requirement.service());
         Optional<String> rack = task.step.constraints().rack();
         if (rack.isPresent()) {
--- a/batch/src/test/java/org/chestnutbarrow/batch/BatchSchedulerTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/BatchSchedulerTest.java
@@ -303,6 +303,20 @@
         assertTrue(next.stream().anyMatch(start -> start.run() == 2), next.toString());
     }
 
+    /** Guards against a reserve for short tasks that consists of the room of workers that get no tasks. */
+    @Test
+    public void drainingWorkerDoesNotCountInShortTaskReserve() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1", "w2");
+        fixture.setDraining("w2", true);
+        Step.Behaviour longRunning = new Step.Behaviour("image", false, true, false, 50, 0);
+        fixture.add(fixture.job("a", SchedulerFixture.step(1, 3800, longRunning)));
+        assertEquals(fixture.starts().size(), 1);
+        fixture.add(fixture.job("b", SchedulerFixture.step(1, 3800, longRunning)));
+        assertEquals(fixture.starts(), List.of());
+        fixture.setDraining("w2", false);
+        assertEquals(fixture.starts().size(), 1);
+    }
+
     /** Guards against a long-running task that waits although a worker has double room for it. */
     @Test
     public void firstRunOfLongRunningTaskMayUseWorkerWithDoubleRoom() {
--- a/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
@@ -21,7 +21,8 @@
 /**
  * Encodes the estimates of an owner. Stateless.
  *
- * <p>Nodes of earlier builds write and read the sensitivities only. What follows them is omitted when it is empty.
+ * <p>Nodes of earlier builds write and read only the sensitivities, or these, the health without its evidence and the
+ * stalled runs. What follows is omitted when it is empty.
  */
 final class EstimatesCodec {
     /** Encodes that there is no quarantine. */
@@ -36,12 +37,18 @@
                 packer.packString(sensitivity.bestEffortImage()).packString(sensitivity.latencyCriticalImage());
                 packer.packDouble(sensitivity.weight()).packDouble(sensitivity.variance());
             }
-            if (!estimates.health().isEmpty() || !estimates.stalledRuns().isEmpty()) {
+            boolean hasEvidence =
+                    estimates.health().stream().anyMatch(health -> health.evidence() != 0 || health.onProbation());
+            boolean hasStalledRuns = !estimates.stalledRuns().isEmpty();
+            if (!estimates.health().isEmpty() || hasStalledRuns) {
                 writeHealth(packer, estimates.health());
             }
-            if (!estimates.stalledRuns().isEmpty()) {
+            if (hasStalledRuns || hasEvidence) {
                 writeStalledRuns(packer, estimates.stalledRuns());
             }
+            if (hasEvidence) {
+                writeEvidence(packer, estimates.health());
+            }
         });
     }
 
@@ -60,6 +67,14 @@
         }
     }
 
+    /** Writes the part of the health that earlier builds ignore, in the order of the records. */
+    private static void writeEvidence(MessageBufferPacker packer, List<HealthRecord> records) throws IOException {
+        packer.packArrayHeader(records.size());
+        for (HealthRecord health : records) {
+            packer.packDouble(health.evidence()).packBoolean(health.onProbation());
+        }
+    }
+
     private static void writeStalledRuns(MessageBufferPacker packer, List<StalledRun> runs) throws IOException {
         packer.packArrayHeader(runs.size());
         for (StalledRun run : runs) {
@@ -71,12 +86,23 @@
     }
 
     static Estimates decode(byte[] bytes) throws InvalidInputException {
-        return StateCodec.decodeRecord(
-                bytes,
-                (_, unpacker) -> new Estimates(
-                        readSensitivities(unpacker),
-                        unpacker.hasNext() ? readHealth(unpacker) : List.of(),
-                        unpacker.hasNext() ? readStalledRuns(unpacker) : List.of()));
+        return StateCodec.decodeRecord(bytes, (_, unpacker) -> {
+            List<Sensitivity> sensitivities = readSensitivities(unpacker);
+            List<HealthRecord> health = unpacker.hasNext() ? readHealth(unpacker) : List.of();
+            List<StalledRun> stalledRuns = unpacker.hasNext() ? readStalledRuns(unpacker) : List.of();
+            return new Estimates(
+                    sensitivities, unpacker.hasNext() ? withEvidence(health, unpacker) : health, stalledRuns);
+        });
+    }
+
+    private static List<HealthRecord> withEvidence(List<HealthRecord> records, MessageUnpacker unpacker)
+            throws IOException {
+        List<HealthRecord> result = new ArrayList<>(records);
+        int count = Math.min(records.size(), unpacker.unpackArrayHeader());
+        for (int i = 0; i < count; i++) {
+            result.set(i, records.get(i).with(unpacker.unpackDouble(), unpacker.unpackBoolean()));
+        }
+        return result;
     }
 
     private static List<Sensitivity> readSensitivities(MessageUnpacker unpacker) throws IOException {
