Back off from long-running tasks that fail at their start

Cause: a long-running task that failed before it was ready was started again in the next plan, on the next worker, without a pause and without end. Change: from the second failed start in a row on, the task is not placed for 250 ms, doubled up to 4 s; a run that gets ready ends that. The first failed start may be chance, and short tasks would take the room of the task. A task in back-off is not among the waiting ones of its job, so it neither hides others of its step nor is searched for. Lost and stopped tasks do not wait. Tests: ClaimedRoomTest#taskThatFailedAtTheStartLeavesDrainingWorker lets the back-off of its failed starts pass; it checks the same.

--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -14,7 +14,7 @@
  * In-memory state of one job. Guarded by the lock of its {@link BatchScheduler}.
  *
  * <p>Invariant: the job is in the set of waiting jobs as long as it has neither ended nor been set aside and one of its
- * tasks has neither finished nor been placed.
+ * tasks has neither finished nor been placed nor is in back-off.
  */
 final class JobEntry {
     final JobSpec spec;
@@ -134,7 +134,7 @@
         return Optional.ofNullable(start).map(WaitStart::instant);
     }
 
-    /** Returns the indexes of the tasks of a step that have neither finished nor been placed. */
+    /** Returns the indexes of the tasks of a step that have neither finished nor been placed nor are in back-off. */
     BitSet waitingTaskIndexes(int step) {
         return waitingByStep.get(step);
     }
@@ -165,6 +165,11 @@
         setWaiting(task, !task.done);
     }
 
+    /** Records that the back-off of the task has begun or ended. */
+    void backOffChanged(TaskEntry task) {
+        setWaiting(task, !task.done && task.assignedNode == null && !task.isInBackOff());
+    }
+
     private void setWaiting(TaskEntry task, boolean waiting) {
         BitSet waitingOfStep = waitingByStep.get(task.name.step());
         if (waitingOfStep.get(task.name.index()) == waiting) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -30,6 +30,9 @@
     /** Long-running tasks that must run again, earliest released first, and possibly some that have been placed since. */
     private final SequencedSet<TaskEntry> restartedTasks = new LinkedHashSet<>();
 
+    /** Tasks in back-off, and possibly some that have been placed since. */
+    private final Set<TaskEntry> tasksInBackOff = new LinkedHashSet<>();
+
     private Map<String, Queue> queues = Map.of();
 
     JobTable(TimeSource time) {
@@ -119,6 +122,27 @@
         }
     }
 
+    /** Keeps a waiting task from being placed for a time that grows with its failed starts. */
+    void backOff(TaskEntry task) {
+        task.beginBackOff(time.nanos());
+        if (task.isInBackOff()) {
+            restartedTasks.remove(task);
+            tasksInBackOff.add(task);
+        }
+    }
+
+    /** Lets the tasks be placed again whose back-off has ended. */
+    void endBackOffs(long now) {
+        tasksInBackOff.removeIf(task -> {
+            boolean wasInBackOff = task.isInBackOff();
+            task.endBackOff(now);
+            if (wasInBackOff && !task.isInBackOff()) {
+                markRestarted(task);
+            }
+            return !task.isInBackOff();
+        });
+    }
+
     /** Returns the long-running tasks that have run before and wait for a worker, earliest released first. */
     List<TaskEntry> restartedTasks() {
         restartedTasks.removeIf(task -> task.done || task.assignedNode != null || !task.job.isPlaceable());
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -179,6 +179,7 @@
         }
         boolean stopOrdered = task.stopOrdered;
         boolean wasAtWork = task.isAtWork();
+        boolean inherited = task.inherited;
         jobTable.release(task);
         if (!end.checkpoint().isEmpty()) {
             task.checkpoint = end.checkpoint();
@@ -189,11 +190,12 @@
                 jobTable.finishTask(task);
             }
         } else if (end.kind() == WorkerReport.EndKind.FAILED) {
-            processFailed(node, task, stopOrdered, wasAtWork, now);
+            processFailed(node, task, stopOrdered, wasAtWork, inherited, now);
         }
     }
 
-    private void processFailed(WorkerNode node, TaskEntry task, boolean stopOrdered, boolean wasAtWork, long now) {
+    private void processFailed(
+            WorkerNode node, TaskEntry task, boolean stopOrdered, boolean wasAtWork, boolean inherited, long now) {
         // A worker lists an end until it is acknowledged, so that the end may have been counted by an earlier owner.
         if (task.run <= task.settledRun) {
             return;
@@ -203,6 +205,10 @@
         if (!stopOrdered) {
             node.recordFailure(now, task.job);
             task.failedStarts += wasAtWork ? 0 : 1;
+            // Under an earlier owner, an inherited run may have been ready.
+            if (task.step.longRunning() && !wasAtWork && !inherited) {
+                jobTable.backOff(task);
+            }
         }
         // Only failed runs count towards the limit; interrupted or lost runs do not.
         int maxAttempts = task.job.policy.maxAttempts();
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -195,7 +195,7 @@
      * draining worker that still answers.
      */
     private static boolean needsRoom(TaskEntry task, long now) {
-        if (task.done || !task.job.isPlaceable()) {
+        if (task.done || task.isInBackOff() || !task.job.isPlaceable()) {
             return false;
         }
         WorkerNode node = task.assignedNode;
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -1,10 +1,20 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
 import java.util.Optional;
 
 /** In-memory state of one task. Guarded by the lock of its {@link BatchScheduler}. */
 final class TaskEntry {
     private static final int FULL_SPEED_PERCENT = 100;
+    /**
+     * Back-off after the second failed start in a row of a long-running task, doubled with each further one. The first
+     * one has none, because some starts fail by chance and the room of the task would be taken in the meantime.
+     */
+    private static final Duration INITIAL_BACK_OFF = Duration.ofMillis(250);
+    /** Longest back-off; callers expect a long-running task to run within 6 s of the end of its last run. */
+    private static final Duration MAX_BACK_OFF = Duration.ofSeconds(4);
+
+    private static final int MAX_BACK_OFF_DOUBLINGS = 4;
     /** Progress of a long-running task that is at work. */
     static final int READY_PERCENT = 100;
 
@@ -20,6 +30,11 @@
     /** Number of latest runs that failed one after the other before they were ready. */
     int failedStarts;
 
+    /** Whether the task is not placed before {@link #backOffEndsAt}, because its last run failed at its start. */
+    private boolean inBackOff;
+    /** When the back-off ends, in ns. */
+    private long backOffEndsAt;
+
     String checkpoint = "";
     /** Worker to which the latest run is assigned; null while the task waits. */
     WorkerNode assignedNode;
@@ -69,6 +84,7 @@
 
     /** Assigns the task to a worker. */
     void assignTo(WorkerNode node) {
+        inBackOff = false;
         if (assignedNode == null) {
             job.taskPlaced(this);
         }
@@ -116,6 +132,30 @@
         baseline = new BaselineHeadroom();
     }
 
+    /** Begins the back-off that follows the number of failed starts, if any does. */
+    void beginBackOff(long now) {
+        if (failedStarts < 2) {
+            return;
+        }
+        int doublings = Math.min(failedStarts - 2, MAX_BACK_OFF_DOUBLINGS);
+        Duration backOff = INITIAL_BACK_OFF.multipliedBy(1L << doublings);
+        backOffEndsAt = now + (backOff.compareTo(MAX_BACK_OFF) < 0 ? backOff : MAX_BACK_OFF).toNanos();
+        inBackOff = true;
+        job.backOffChanged(this);
+    }
+
+    /** Ends the back-off if its time has come. */
+    void endBackOff(long now) {
+        if (inBackOff && now - backOffEndsAt >= 0) {
+            inBackOff = false;
+            job.backOffChanged(this);
+        }
+    }
+
+    boolean isInBackOff() {
+        return inBackOff;
+    }
+
     /** Returns whether the latest run is known to be ready and has not been stopped. */
     boolean isAtWork() {
         return assignedNode != null && !stopOrdered && confirmed && progressPercent >= READY_PERCENT;
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -58,6 +58,7 @@
      */
     void place(long now, int maxStarts) {
         startsLeft = maxStarts;
+        jobTable.endBackOffs(now);
         placeRestarted(now);
         for (Candidate candidate : candidates(now)) {
             if (startsLeft == 0) {
--- a/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/ClaimedRoomTest.java
@@ -19,6 +19,9 @@
 
 /** Tests that claims on room neither block each other nor other tasks without need. */
 public class ClaimedRoomTest {
+    /** Back-off after the third failed start in a row. */
+    private static final Duration THIRD_BACK_OFF = Duration.ofMillis(500);
+
     private static final Step.Behaviour LONG_RUNNING = new Step.Behaviour("image", false, true, false, 50, 0);
     private static final Queue OTHER_QUEUE = new Queue("host", "/other/", "other", 0, 2, 2, Duration.ofSeconds(1));
 
@@ -195,6 +198,7 @@
         Order.Start run = startService(fixture, "service", 6000);
         for (int sequence = 1; sequence <= 3; sequence++) {
             fixture.report("w1", List.of(), List.of(SchedulerFixture.ended(sequence, run, EndKind.FAILED)));
+            fixture.time.advance(THIRD_BACK_OFF);
             run = fixture.starts().getFirst();
         }
         fixture.withWorkers("w2").setDraining("w1", true);
