Test the trial run of a job that fails elsewhere

Change: a test that such a run does not quarantine a worker again; comments on the stored health name the evidence instead of failures that count for 5 s.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
@@ -6,7 +6,7 @@
  * What an owner has observed and the next owner continues with. Immutable. Nothing in it permits a run to be started.
  *
  * @param sensitivities interference between images
- * @param health health of the workers with recent failures or quarantines
+ * @param health health of the workers that are suspected or have evidence against them
  * @param stalledRuns runs without recent progress
  */
 public record Estimates(List<Sensitivity> sensitivities, List<HealthRecord> health, List<StalledRun> stalledRuns) {
--- a/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
@@ -200,6 +200,29 @@
         assertEquals(second.starts().size(), 3, "fully used after a run has ended well");
     }
 
+    /** Guards against a sound worker that is quarantined again because its trial run is of a job that fails elsewhere. */
+    @Test
+    public void trialRunOfFaultyJobDoesNotQuarantine() {
+        SchedulerFixture fixture = owner(Duration.ZERO, Estimates.NONE);
+        fail(fixture, 1, SUSPICIOUS_FAILURES);
+        fixture.add(fixture.job("faulty", SchedulerFixture.step(9, 1000, Step.Behaviour.PLAIN)));
+        List<WorkerReport.Ended> ends = new ArrayList<>();
+        for (Order.Start start : fixture.starts()) {
+            ends.add(SchedulerFixture.ended(ends.size() + 1, start, EndKind.FAILED));
+        }
+        assertEquals(ends.size(), 8, "all on w2");
+        fixture.time.advance(FIRST_QUARANTINE);
+        fixture.report("w2", List.of(), List.of());
+        fixture.report("w1", List.of(), List.of());
+        fixture.scheduler.plan(0);
+        Order.Start trial = fixture.starts().getFirst();
+        assertEquals(trial.worker(), new WorkerId("w1"));
+        fixture.report("w2", List.of(), ends);
+        fixture.report(
+                "w1", List.of(), List.of(SchedulerFixture.ended(SUSPICIOUS_FAILURES + 1, trial, EndKind.FAILED)));
+        assertEquals(fixture.scheduler.plan().quarantined(), List.of());
+    }
+
     /** Guards against tasks that are tried on a suspected worker although another one has room. */
     @Test
     public void soundWorkerComesBeforeOneOnProbation() {
--- a/node/src/main/java/org/chestnutbarrow/node/EstimateSchedule.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimateSchedule.java
@@ -15,7 +15,7 @@
 final class EstimateSchedule {
     /** Time between two writes beside other changes; a new owner can measure sensitivities again in a few seconds. */
     private static final Duration INTERVAL = Duration.ofSeconds(2);
-    /** Time between two writes of changed health; failures count for 5 s. */
+    /** Time between two writes of changed health, in which a faulty worker may fail some runs. */
     private static final Duration HEALTH_INTERVAL = Duration.ofMillis(500);
 
     private final BatchScheduler scheduler;
