--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -58,6 +58,7 @@
      */
     void place(long now, int maxStarts) {
         startsLeft = maxStarts;
+        jobTable.endBackOffs(now);
         placeRestarted(now);
         for (Candidate candidate : candidates(now)) {
             if (startsLeft == 0) {
@@ -202,6 +203,7 @@
         int cpuLimitPercent = workerSelector.initialCpuLimitPercent(task, node);
         task.cpuLimitPercent = cpuLimitPercent;
         node.add(task);
+        node.taskStarted(task);
         jobTable.markChanged(job);
         String checkpoint = task.step.behaviour().checkpointing() ? task.checkpoint : "";
         jobTable.addOrder(new Order.Start(
