--- a/batch/src/test/java/org/chestnutbarrow/batch/SchedulerFixture.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/SchedulerFixture.java
@@ -1,7 +1,9 @@
 package org.chestnutbarrow.batch;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,11 +20,18 @@
     static final Queue QUEUE = new Queue("host", "/q/", "service", 0, 2, 2, Duration.ofSeconds(1));
     static final long INCARNATION = 1;
 
-    final ManualTime time = new ManualTime();
-    final BatchScheduler scheduler = new BatchScheduler(time);
+    final ManualTime time;
+    final BatchScheduler scheduler;
     final List<WorkerRegistration> workers = new ArrayList<>();
+    private final List<JobSpec> jobs = new ArrayList<>();
 
     SchedulerFixture() {
+        this(new ManualTime());
+    }
+
+    private SchedulerFixture(ManualTime time) {
+        this.time = time;
+        scheduler = new BatchScheduler(time);
         scheduler.configure(Map.of(QUEUE.key(), QUEUE));
     }
 
@@ -85,10 +94,32 @@
         return new JobSpec(new JobId(id), QUEUE, time.now(), "payload", List.of(steps));
     }
 
+    /** Returns the next owner of the same jobs and workers, to which no worker has reported yet. */
+    SchedulerFixture nextOwner(Map<JobId, JobProgress> storedProgress) {
+        SchedulerFixture next = new SchedulerFixture(time);
+        next.workers.addAll(workers);
+        next.scheduler.updateWorkers(workers);
+        for (JobSpec job : jobs) {
+            next.jobs.add(job);
+            next.scheduler.addJob(job, Optional.ofNullable(storedProgress.get(job.id())));
+        }
+        return next;
+    }
+
     void add(JobSpec job) {
+        jobs.add(job);
         scheduler.addJob(job, Optional.empty());
     }
 
+    /** Adds a job of one step whose tasks have run before and wait. */
+    void addWithEarlierRuns(JobSpec job) {
+        jobs.add(job);
+        List<TaskRecord> records =
+                Collections.nCopies(job.steps().getFirst().count(), new TaskRecord(false, 1, 0, "", Optional.empty()));
+        scheduler.addJob(
+                job, Optional.of(new JobProgress(job.id(), JobState.RUNNING, Instant.EPOCH, List.of(records))));
+    }
+
     /** Returns the starts in the next plan. */
     List<Order.Start> starts() {
         return starts(scheduler.plan());
--- a/batch/src/test/java/org/chestnutbarrow/batch/SimulatedWorkers.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/SimulatedWorkers.java
@@ -21,12 +21,13 @@
     /** A run in progress and when it ends by itself, in ns; {@link Long#MAX_VALUE} if it does not. */
     record Run(Order.Start order, long endsAt) {}
 
-    private final SchedulerFixture fixture;
+    private SchedulerFixture fixture;
     private final Random random;
     private final Duration maxRunTime;
     private final Map<WorkerId, Map<TaskName, Run>> runs = new HashMap<>();
     private final Map<WorkerId, List<Order.Stop>> stops = new HashMap<>();
     private final Map<WorkerId, Long> sequences = new HashMap<>();
+    private final Map<JobId, JobProgress> storedProgress = new HashMap<>();
     private int freshJobs;
     private int startedFreshJobs;
 
@@ -47,6 +48,7 @@
     /** Carries out the orders of a plan and returns its starts. */
     List<Order.Start> apply(Plan plan) {
         long now = fixture.time.nanos();
+        plan.changes().forEach(progress -> storedProgress.put(progress.id(), progress));
         for (Order order : plan.orders()) {
             switch (order) {
                 case Order.Start start -> {
@@ -141,6 +143,12 @@
         return SchedulerFixture.ended(sequences.merge(worker, 1L, Long::sum), order, kind);
     }
 
+    /** Continues with the next owner, which restores what this one has stored, and returns its fixture. */
+    SchedulerFixture changeOwner() {
+        fixture = fixture.nextOwner(storedProgress);
+        return fixture;
+    }
+
     /** Ends a worker with all its runs and expires their leases. */
     void lose(WorkerId worker) {
         runs.remove(worker);
