Bound how much lost tasks claim instead of whether they claim

Cause: RoomClaims gave no claim to tasks that were lost with their worker, or that move from a draining one, while long-running tasks hold over 92 % of the service. Lost tasks were taken in the order of restore after a change of the owner, and first runs of long-running tasks took room while lost tasks waited. Change: over 92 % waiting tasks may claim a sixteenth of the service, longest wait first, and one that is beyond the bound keeps later ones from passing it. Moves have their own bound and their own searches. First runs of long-running tasks wait for lost tasks that some worker can free room for.

--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -27,7 +28,7 @@
     private final List<Order> orders = new ArrayList<>();
     private final List<Plan.SetAsideJob> setAsideJobs = new ArrayList<>();
     private final Set<JobEntry> waitingJobs = new LinkedHashSet<>();
-    /** Long-running tasks that must run again, earliest released first, and possibly some that have been placed since. */
+    /** Long-running tasks that must run again, and possibly some that have been placed since. */
     private final SequencedSet<TaskEntry> restartedTasks = new LinkedHashSet<>();
 
     private Map<String, Queue> queues = Map.of();
@@ -119,10 +120,17 @@
         }
     }
 
-    /** Returns the long-running tasks that have run before and wait for a worker, earliest released first. */
+    /**
+     * Returns the long-running tasks that have run before and wait for a worker, those that have waited longest first,
+     * also under earlier owners.
+     */
     List<TaskEntry> restartedTasks() {
         restartedTasks.removeIf(task -> task.done || task.assignedNode != null || !task.job.isPlaceable());
-        return List.copyOf(restartedTasks);
+        long now = time.nanos();
+        return restartedTasks.stream()
+                .sorted(Comparator.comparing((TaskEntry task) -> task.job.waited(task, now))
+                        .reversed())
+                .toList();
     }
 
     /** Marks a job as running because a worker has confirmed or listed one of its runs. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -20,9 +20,10 @@
  * {@link BatchScheduler}.
  *
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
- * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims beyond
- * the room that is free now hold a bounded share of their service, or are one, and leave another share of it to short
- * tasks.
+ * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims of
+ * waiting tasks beyond the room that is free now hold a bounded share of their service, or are one, and so do those of
+ * tasks that move. The share of waiting tasks is smaller while little is left to short tasks, and never zero, so that
+ * each task gets its turn.
  */
 final class RoomClaims {
     /**
@@ -30,14 +31,18 @@
      * does not keep all short tasks waiting. A single claim may hold more.
      */
     private static final double MAX_CLAIMED_SHARE = 0.125;
-    /** The same for tasks that move, whose runs still go on. */
+    /** The same for tasks that move, whose runs still go on; counted apart, since their notice is short. */
     private static final double MAX_CLAIMED_SHARE_FOR_MOVES = MAX_CLAIMED_SHARE / 2;
-    /** Share of the CPU capacity of a service that claims and long-running tasks leave to short tasks. */
+    /** The same for waiting tasks while claims and long-running tasks leave less than this to short tasks. */
+    private static final double MAX_CLAIMED_SHARE_OF_FULL_SERVICE = MAX_CLAIMED_SHARE / 2;
+
     private static final double SHORT_TASK_SHARE = 0.08;
     /** Run times are estimates, so a better worker may be found for a claim of this age. */
     private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(2);
     /** Bound on the searches for each plan; each examines all workers of a service. */
     private static final int MAX_SEARCHES = 16;
+    /** The same for tasks that move, whose claims are made between two plans. */
+    private static final int MAX_SEARCHES_FOR_MOVES = 4;
 
     private static final int FINISHED_PERCENT = 100;
 
@@ -46,15 +51,22 @@
     /** Claims by task, earliest made first. */
     private final SequencedMap<TaskEntry, Claim> claims = new LinkedHashMap<>();
 
-    private final Map<String, Long> claimedMilliCoresByService = new HashMap<>();
+    private final Map<ClaimantGroup, Long> claimedMilliCores = new HashMap<>();
     /** Services with a task that waits until claims of others have been met. */
     private final Set<String> servicesAtBound = new HashSet<>();
 
     private final List<Plan.Claim> newClaims = new ArrayList<>();
     private int searchesLeft = MAX_SEARCHES;
+    private int searchesLeftForMoves = MAX_SEARCHES_FOR_MOVES;
 
-    /** A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns. */
-    private record Claim(WorkerNode worker, int run, long searchedAt) {}
+    /**
+     * A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns, and
+     * {@code moves} whether the earlier run went on when the claim was made.
+     */
+    private record Claim(WorkerNode worker, int run, boolean moves, long searchedAt) {}
+
+    /** The claims that share a bound: those of tasks that move, or of the others, on the workers of a service. */
+    private record ClaimantGroup(String service, boolean moves) {}
 
     RoomClaims(WorkerSelector workerSelector, WorkerIndex index) {
         this.workerSelector = workerSelector;
@@ -67,16 +79,38 @@
      */
     void review(long now) {
         searchesLeft = MAX_SEARCHES;
+        searchesLeftForMoves = MAX_SEARCHES_FOR_MOVES;
         servicesAtBound.clear();
         List.copyOf(claims.sequencedKeySet().reversed()).forEach(task -> validClaim(task, now));
     }
 
     /**
      * Returns whether a task that waits comes before short tasks: it has a claim, its last run was not lost with its
-     * worker, so that it left room or was stopped to move it, or its service still leaves short tasks their share.
+     * worker, so that it left room or was stopped to move it, or its claim would be within the bound. Tasks are asked
+     * about in the order of their waits, so that one beyond the bound keeps later ones from passing it.
      */
-    boolean comesFirst(TaskEntry task) {
-        return task.endedInTouch || claims.containsKey(task) || leavesShortTaskShare(task);
+    boolean comesFirst(TaskEntry task, long now) {
+        if (task.endedInTouch || claims.containsKey(task)) {
+            return true;
+        }
+        String service = task.job.policy.service();
+        if (servicesAtBound.contains(service)) {
+            return leavesShortTaskShare(task);
+        }
+        if (!leavesShortTaskShare(task) && !isWithinBound(task, service)) {
+            if (workerSelector.mayClaim(task, now)) {
+                servicesAtBound.add(service);
+            }
+            return false;
+        }
+        return true;
+    }
+
+    /** Returns whether a task was lost with its worker and waits for room that a worker can free for it. */
+    boolean awaitsRoomAfterLoss(TaskEntry task, long now) {
+        return task.assignedNode == null
+                && !task.endedInTouch
+                && (claims.containsKey(task) || workerSelector.mayClaim(task, now));
     }
 
     private boolean leavesShortTaskShare(TaskEntry task) {
@@ -135,7 +169,7 @@
     void release(TaskEntry task) {
         Claim claim = claims.remove(task);
         if (claim != null) {
-            addClaimed(claim.worker(), -task.step.reservation().milliCores());
+            addClaimed(claim, -task.step.reservation().milliCores());
             claim.worker().removeClaim(task);
         }
     }
@@ -156,8 +190,9 @@
 
     private void put(TaskEntry task, WorkerNode worker, long now) {
         release(task);
-        claims.put(task, new Claim(worker, task.run, now));
-        addClaimed(worker, task.step.reservation().milliCores());
+        Claim claim = new Claim(worker, task.run, task.assignedNode != null, now);
+        claims.put(task, claim);
+        addClaimed(claim, task.step.reservation().milliCores());
         worker.addClaim(task);
     }
 
@@ -167,8 +202,9 @@
         newClaims.add(new Plan.Claim(task.name, worker.id(), task.step.demand().milliCores(), waited));
     }
 
-    private void addClaimed(WorkerNode worker, long milliCores) {
-        claimedMilliCoresByService.merge(worker.registration.service(), milliCores, Long::sum);
+    private void addClaimed(Claim claim, long milliCores) {
+        ClaimantGroup group = new ClaimantGroup(claim.worker().registration.service(), claim.moves());
+        claimedMilliCores.merge(group, milliCores, Long::sum);
     }
 
     /** Returns the claim of a task, or null if it has none or its claim had to be released. */
@@ -206,10 +242,9 @@
         String service = task.job.policy.service();
         boolean waits = task.assignedNode == null;
         boolean withinBound = isWithinBound(task, service);
-        if (searchesLeft == 0
-                || servicesAtBound.contains(service)
+        if (searchesLeft(task) == 0
+                || (waits && servicesAtBound.contains(service))
                 || (!withinBound && !waits)
-                || !leavesShortTaskShare(task)
                 || !workerSelector.mayClaim(task, now)) {
             return;
         }
@@ -225,14 +260,26 @@
     }
 
     private boolean isWithinBound(TaskEntry task, String service) {
-        double share = task.assignedNode == null ? MAX_CLAIMED_SHARE : MAX_CLAIMED_SHARE_FOR_MOVES;
-        long claimed = claimedMilliCoresByService.getOrDefault(service, 0L);
+        boolean moves = task.assignedNode != null;
+        long claimed = claimedMilliCores.getOrDefault(new ClaimantGroup(service, moves), 0L);
         long wanted = claimed + task.step.reservation().milliCores();
-        return claimed == 0 || wanted <= share * index.pool(service).capacityMilliCores();
+        return claimed == 0
+                || wanted <= maxClaimedShare(task, moves) * index.pool(service).capacityMilliCores();
+    }
+
+    private double maxClaimedShare(TaskEntry task, boolean moves) {
+        if (moves) {
+            return MAX_CLAIMED_SHARE_FOR_MOVES;
+        }
+        return leavesShortTaskShare(task) ? MAX_CLAIMED_SHARE : MAX_CLAIMED_SHARE_OF_FULL_SERVICE;
+    }
+
+    private int searchesLeft(TaskEntry task) {
+        return task.assignedNode == null ? searchesLeft : searchesLeftForMoves;
     }
 
     private void moveIfSooner(TaskEntry task, Claim claim, long now) {
-        if (searchesLeft == 0) {
+        if (searchesLeft(task) == 0) {
             return;
         }
         Optional<Duration> current = timeUntilRoom(claim.worker(), Resources.NONE, now);
@@ -240,7 +287,7 @@
         if (room != null && (current.isEmpty() || room.time().compareTo(current.get()) < 0)) {
             putOnLaterRoom(task, room.worker(), now);
         } else {
-            claims.put(task, new Claim(claim.worker(), claim.run(), now));
+            claims.put(task, new Claim(claim.worker(), claim.run(), claim.moves(), now));
         }
     }
 
@@ -249,7 +296,11 @@
 
     /** Returns the worker that is expected to have room for a task first, or null if none is. */
     private LaterRoom soonestRoom(TaskEntry task, long now) {
-        searchesLeft--;
+        if (task.assignedNode == null) {
+            searchesLeft--;
+        } else {
+            searchesLeftForMoves--;
+        }
         LaterRoom soonest = null;
         for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
             if (!workerSelector.couldClaim(task, worker, now)) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -28,6 +29,8 @@
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
     private final TimeSource time;
+    /** Services in which first runs of long-running tasks wait, because a lost task awaits room. */
+    private final Set<String> servicesWithLostTasks = new HashSet<>();
     /** Number of tasks that the current plan may still start. */
     private int startsLeft;
 
@@ -73,10 +76,12 @@
 
     /**
      * Places the long-running tasks that must run again and come first, or claims room for them, and the other tasks for
-     * which room is kept, before any task of a more urgent job. The others come in the order of the jobs.
+     * which room is kept, before any task of a more urgent job. The others come in the order of the jobs. First runs of
+     * long-running tasks wait for those that were lost with their worker, which would otherwise find less room.
      */
     private void placeRestarted(long now) {
         roomClaims.review(now);
+        servicesWithLostTasks.clear();
         Set<TaskEntry> tasks = new LinkedHashSet<>(jobTable.restartedTasks());
         tasks.addAll(roomClaims.waitingClaimants());
         for (TaskEntry task : tasks) {
@@ -92,13 +97,19 @@
     }
 
     private void placeRestarted(TaskEntry task, long now) {
-        if (!task.job.isReady(task.name.step()) || !roomClaims.comesFirst(task)) {
-            return;
-        }
-        if (task.failedStarts >= MAX_FAILED_STARTS) {
+        if (!task.job.isReady(task.name.step()) || task.failedStarts >= MAX_FAILED_STARTS) {
             roomClaims.release(task);
             return;
         }
+        if (roomClaims.comesFirst(task, now)) {
+            startOrClaim(task, now);
+        }
+        if (roomClaims.awaitsRoomAfterLoss(task, now)) {
+            servicesWithLostTasks.add(task.job.policy.service());
+        }
+    }
+
+    private void startOrClaim(TaskEntry task, long now) {
         WorkerNode node = roomClaims.workerWithRoom(task, now);
         if (node == null) {
             roomClaims.claimLaterRoom(task, now);
@@ -115,6 +126,10 @@
         }
     }
 
+    private boolean mayStartFirstRuns(JobEntry job, int step) {
+        return !job.spec.steps().get(step).longRunning() || !servicesWithLostTasks.contains(job.policy.service());
+    }
+
     /** Returns the jobs with a task that some worker may be able to take, most urgent first. */
     private List<Candidate> candidates(long now) {
         long nowMs = time.now().toEpochMilli();
@@ -143,7 +158,7 @@
     }
 
     private boolean hasPlaceableTask(JobEntry job, int step, long now) {
-        TaskEntry first = nextWaiting(job, step, 0, true);
+        TaskEntry first = nextWaiting(job, step, 0, mayStartFirstRuns(job, step));
         if (first == null || workerSelector.mayFit(first, now)) {
             return first != null;
         }
@@ -155,8 +170,8 @@
     }
 
     private void place(JobEntry job, int step, long now) {
-        boolean firstRunsFit = true;
-        for (TaskEntry task = nextWaiting(job, step, 0, true);
+        boolean firstRunsFit = mayStartFirstRuns(job, step);
+        for (TaskEntry task = nextWaiting(job, step, 0, firstRunsFit);
                 task != null && startsLeft > 0;
                 task = nextWaiting(job, step, task.name.index() + 1, firstRunsFit)) {
             WorkerNode node = workerSelector.select(task, now);
