Keep the last place of each size for short tasks on a full service

Change: beyond 92 % of a service, a task claims only if a second worker could keep room for it; the search is made once for each requirement and plan. First runs wait only for lost tasks without a claim. Tasks of steps that are not ready are not sorted by their wait.

--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -150,13 +150,14 @@
     }
 
     /**
-     * Returns the long-running tasks that have run before and wait for a worker, those that have waited longest first,
-     * also under earlier owners.
+     * Returns the long-running tasks of ready steps that have run before and wait for a worker, those that have waited
+     * longest first, also under earlier owners.
      */
     List<TaskEntry> restartedTasks() {
         restartedTasks.removeIf(task -> task.done || task.assignedNode != null || !task.job.isPlaceable());
         long now = time.nanos();
         return restartedTasks.stream()
+                .filter(task -> task.job.isReady(task.name.step()))
                 .sorted(Comparator.comparing((TaskEntry task) -> task.job.waited(task, now))
                         .reversed())
                 .toList();
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -22,8 +22,8 @@
  * <p>Invariants: a task has at most one claim, on a worker that accepts it; the claims on a worker and its long-running
  * tasks that go on fit its capacity together when a claim is made and each time the claims are reviewed; claims of
  * waiting tasks beyond the room that is free now hold a bounded share of their service, or are one, and so do those of
- * tasks that move. The share of waiting tasks is smaller while little is left to short tasks, and never zero, so that
- * each task gets its turn.
+ * tasks that move. While claims and long-running tasks leave little to short tasks, that share is smaller, and only tasks
+ * for which a second worker could keep room claim any.
  */
 final class RoomClaims {
     /**
@@ -33,9 +33,9 @@
     private static final double MAX_CLAIMED_SHARE = 0.125;
     /** The same for tasks that move, whose runs still go on; counted apart, since their notice is short. */
     private static final double MAX_CLAIMED_SHARE_FOR_MOVES = MAX_CLAIMED_SHARE / 2;
-    /** The same for waiting tasks while claims and long-running tasks leave less than this to short tasks. */
+    /** The same for waiting tasks while less than {@link #SHORT_TASK_SHARE} is left to short tasks. */
     private static final double MAX_CLAIMED_SHARE_OF_FULL_SERVICE = MAX_CLAIMED_SHARE / 2;
-
+    /** Share of the CPU capacity of a service below which long-running tasks and claims leave little to short tasks. */
     private static final double SHORT_TASK_SHARE = 0.08;
     /** Run times are estimates, so a better worker may be found for a claim of this age. */
     private static final Duration REVIEW_INTERVAL = Duration.ofSeconds(2);
@@ -55,6 +55,9 @@
     /** Services with a task that waits until claims of others have been met. */
     private final Set<String> servicesAtBound = new HashSet<>();
 
+    /** Whether a second worker could take the tasks with a requirement, as found since the last claim of this plan. */
+    private final Map<Requirement, Boolean> leavesPlaceByRequirement = new HashMap<>();
+
     private final List<Plan.Claim> newClaims = new ArrayList<>();
     private int searchesLeft = MAX_SEARCHES;
     private int searchesLeftForMoves = MAX_SEARCHES_FOR_MOVES;
@@ -81,36 +84,58 @@
         searchesLeft = MAX_SEARCHES;
         searchesLeftForMoves = MAX_SEARCHES_FOR_MOVES;
         servicesAtBound.clear();
+        leavesPlaceByRequirement.clear();
         List.copyOf(claims.sequencedKeySet().reversed()).forEach(task -> validClaim(task, now));
     }
 
     /**
      * Returns whether a task that waits comes before short tasks: it has a claim, its last run was not lost with its
-     * worker, so that it left room or was stopped to move it, or its claim would be within the bound. Tasks are asked
-     * about in the order of their waits, so that one beyond the bound keeps later ones from passing it.
+     * worker, so that it left room or was stopped to move it, or it may claim room. Tasks are asked about in the order of
+     * their waits, so that one beyond the bound keeps later ones from passing it.
      */
     boolean comesFirst(TaskEntry task, long now) {
-        if (task.endedInTouch || claims.containsKey(task)) {
+        if (task.endedInTouch || claims.containsKey(task) || leavesShortTaskShare(task)) {
             return true;
         }
         String service = task.job.policy.service();
-        if (servicesAtBound.contains(service)) {
-            return leavesShortTaskShare(task);
+        if (servicesAtBound.contains(service) || !workerSelector.mayClaim(task, now)) {
+            return false;
         }
-        if (!leavesShortTaskShare(task) && !isWithinBound(task, service)) {
-            if (workerSelector.mayClaim(task, now)) {
-                servicesAtBound.add(service);
-            }
+        if (!isWithinBound(task, service)) {
+            servicesAtBound.add(service);
             return false;
         }
-        return true;
+        return leavesPlace(task, now);
     }
 
-    /** Returns whether a task was lost with its worker and waits for room that a worker can free for it. */
-    boolean awaitsRoomAfterLoss(TaskEntry task, long now) {
+    /** Returns whether a second worker could keep room for a task, so that the task leaves as much to short tasks. */
+    private boolean leavesPlace(TaskEntry task, long now) {
+        Requirement requirement = workerSelector.requirement(task);
+        Boolean known = leavesPlaceByRequirement.get(requirement);
+        if (known != null || searchesLeft(task) == 0) {
+            return Boolean.TRUE.equals(known);
+        }
+        countSearch(task);
+        int places = 0;
+        for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
+            places += workerSelector.couldClaim(task, worker, now) ? 1 : 0;
+            if (places > 1) {
+                break;
+            }
+        }
+        leavesPlaceByRequirement.put(requirement, places > 1);
+        return places > 1;
+    }
+
+    /**
+     * Returns whether a task was lost with its worker and waits for room that a worker can free for it and that is not
+     * kept for it yet.
+     */
+    boolean awaitsClaimAfterLoss(TaskEntry task, long now) {
         return task.assignedNode == null
                 && !task.endedInTouch
-                && (claims.containsKey(task) || workerSelector.mayClaim(task, now));
+                && !claims.containsKey(task)
+                && workerSelector.mayClaim(task, now);
     }
 
     private boolean leavesShortTaskShare(TaskEntry task) {
@@ -192,6 +217,7 @@
         release(task);
         Claim claim = new Claim(worker, task.run, task.assignedNode != null, now);
         claims.put(task, claim);
+        leavesPlaceByRequirement.clear();
         addClaimed(claim, task.step.reservation().milliCores());
         worker.addClaim(task);
     }
@@ -245,7 +271,8 @@
         if (searchesLeft(task) == 0
                 || (waits && servicesAtBound.contains(service))
                 || (!withinBound && !waits)
-                || !workerSelector.mayClaim(task, now)) {
+                || !workerSelector.mayClaim(task, now)
+                || (!leavesShortTaskShare(task) && !leavesPlace(task, now))) {
             return;
         }
         LaterRoom room = soonestRoom(task, now);
@@ -278,6 +305,14 @@
         return task.assignedNode == null ? searchesLeft : searchesLeftForMoves;
     }
 
+    private void countSearch(TaskEntry task) {
+        if (task.assignedNode == null) {
+            searchesLeft--;
+        } else {
+            searchesLeftForMoves--;
+        }
+    }
+
     private void moveIfSooner(TaskEntry task, Claim claim, long now) {
         if (searchesLeft(task) == 0) {
             return;
@@ -296,11 +331,7 @@
 
     /** Returns the worker that is expected to have room for a task first, or null if none is. */
     private LaterRoom soonestRoom(TaskEntry task, long now) {
-        if (task.assignedNode == null) {
-            searchesLeft--;
-        } else {
-            searchesLeftForMoves--;
-        }
+        countSearch(task);
         LaterRoom soonest = null;
         for (WorkerNode worker : index.pool(task.job.policy.service()).all()) {
             if (!workerSelector.couldClaim(task, worker, now)) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -29,7 +29,7 @@
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
     private final TimeSource time;
-    /** Services in which first runs of long-running tasks wait, because a lost task awaits room. */
+    /** Services in which first runs of long-running tasks wait, because a lost task awaits a claim. */
     private final Set<String> servicesWithLostTasks = new HashSet<>();
     /** Number of tasks that the current plan may still start. */
     private int startsLeft;
@@ -105,7 +105,7 @@
         if (roomClaims.comesFirst(task, now)) {
             startOrClaim(task, now);
         }
-        if (roomClaims.awaitsRoomAfterLoss(task, now)) {
+        if (roomClaims.awaitsClaimAfterLoss(task, now)) {
             servicesWithLostTasks.add(task.job.policy.service());
         }
     }
