End the probation of workers with their trial run

A worker whose trial run was a long-running task kept it as its trial and got no task after its next suspicion. After an outage of all workers each got one run at a time for as long as that run took. Two runs were stopped to move to one worker on probation. The next owner let in a second trial run. Change: a trial run that is ready no longer counts; one that has gone on for 5 s ends the probation, since faulty workers fail runs within 1 to 5 s. Moves use sound workers only. A run of an earlier owner may be the trial run.

--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -83,6 +83,7 @@
             } else if (task.inherited) {
                 task.inherited = false;
                 task.startSettledAt = Math.max(1, now);
+                node.runInherited(task, now);
             }
         }
     }
@@ -94,6 +95,7 @@
                 // A run that was presumed lost is still alive and is reassigned to its worker.
                 node.add(task);
                 task.startSettledAt = Math.max(1, now);
+                node.runInherited(task, now);
                 jobTable.markChanged(task.job);
             } else if (task != null && task.job.hasUnknownRuns()) {
                 return null;
@@ -132,6 +134,7 @@
     private static void recordProgress(WorkerNode node, TaskEntry task, WorkerReport.Running run, long now) {
         boolean wasAtWork = task.isAtWork();
         task.progressReported(run);
+        node.runListed(task, now);
         if (task.step.longRunning() && !wasAtWork && task.isAtWork() && !task.inherited) {
             node.recordSuccess(now, task.job);
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -147,9 +147,10 @@
     /** Returns a worker that has room for the task now, its claimed one first, or null if there is none. */
     WorkerNode workerWithRoom(TaskEntry task, long now) {
         Claim claim = validClaim(task, now);
-        return claim != null && claim.worker().hasRoomForClaim(task)
-                ? claim.worker()
-                : workerSelector.select(task, now);
+        if (claim != null && claim.worker().hasRoomForClaim(task)) {
+            return claim.worker();
+        }
+        return task.assignedNode == null ? workerSelector.select(task, now) : workerSelector.selectElsewhere(task, now);
     }
 
     /** Keeps room for the next run of a task on a worker that {@link #workerWithRoom} has returned. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -218,7 +218,7 @@
         int cpuLimitPercent = workerSelector.initialCpuLimitPercent(task, node);
         task.cpuLimitPercent = cpuLimitPercent;
         node.add(task);
-        node.taskStarted(task);
+        node.taskStarted(task, now);
         jobTable.markChanged(job);
         String checkpoint = task.step.behaviour().checkpointing() ? task.checkpoint : "";
         jobTable.addOrder(new Order.Start(
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerHealth.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerHealth.java
@@ -106,12 +106,20 @@
                 return false;
             }
             case OnProbation _ -> {
-                setState(new Sound(0));
-                return true;
+                return endProbation();
             }
         }
     }
 
+    /** Ends the probation, if the worker is on probation, and returns whether it has ended. */
+    boolean endProbation() {
+        if (!(state instanceof OnProbation)) {
+            return false;
+        }
+        setState(new Sound(0));
+        return true;
+    }
+
     /** Begins the probation if the worker is quarantined and the time has come, and returns whether it has begun. */
     boolean endQuarantine(long now) {
         return state instanceof Quarantined(long until) && now - until >= 0 && cutQuarantineShort();
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -19,6 +19,8 @@
 
     /** A worker whose next report is late by this time gets no new tasks. */
     private static final Duration MAX_REPORT_DELAY = Duration.ofSeconds(1);
+    /** A faulty worker fails runs within 1 to 5 s; a longer trial would keep the other room of a sound worker unused. */
+    private static final Duration MAX_TRIAL = Duration.ofSeconds(5);
     /** Silence assumed for a worker before its first response, so that it counts as unresponsive. */
     private static final Duration INITIAL_SILENCE = Duration.ofHours(1);
 
@@ -67,6 +69,8 @@
 
     /** The task that this worker got on probation and that is still assigned to it; null if there is none. */
     private TaskEntry trial;
+    /** When the trial run began as far as this owner knows, in ns. */
+    private long trialBeganAt;
 
     private record StepKey(JobId job, int step) {}
 
@@ -179,9 +183,24 @@
     }
 
     /** Records that a task which this worker has just got is started. */
-    void taskStarted(TaskEntry task) {
+    void taskStarted(TaskEntry task, long now) {
         if (!health.isSound()) {
             trial = task;
+            trialBeganAt = now;
+        }
+    }
+
+    /** Records a run that this owner has not started or had given up; the first that is not ready may be the trial run. */
+    void runInherited(TaskEntry task, long now) {
+        if (trial == null && !task.isAtWork()) {
+            taskStarted(task, now);
+        }
+    }
+
+    /** Records that a run goes on. A trial run that has gone on for {@link #MAX_TRIAL} ends the probation. */
+    void runListed(TaskEntry task, long now) {
+        if (trial == task && now - trialBeganAt >= MAX_TRIAL.toNanos() && health.endProbation()) {
+            index.healthChanged(this);
         }
     }
 
@@ -209,7 +228,7 @@
         return switch (health.state()) {
             case WorkerHealth.Sound _ -> true;
             case WorkerHealth.Quarantined _ -> false;
-            case WorkerHealth.OnProbation _ -> trial == null;
+            case WorkerHealth.OnProbation _ -> trial == null || trial.isAtWork();
         };
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -72,14 +72,18 @@
         return mayFit(equivalenceClass(task), now);
     }
 
-    /** Returns the best worker for the task other than the assigned one, or null if no other one can take it. */
+    /** Returns the best sound worker for the task other than the assigned one, or null if no other one can take it. */
     WorkerNode selectElsewhere(TaskEntry task, long now) {
         EquivalenceClass equivalenceClass = equivalenceClass(task);
         if (!mayFit(equivalenceClass, now)) {
             return null;
         }
-        WorkerNode best = bestWorker(task, equivalenceClass.requirement, worker -> worker != task.assignedNode, now);
-        if (best == null && !isFeasible(task.assignedNode, equivalenceClass.requirement, now)) {
+        Requirement requirement = equivalenceClass.requirement;
+        WorkerNode best = bestSoundWorker(
+                task, requirement, worker -> worker.health.isSound() && worker != task.assignedNode, now);
+        if (best == null
+                && index.pool(requirement.service()).onProbation().isEmpty()
+                && !isFeasible(task.assignedNode, requirement, now)) {
             equivalenceClass.markInfeasible(index.latestChange());
         }
         return best;
