Place a task whose run failed on another worker

A task that failed at its start on a faulty worker was started there again and again while others were empty, because best fit prefers it, and the failures were blamed on its job: two such tasks were still there after 30 s and 24 failed starts. A new owner took one failure in 40 runs of each task for a job that fails always. Change: the worker on which the last run of a task failed comes last; a stored task counts against its job only if most of its runs failed. The comment on quarantined workers in WaitReason names probation.

--- a/batch/src/main/java/org/chestnutbarrow/batch/JobOutcomes.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobOutcomes.java
@@ -33,10 +33,11 @@
         failures += failed ? 1 : 0;
     }
 
-    /** Records what is known of the runs of a task under earlier owners, lost ones aside. */
+    /** Records what is known of the runs of a task under earlier owners: whether most of them failed. */
     void restore(TaskRecord task) {
-        if (task.failures() > 0 || task.done()) {
-            record(task.failures() > 0, FailureRates.PRIOR_RATE);
+        boolean mostFailed = task.failures() > task.run() / 2;
+        if (mostFailed || task.done()) {
+            record(mostFailed, FailureRates.PRIOR_RATE);
         }
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -207,6 +207,7 @@
         task.failures++;
         if (!stopOrdered) {
             node.recordFailure(now, task.job);
+            task.failedOn = node;
             task.failedStarts += wasAtWork ? 0 : 1;
             // Under an earlier owner, an inherited run may have been ready.
             if (task.step.longRunning() && !wasAtWork && !inherited) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -62,6 +62,8 @@
     BaselineHeadroom baseline = new BaselineHeadroom();
 
     long progressedAt;
+    /** Worker on which the last run failed, if it did under this owner and no run has got ready since. */
+    WorkerNode failedOn;
     /** Whether this owner has released the last run while its worker was listed and answered. */
     boolean endedInTouch;
     /** When a report listed the latest run last, in ns. */
@@ -100,6 +102,7 @@
         loadMetric = report.loadMetric();
         if (isAtWork()) {
             failedStarts = 0;
+            failedOn = null;
         }
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
@@ -54,6 +54,7 @@
         /** Its availability zone is evacuated. */
         EVACUATED,
         UNRESPONSIVE,
+        /** It is quarantined, or on probation with a trial run. */
         QUARANTINED,
         /** It has as many tasks of the step as it may have. */
         SPREAD,
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -45,13 +45,19 @@
         return examinedWorkers;
     }
 
-    /** Returns the best worker for the task, or null if no worker can take it. */
+    /**
+     * Returns the best worker for the task, or null if no worker can take it. The worker on which its last run failed
+     * comes last, because it may be faulty.
+     */
     WorkerNode select(TaskEntry task, long now) {
         EquivalenceClass equivalenceClass = equivalenceClass(task);
         if (!mayFit(equivalenceClass, now)) {
             return null;
         }
-        WorkerNode best = bestWorker(task, equivalenceClass.requirement, _ -> true, now);
+        WorkerNode best = bestWorker(task, equivalenceClass.requirement, worker -> worker != task.failedOn, now);
+        if (best == null && task.failedOn != null) {
+            best = bestWorker(task, equivalenceClass.requirement, _ -> true, now);
+        }
         if (best == null) {
             equivalenceClass.markInfeasible(index.latestChange());
         }
