Expire workers without a lease in the simulation of owners

The simulation took workers to expire only from the leases that it had seen, while LeaseTracker of a node starts with all incarnations that have runs and have not reported. Change: a new owner of the simulation waits for those too. The checks and bounds are unchanged.

--- a/batch/src/test/java/org/chestnutbarrow/batch/OwnerChangeSimulation.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/OwnerChangeSimulation.java
@@ -226,6 +226,8 @@
         specs.values().forEach(this::addIfVisible);
         // The list may change between the first reading and the first contact.
         updateWorkers();
+        // As the lease tracker of a node, also those to which a start was stored and never sent.
+        owner.scheduler.unconfirmedIncarnations().forEach(key -> leases.putIfAbsent(key, time.nanos()));
         leases.keySet().forEach(key -> owner.lastAnswers.put(key, time.nanos()));
     }
 
