--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds the platform node and a minimal Java runtime for it into target/. Nodes may run from target/ meanwhile: files are
-# replaced by renaming, because a JVM that runs from a file that is overwritten in place crashes.
+# replaced by renaming, so that no node finds one missing or incomplete.
 set -euo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
 . ./jdk.sh
