Quarantine a worker that fails several runs of each job

Cause: each failure of a job was recorded as evidence against the job, also if all were on one worker. A worker that failed all runs of jobs of four tasks was quarantined after 16 failures instead of 8 at most. Change: up to four failures of a job in a row on one worker count as one observation of the job. Their evidence against the worker stays below the threshold, so that a single job still does not make a worker suspected.

--- a/batch/src/main/java/org/chestnutbarrow/batch/JobOutcomes.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobOutcomes.java
@@ -14,14 +14,36 @@
     private static final double MAX_RUNS = 64;
     /** Bounds the certainty, so that a few ends in a row can change it. */
     private static final double MAX_LOG_ODDS = 6;
+    /** Few enough that the failures of a single job do not make its worker suspected. */
+    private static final int MAX_FAILURES_AS_ONE = 4;
 
     private double runs;
     private double failures;
     /** Logarithm of the odds that the job itself is at fault. */
     private double logOdds = Math.log(FAULTY_SHARE / (1 - FAULTY_SHARE));
+    /** Worker of the last failure; null before the first. */
+    private WorkerNode failedOn;
+    /** Number of latest failures that were on that worker. */
+    private int failuresInRow;
 
-    /** Records the end of a run, given the failure rate of the service. */
-    void record(boolean failed, double serviceRate) {
+    /** Records a run that has ended well or got ready, given the failure rate of the service. */
+    void recordSuccess(double serviceRate) {
+        record(false, serviceRate);
+    }
+
+    /**
+     * Records a failed run, given the failure rate of the service. A few failures in a row on one worker count as one,
+     * because a faulty worker fails all runs of a job.
+     */
+    void recordFailure(WorkerNode worker, double serviceRate) {
+        failuresInRow = worker == failedOn ? failuresInRow + 1 : 1;
+        failedOn = worker;
+        if (failuresInRow == 1 || failuresInRow > MAX_FAILURES_AS_ONE) {
+            record(true, serviceRate);
+        }
+    }
+
+    private void record(boolean failed, double serviceRate) {
         double soundRate = rateOfSoundJob(serviceRate);
         double ratio = failed ? rateOfFaultyJob() / soundRate : (1 - rateOfFaultyJob()) / (1 - soundRate);
         logOdds = Math.clamp(logOdds + Math.log(ratio), -MAX_LOG_ODDS, MAX_LOG_ODDS);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -154,7 +154,7 @@
     void recordFailure(long now, JobEntry job) {
         double expectedRate = index.failureRates().expected(this, job, now);
         if (health.isSound()) {
-            job.outcomes.record(true, index.failureRates().ofOtherWorkers(this, now));
+            job.outcomes.recordFailure(this, index.failureRates().ofOtherWorkers(this, now));
             index.failureRates().record(this, true, now);
         }
         recordFailure(now, expectedRate);
@@ -173,7 +173,7 @@
 
     /** Records a run of a job that has ended well or got ready. */
     void recordSuccess(long now, JobEntry job) {
-        job.outcomes.record(false, index.failureRates().ofOtherWorkers(this, now));
+        job.outcomes.recordSuccess(index.failureRates().ofOtherWorkers(this, now));
         if (health.isSound()) {
             index.failureRates().record(this, false, now);
         }
