Await the leases that a restarted worker granted to misdirected calls

Cause: calls name a worker by its id. What an owner sends to an incarnation that has restarted is carried out by the next one, for which the expiry time in it is far ahead, so it grants the longest lease (10 s instead of 4). The bound on leases was noted for the earlier incarnation only, and dropped with it once the list showed the later one. If the later one then fell silent, its tasks were started elsewhere while they still ran: TWICE. A new owner knew nothing of it at all. Change: LeaseTracker awaits such leases, for an incarnation that replaces another in this term from the replacement on, and under a new owner from the time at which the incarnation started. Calls may be carried out 5 s after they were sent.

--- a/node/src/main/java/org/chestnutbarrow/node/LeaseTimes.java
+++ b/node/src/main/java/org/chestnutbarrow/node/LeaseTimes.java
@@ -11,6 +11,11 @@
     /** Added to computed expiry times to allow for transmission and timer delays. */
     private static final Duration EXPIRY_MARGIN = Duration.ofMillis(300);
 
+    /** A call without an answer may be carried out seconds later. */
+    private static final Duration MAX_CALL_DELAY = Duration.ofSeconds(5);
+    /** Time after the start of an incarnation within which an owner notices it and sends no more calls to the one before. */
+    private static final Duration MAX_RESTART_UNNOTICED = Duration.ofSeconds(2);
+
     private LeaseTimes() {}
 
     /** Returns the lease that owners request, given the longest lease that workers grant. */
@@ -22,4 +27,18 @@
     static Duration upperBound(Duration lease) {
         return Duration.ofNanos((long) (lease.toNanos() * MAX_CLOCK_SLOWDOWN)).plus(EXPIRY_MARGIN);
     }
+
+    /**
+     * Returns for how long after its start an incarnation may hold leases by calls that were meant for an earlier one.
+     * Workers are addressed by their ids, and the expiry times in such calls are far ahead by the clock of the later
+     * incarnation, which grants the longest lease.
+     */
+    static Duration afterRestart(Duration max) {
+        return MAX_RESTART_UNNOTICED.plus(afterLastCall(max));
+    }
+
+    /** Returns the same for the time after the last call that was sent to the earlier incarnation. */
+    static Duration afterLastCall(Duration max) {
+        return MAX_CALL_DELAY.plus(upperBound(max));
+    }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/LeaseTracker.java
+++ b/node/src/main/java/org/chestnutbarrow/node/LeaseTracker.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -20,7 +21,8 @@
  * <p>Invariants: while the silence of an incarnation is recorded in the store, or a write that records it may still take
  * effect, no owner extends its leases; a bound that was read is not exceeded, since incarnations that are silent or
  * recorded, and all of a closed term, are not extended; silence is counted only while no earlier owner can extend leases
- * of the incarnation, and no period is counted twice.
+ * of the incarnation, and no period is counted twice; the bound of an incarnation covers the leases that calls meant for
+ * an earlier one may have granted.
  */
 final class LeaseTracker {
     /** Time between two writes; silence after the last write is counted again by the next owner. */
@@ -38,7 +40,10 @@
 
     private final TimeSource time;
     private final Duration maxSilence;
+    private final Duration maxLease;
     private final Map<WorkerIncarnation, State> states = new HashMap<>();
+    /** Until when calls meant for earlier incarnations may have granted leases, ns; only for incarnations replaced here. */
+    private final Map<WorkerIncarnation, Long> misdirectedLeasesUntil = new HashMap<>();
     /** The incarnations of the newest record that is known to be stored. */
     private final Set<WorkerIncarnation> stored = new HashSet<>();
     /** The incarnations of {@link #stored} and of records that may be stored since. */
@@ -82,11 +87,13 @@
     /**
      * Creates the tracker of one term.
      *
-     * @param maxSilence duration of silence after which no lease can still be valid
+     * @param maxSilence duration of silence after which no lease that an owner requested can still be valid
+     * @param maxLease longest lease that a worker grants
      */
-    LeaseTracker(TimeSource time, Duration maxSilence) {
+    LeaseTracker(TimeSource time, Duration maxSilence, Duration maxLease) {
         this.time = time;
         this.maxSilence = maxSilence;
+        this.maxLease = maxLease;
     }
 
     /**
@@ -108,7 +115,9 @@
             Optional<Duration> silence = longest(
                     Optional.ofNullable(recordedSilences.get(incarnation)),
                     Optional.ofNullable(remainingLeases.get(incarnation)).map(maxSilence::minus));
-            states.put(incarnation, new Unanswered(silence.orElse(Duration.ZERO), silence.map(_ -> now)));
+            // A known silence already allows for misdirected calls.
+            Duration inherited = silence.orElseGet(() -> silenceBefore(incarnation, now));
+            states.put(incarnation, new Unanswered(inherited, silence.map(_ -> now)));
         }
     }
 
@@ -131,8 +140,40 @@
 
     /** Adds an incarnation to which runs of an earlier one have been transferred, unless it is known already. */
     synchronized void add(WorkerIncarnation incarnation) {
-        Optional<Long> countedSince = counting ? Optional.of(time.nanos()) : Optional.empty();
-        states.putIfAbsent(incarnation, new Unanswered(Duration.ZERO, countedSince));
+        long now = time.nanos();
+        Optional<Long> countedSince = counting ? Optional.of(now) : Optional.empty();
+        states.putIfAbsent(incarnation, new Unanswered(silenceBefore(incarnation, now), countedSince));
+    }
+
+    /** Notes that a later incarnation has replaced an earlier one, to which no more calls are sent. */
+    synchronized void replace(WorkerIncarnation earlier, WorkerIncarnation later) {
+        states.remove(earlier);
+        misdirectedLeasesUntil.remove(earlier);
+        misdirectedLeasesUntil.put(
+                later, time.nanos() + LeaseTimes.afterLastCall(maxLease).toNanos());
+    }
+
+    /** Returns the silence assumed for an unanswered incarnation, negative if calls may have granted longer leases. */
+    private Duration silenceBefore(WorkerIncarnation incarnation, long now) {
+        Duration silence = maxSilence.minusNanos(misdirectedLeasesUntil(incarnation, now) - now);
+        return silence.isNegative() ? silence : Duration.ZERO;
+    }
+
+    /**
+     * Returns until when leases may be valid that calls meant for an earlier incarnation have granted, ns. What earlier
+     * owners have sent is unknown, so that this follows from the time at which the incarnation started.
+     */
+    private long misdirectedLeasesUntil(WorkerIncarnation incarnation, long now) {
+        Long known = misdirectedLeasesUntil.get(incarnation);
+        if (known != null) {
+            return known;
+        }
+        Duration bound = LeaseTimes.afterRestart(maxLease);
+        Duration age = Duration.between(Instant.ofEpochMilli(incarnation.incarnation()), time.now());
+        if (age.compareTo(bound) >= 0) {
+            return now;
+        }
+        return now + (age.isNegative() ? bound : bound.minus(age)).toNanos();
     }
 
     /**
@@ -141,9 +182,10 @@
      * @param extendedUntil when leases that earlier owners have extended are over, ns; used for the first answer only
      */
     synchronized void answered(WorkerIncarnation incarnation, long extendedUntil) {
+        long firstExtendedUntil = later(extendedUntil, misdirectedLeasesUntil(incarnation, time.nanos()));
         states.compute(incarnation, (_, state) -> switch (state) {
-            case null -> new Responsive(extendedUntil);
-            case Unanswered _ -> new Responsive(extendedUntil);
+            case null -> new Responsive(firstExtendedUntil);
+            case Unanswered _ -> new Responsive(firstExtendedUntil);
             case Responsive responsive -> responsive;
             case Silent silent -> new Responsive(silent.extendedUntil());
         });
@@ -194,11 +236,6 @@
                 (_, state) -> state instanceof Responsive(long extendedUntil) ? new Silent(extendedUntil, now) : state);
     }
 
-    /** Removes an incarnation whose runs have been transferred to a later one. */
-    synchronized void remove(WorkerIncarnation incarnation) {
-        states.remove(incarnation);
-    }
-
     /** Returns whether the incarnation has answered, or may hold leases. */
     synchronized boolean tracks(WorkerIncarnation incarnation) {
         return states.containsKey(incarnation);
@@ -214,7 +251,10 @@
                         .isPresent())
                 .map(Map.Entry::getKey)
                 .toList();
-        expired.forEach(states::remove);
+        expired.forEach(incarnation -> {
+            states.remove(incarnation);
+            misdirectedLeasesUntil.remove(incarnation);
+        });
         return expired;
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -109,7 +109,7 @@
         this.startWindow = new StartWindow(time);
         Duration maxSilence =
                 ANSWER_WINDOW.plus(MAX_OWNER_PAUSE).plus(LeaseTimes.upperBound(LeaseTimes.requested(maxLease)));
-        this.leases = new LeaseTracker(time, maxSilence);
+        this.leases = new LeaseTracker(time, maxSilence, maxLease);
         this.links = new WorkerLinks(scheduler, leases, this::openLink, time, MAX_EXTENSION_WITHOUT_STORE);
         this.endedJobCleaner = new EndedJobCleaner(store, replica, time, token);
     }
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
@@ -67,11 +67,11 @@
             if (existing != null && existing.worker().incarnation() == entry.incarnation()) {
                 continue;
             }
+            WorkerIncarnation incarnation = new WorkerIncarnation(entry.id(), entry.incarnation());
             if (existing != null) {
                 existing.close();
-                leases.remove(existing.incarnation());
+                leases.replace(existing.incarnation(), incarnation);
             }
-            WorkerIncarnation incarnation = new WorkerIncarnation(entry.id(), entry.incarnation());
             if (unconfirmed.contains(incarnation)) {
                 leases.add(incarnation);
             }
--- a/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
+++ b/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
@@ -24,7 +24,11 @@
     final LeaseTracker leases;
 
     DisconnectedOwner(TimeSource time) {
-        leases = new LeaseTracker(time, Duration.ofSeconds(7));
+        this(time, Duration.ofSeconds(6));
+    }
+
+    DisconnectedOwner(TimeSource time, Duration maxLease) {
+        leases = new LeaseTracker(time, Duration.ofSeconds(7), maxLease);
     }
 
     @Override
--- a/node/src/test/java/org/chestnutbarrow/node/LeaseSimulation.java
+++ b/node/src/test/java/org/chestnutbarrow/node/LeaseSimulation.java
@@ -24,6 +24,7 @@
  */
 final class LeaseSimulation {
     static final Duration MAX_SILENCE = Duration.ofMillis(7080);
+    static final Duration MAX_LEASE = Duration.ofSeconds(6);
 
     private static final double MIN_CLOCK_RATE = 0.98;
     private static final Duration HOLD_WAIT = Duration.ofMillis(500);
--- a/node/src/test/java/org/chestnutbarrow/node/LeaseTrackerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/LeaseTrackerTest.java
@@ -18,6 +18,7 @@
 public class LeaseTrackerTest {
     private static final Duration MAX_SILENCE = Duration.ofSeconds(7);
     private static final Duration LEASE = Duration.ofSeconds(4);
+    private static final Duration MAX_LEASE = Duration.ofSeconds(10);
     private static final Duration TICK = Duration.ofMillis(1);
     private static final WorkerIncarnation INCARNATION = new WorkerIncarnation(new WorkerId("w"), 1);
 
@@ -33,7 +34,7 @@
 
     private LeaseTracker successor(
             Map<WorkerIncarnation, Duration> stored, Map<WorkerIncarnation, Duration> remainingLeases) {
-        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE);
+        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
         leases.start(stored, remainingLeases, List.of(INCARNATION));
         return leases;
     }
@@ -310,7 +311,7 @@
     @Test
     public void laterIncarnationThatNeverAnswersExpires() {
         WorkerIncarnation later = new WorkerIncarnation(new WorkerId("w"), 2);
-        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE);
+        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
         leases.start(Map.of(), Map.of(), List.of());
         leases.add(later);
         time.advance(Duration.ofSeconds(20));
@@ -322,4 +323,72 @@
         time.advance(MAX_SILENCE.plus(TICK));
         assertEquals(leases.takeExpired(), List.of(INCARNATION));
     }
+
+    /** Guards against a second run while an incarnation that has never answered holds leases of misdirected calls. */
+    @Test
+    public void leasesOfMisdirectedCallsAreAwaitedOnUnansweredWorker() {
+        WorkerIncarnation later = new WorkerIncarnation(new WorkerId("w"), 2);
+        LeaseTracker leases = extendingOwner();
+        leases.startCounting();
+        leases.replace(INCARNATION, later);
+        leases.add(later);
+        time.advance(MAX_LEASE);
+        assertEquals(leases.takeExpired(), List.of());
+        time.advance(LeaseTimes.afterLastCall(MAX_LEASE).minus(MAX_LEASE).plus(TICK));
+        assertEquals(leases.takeExpired(), List.of(later));
+    }
+
+    /** Guards against a second run under a new owner, which doesn't know that a worker has restarted lately. */
+    @Test
+    public void nextOwnerAwaitsLeasesOfCallsMeantForEarlierIncarnation() {
+        WorkerIncarnation young =
+                new WorkerIncarnation(new WorkerId("w"), time.now().toEpochMilli());
+        WorkerIncarnation answering =
+                new WorkerIncarnation(new WorkerId("v"), time.now().toEpochMilli());
+        time.advance(Duration.ofSeconds(2));
+        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        leases.start(Map.of(), Map.of(), List.of(young, answering));
+        leases.startCounting();
+        leases.answered(answering, in(LEASE));
+        leases.unreachable(answering);
+        time.advance(MAX_LEASE);
+        assertEquals(leases.takeExpired(), List.of());
+        time.advance(LeaseTimes.afterRestart(MAX_LEASE)
+                .minus(MAX_LEASE)
+                .minusSeconds(2)
+                .plus(TICK));
+        assertEquals(Set.copyOf(leases.takeExpired()), Set.of(young, answering));
+    }
+
+    /** Guards against a wait for a restarted worker that begins anew with each owner. */
+    @Test
+    public void nextOwnerContinuesTheWaitForRestartedWorker() {
+        WorkerIncarnation young =
+                new WorkerIncarnation(new WorkerId("w"), time.now().toEpochMilli());
+        LeaseTracker first = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        first.start(Map.of(), Map.of(), List.of(young));
+        first.startCounting();
+        Duration bound = LeaseTimes.afterRestart(MAX_LEASE);
+        time.advance(bound.minusSeconds(1));
+        Map<WorkerIncarnation, Duration> record = first.dueRecord().orElseThrow();
+        LeaseTracker next = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        next.start(record, Map.of(), List.of(young));
+        time.advance(Duration.ofMillis(999));
+        assertEquals(next.takeExpired(), List.of());
+        time.advance(TICK.multipliedBy(2));
+        assertEquals(next.takeExpired(), List.of(young));
+    }
+
+    /** Guards against an owner that ends because an entry names a start time that no clock can show. */
+    @Test
+    public void startTimesOutOfRangeAreAccepted() {
+        for (long startedAt : new long[] {Long.MIN_VALUE, -1, 0, Long.MAX_VALUE}) {
+            WorkerIncarnation odd = new WorkerIncarnation(new WorkerId("w"), startedAt);
+            LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+            leases.start(Map.of(), Map.of(), List.of(odd));
+            leases.startCounting();
+            time.advance(MAX_SILENCE.plus(LeaseTimes.afterRestart(MAX_LEASE)));
+            assertEquals(leases.takeExpired(), List.of(odd));
+        }
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/SimulatedOwner.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SimulatedOwner.java
@@ -46,7 +46,7 @@
     private final LeaseSimulation simulation;
     final long token;
     private final long clockOrigin;
-    private final LeaseTracker tracker = new LeaseTracker(this, LeaseSimulation.MAX_SILENCE);
+    private final LeaseTracker tracker = new LeaseTracker(this, LeaseSimulation.MAX_SILENCE, LeaseSimulation.MAX_LEASE);
     final Map<WorkerIncarnation, Link> links = new LinkedHashMap<>();
     final Set<Worker> placed = new HashSet<>();
     Optional<Write> pending = Optional.empty();
--- a/node/src/test/java/org/chestnutbarrow/node/TestWorkers.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TestWorkers.java
@@ -12,9 +12,13 @@
     private TestWorkers() {}
 
     static WorkerRegistration worker(String id) {
+        return worker(id, 1);
+    }
+
+    static WorkerRegistration worker(String id, long incarnation) {
         return new WorkerRegistration(
                 new WorkerId(id),
-                1,
+                incarnation,
                 new Address("127.0.0.1", 1),
                 "service",
                 new AvailabilityZone("zone"),
