Settle runs of a worker that restarted before a change of the owner at its first report

Cause: a new owner that found a run stored for an incarnation earlier than the listed one kept it apart, as on a worker that is gone. If the later incarnation had carried out the start, its run was stopped; if not, the task waited for 7 s until no lease of the earlier incarnation could be left, and its job stayed accepted with all workers free. The owner that sees a worker restart moves such runs to the later incarnation; the next owner did not. Change: stored progress of an earlier incarnation is restored on the listed later one, whose first report decides.

--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -102,10 +102,14 @@
         index.setServiceSizes(sizes);
     }
 
-    /** Returns the node of an incarnation. If the incarnation is not listed, the node accepts no new tasks. */
+    /**
+     * Returns the node for the runs that stored progress assigns to an incarnation. That is the node of a later one if the
+     * worker has restarted since, which may have carried out starts that were sent to the earlier one. If the incarnation
+     * is not listed, the node accepts no new tasks.
+     */
     WorkerNode nodeFor(TaskRecord.WorkerIncarnation incarnation) {
         WorkerNode listed = workers.get(incarnation.worker());
-        if (listed != null && listed.incarnation() == incarnation.incarnation()) {
+        if (listed != null && listed.incarnation() >= incarnation.incarnation()) {
             return listed;
         }
         for (WorkerNode node : unlisted) {
--- a/batch/src/test/java/org/chestnutbarrow/batch/WorkerRestartTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/WorkerRestartTest.java
@@ -5,6 +5,8 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.Set;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
@@ -76,4 +78,38 @@
         fixture.report("w2", List.of(), List.of());
         assertEquals(fixture.starts().getFirst().run(), start.run() + 1);
     }
+
+    /** Returns the next owner, which learns from the list that w1 has restarted since the start was stored. */
+    private static SchedulerFixture ownerAfterRestart(SchedulerFixture fixture, Plan plan) {
+        fixture.workers.replaceAll(worker -> fixture.worker(worker.id().value(), SchedulerFixture.INCARNATION + 1));
+        JobProgress progress = plan.changes().getFirst();
+        return fixture.nextOwner(Map.of(progress.id(), progress)).withWorkers("w2");
+    }
+
+    /** Guards against a run that the next owner stops because it was started for the earlier incarnation of its worker. */
+    @Test
+    public void nextOwnerKeepsRunOfRestartedWorker() {
+        SchedulerFixture first = new SchedulerFixture().withWorkers("w1");
+        first.add(first.job("a", PLAIN));
+        Plan plan = first.scheduler.plan();
+        Order.Start start = SchedulerFixture.starts(plan).getFirst();
+        SchedulerFixture next = ownerAfterRestart(first, plan);
+        assertEquals(
+                next.scheduler.unconfirmedIncarnations(),
+                Set.of(new TaskRecord.WorkerIncarnation(start.worker(), SchedulerFixture.INCARNATION + 1)),
+                "the lease of the run is that of the later incarnation");
+        reportOfRestartedWorker(next, SchedulerFixture.running(start, 10, 0));
+        assertEquals(next.scheduler.plan().orders(), List.of());
+    }
+
+    /** Guards against a task that waits for leases of an earlier incarnation although the later one has none of its runs. */
+    @Test
+    public void nextOwnerStartsTaskOfRestartedWorkerAgain() {
+        SchedulerFixture first = new SchedulerFixture().withWorkers("w1");
+        first.add(first.job("a", PLAIN));
+        Plan plan = first.scheduler.plan();
+        SchedulerFixture next = ownerAfterRestart(first, plan);
+        reportOfRestartedWorker(next);
+        assertEquals(next.starts().size(), 1);
+    }
 }
