Bound misdirected leases by calls in flight, and by late calls if there were any

Cause: the first bound on misdirected leases assumed that any call may be carried out 5 s later. Tasks of a worker that restarted and then left for good would wait 15.5 s for it, longer than callers expect, while a call that a link has seen unanswered can be later still. Change: the bound covers calls in flight for 0.5 s. A call that remained unanswered although the same incarnation answered again afterwards may be carried out 12 s after it, so it raises the bound.

--- a/node/src/main/java/org/chestnutbarrow/node/IncarnationCheck.java
+++ b/node/src/main/java/org/chestnutbarrow/node/IncarnationCheck.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.concurrent.atomic.AtomicLong;
+import org.chestnutbarrow.model.NotRunException;
+import org.chestnutbarrow.model.TimeSource;
 
 /**
  * Whether the calls of a link still reach the worker incarnation that the link was made for. Calls address a worker by
@@ -17,9 +19,35 @@
 
     private volatile boolean replaced;
 
+    private final TimeSource time;
+    /** When a call last failed that may have been sent, ns; guarded by this, like the next two. */
+    private long unansweredAt;
+
+    private boolean unanswered;
+    private long lateCallsUntil;
+
+    IncarnationCheck(TimeSource time) {
+        this.time = time;
+        lateCallsUntil = time.nanos();
+    }
+
     /** Records a call without an answer. */
-    void callFailed() {
+    void callFailed(Exception cause) {
         failedCalls.incrementAndGet();
+        if (!(cause instanceof NotRunException)) {
+            synchronized (this) {
+                unanswered = true;
+                unansweredAt = time.nanos();
+            }
+        }
+    }
+
+    /**
+     * Returns until when calls may still be carried out, ns. A call that remained unanswered, although this incarnation
+     * answered again afterwards, may be late; others were lost with the incarnation.
+     */
+    synchronized long lateCallsUntil() {
+        return lateCallsUntil;
     }
 
     /** Returns the number of calls without an answer. */
@@ -31,6 +59,12 @@
     void confirm(long failedBefore) {
         replaced = false;
         failedCallsWhenConfirmed = failedBefore;
+        synchronized (this) {
+            if (unanswered) {
+                lateCallsUntil = unansweredAt + LeaseTimes.MAX_CALL_DELAY.toNanos();
+                unanswered = false;
+            }
+        }
     }
 
     /** Returns whether this incarnation has answered a hold and no call has failed since. */
--- a/node/src/main/java/org/chestnutbarrow/node/LeaseTimes.java
+++ b/node/src/main/java/org/chestnutbarrow/node/LeaseTimes.java
@@ -11,8 +11,10 @@
     /** Added to computed expiry times to allow for transmission and timer delays. */
     private static final Duration EXPIRY_MARGIN = Duration.ofMillis(300);
 
-    /** A call without an answer may be carried out seconds later. */
-    private static final Duration MAX_CALL_DELAY = Duration.ofSeconds(5);
+    /** Time after which a call without an answer is not carried out any more. */
+    static final Duration MAX_CALL_DELAY = Duration.ofSeconds(12);
+    /** Time within which calls that are in flight when their link is closed have been carried out or lost. */
+    static final Duration MAX_TRANSMISSION = Duration.ofMillis(500);
     /** Time after the start of an incarnation within which an owner notices it and sends no more calls to the one before. */
     private static final Duration MAX_RESTART_UNNOTICED = Duration.ofSeconds(2);
 
@@ -34,11 +36,6 @@
      * incarnation, which grants the longest lease.
      */
     static Duration afterRestart(Duration max) {
-        return MAX_RESTART_UNNOTICED.plus(afterLastCall(max));
-    }
-
-    /** Returns the same for the time after the last call that was sent to the earlier incarnation. */
-    static Duration afterLastCall(Duration max) {
-        return MAX_CALL_DELAY.plus(upperBound(max));
+        return MAX_RESTART_UNNOTICED.plus(MAX_TRANSMISSION).plus(upperBound(max));
     }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/LeaseTracker.java
+++ b/node/src/main/java/org/chestnutbarrow/node/LeaseTracker.java
@@ -145,12 +145,17 @@
         states.putIfAbsent(incarnation, new Unanswered(silenceBefore(incarnation, now), countedSince));
     }
 
-    /** Notes that a later incarnation has replaced an earlier one, to which no more calls are sent. */
-    synchronized void replace(WorkerIncarnation earlier, WorkerIncarnation later) {
+    /**
+     * Notes that a later incarnation has replaced an earlier one, to which no more calls are sent.
+     *
+     * @param lateCallsUntil until when unanswered calls to the earlier one may still be carried out, ns
+     */
+    synchronized void replace(WorkerIncarnation earlier, WorkerIncarnation later, long lateCallsUntil) {
         states.remove(earlier);
         misdirectedLeasesUntil.remove(earlier);
+        long callsUntil = later(time.nanos() + LeaseTimes.MAX_TRANSMISSION.toNanos(), lateCallsUntil);
         misdirectedLeasesUntil.put(
-                later, time.nanos() + LeaseTimes.afterLastCall(maxLease).toNanos());
+                later, callsUntil + LeaseTimes.upperBound(maxLease).toNanos());
     }
 
     /** Returns the silence assumed for an unanswered incarnation, negative if calls may have granted longer leases. */
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -51,8 +51,7 @@
     private final Semaphore concurrentOrders = new Semaphore(MAX_CONCURRENT_ORDERS);
 
     private volatile boolean closed;
-    private final Object acknowledgeLock = new Object();
-    private volatile long acknowledgedUpTo;
+    private final Acknowledgement acknowledgement;
     private long lastReportedSequence;
     /** Expiry time of leases in the last hold that extended them, by the clock of the worker; negative if none did. */
     private long heldUntilMs = -1;
@@ -63,7 +62,7 @@
 
     private volatile long lastAnswerAt;
     private volatile boolean answered;
-    private final IncarnationCheck incarnationCheck = new IncarnationCheck();
+    private final IncarnationCheck incarnationCheck;
     private boolean loggedUnreachable;
     /** Whether the owner knows that the worker is unreachable; accessed only by the thread of the holds. */
     private boolean reportedUnreachable;
@@ -86,6 +85,8 @@
         this.maxLease = maxLease;
         this.lastAnswerAt = time.nanos();
         this.laterLeasesUntil = lastAnswerAt;
+        this.acknowledgement = new Acknowledgement(time);
+        this.incarnationCheck = new IncarnationCheck(time);
     }
 
     /** Returns whether the worker has answered a hold with the token of this owner within the given period. */
@@ -106,6 +107,11 @@
         return incarnation;
     }
 
+    /** Returns until when calls that remained unanswered may still be carried out, ns. */
+    long lateCallsUntil() {
+        return incarnationCheck.lateCallsUntil();
+    }
+
     /** Ends all loops after the calls in flight. */
     void close() {
         closed = true;
@@ -124,30 +130,7 @@
 
     /** Acknowledges, with the next hold, the ends up to a sequence number, which the worker may then discard. */
     void acknowledge(long sequence) {
-        synchronized (acknowledgeLock) {
-            acknowledgedUpTo = Math.max(acknowledgedUpTo, sequence);
-            acknowledgeLock.notifyAll();
-        }
-    }
-
-    /**
-     * Waits until the reported ends may be acknowledged; an earlier hold would return immediately with the same ends.
-     */
-    private void awaitAcknowledge() {
-        Duration maxWait = owner.holdWait();
-        long deadline = time.nanos() + maxWait.toNanos();
-        synchronized (acknowledgeLock) {
-            long remainingMs = maxWait.toMillis();
-            while (isOpen() && acknowledgedUpTo < lastReportedSequence && remainingMs > 0) {
-                try {
-                    acknowledgeLock.wait(remainingMs);
-                } catch (InterruptedException e) {
-                    Thread.currentThread().interrupt();
-                    return;
-                }
-                remainingMs = Duration.ofNanos(deadline - time.nanos()).toMillis();
-            }
-        }
+        acknowledgement.raise(sequence);
     }
 
     private boolean isOpen() {
@@ -278,13 +261,13 @@
             boolean complete = handleAnswer(order, answer, delivery.unanswered().isPresent());
             return complete ? Optional.empty() : Optional.of(delivery.nextAttempt());
         } catch (OutcomeUnknownException e) {
-            incarnationCheck.callFailed();
+            incarnationCheck.callFailed(e);
             if (delivery.unanswered().isEmpty()) {
                 Events.warn("order-unanswered", "task", taskName(order), "run", order.run(), "worker", worker.id());
             }
             return Optional.of(delivery.nextAttempt(attempt));
         } catch (NotRunException e) {
-            incarnationCheck.callFailed();
+            incarnationCheck.callFailed(e);
             if (!delivery.retry()) {
                 Events.warn("order-unsent", "task", taskName(order), "run", order.run(), "worker", worker.id());
             }
@@ -386,14 +369,14 @@
         // A hold after an unanswered one repeats its expiry time, since the worker may not have received it.
         long leaseUntil = extendable ? heldUntilMs : -1;
         // Sequence numbers start anew in each incarnation, so a later one would discard ends that were never reported.
-        long acknowledged = incarnationCheck.isConfirmed() ? acknowledgedUpTo : 0;
+        long acknowledged = incarnationCheck.isConfirmed() ? acknowledgement.upTo() : 0;
         try {
             WorkerPort.Answer answer =
                     port.hold(worker, owner.token(), leaseUntil, acknowledged, wait, wait.plus(answerTimeout));
             recordHoldDelay(sentAt, wait);
             return handleHoldAnswer(answer, sentAt, failedBefore);
         } catch (OutcomeUnknownException | NotRunException e) {
-            incarnationCheck.callFailed();
+            incarnationCheck.callFailed(e);
             recordHoldDelay(sentAt, wait);
             if (!loggedUnreachable && !isReachable()) {
                 loggedUnreachable = true;
@@ -454,7 +437,8 @@
                 OrderEvents.logEnd(ended, worker.id());
             }
         }
-        awaitAcknowledge();
+        // An earlier hold would return immediately with the same ends.
+        acknowledgement.await(lastReportedSequence, owner.holdWait(), this::isOpen);
         return true;
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
@@ -70,7 +70,7 @@
             WorkerIncarnation incarnation = new WorkerIncarnation(entry.id(), entry.incarnation());
             if (existing != null) {
                 existing.close();
-                leases.replace(existing.incarnation(), incarnation);
+                leases.replace(existing.incarnation(), incarnation, existing.lateCallsUntil());
             }
             if (unconfirmed.contains(incarnation)) {
                 leases.add(incarnation);
