Start one task of each job that has waited long while its service has room

Cause: jobs beyond their deadline come after all others, and best-effort jobs start only where the interference model allows 0.8 of full speed. On a service with most room free, the first wait for as long as younger jobs take the starts of each plan, and the second for as long as the model is pessimistic about every worker. A best-effort task that no worker can take starts on the one where it disturbs least, at a tenth of its speed or what the model allows, one such task on each worker. Its reports correct the model, and the interference controller raises or lowers its limit.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -48,7 +48,8 @@
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         roomClaims = new RoomClaims(workerSelector, registry.index());
         drainController = new DrainController(jobTable, roomClaims);
-        taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, time);
+        StarvedJobs starvedJobs = new StarvedJobs(jobTable, registry.index());
+        taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, starvedJobs, time);
         waitDiagnosis = new WaitDiagnosis(jobTable, registry, workerSelector, time);
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -24,10 +24,13 @@
      * otherwise take starts and room from all others again and again.
      */
     private static final int MAX_FAILED_STARTS = 3;
+    /** Bound on the searches for trials in each plan; each examines all workers of a service. */
+    private static final int MAX_TRIAL_SEARCHES = 4;
 
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
+    private final StarvedJobs starvedJobs;
     private final TimeSource time;
     /** Services in which first runs of long-running tasks wait, because a lost task awaits a claim. */
     private final Set<String> servicesWithLostTasks = new HashSet<>();
@@ -48,10 +51,16 @@
         }
     }
 
-    TaskPlacer(JobTable jobTable, WorkerSelector workerSelector, RoomClaims roomClaims, TimeSource time) {
+    TaskPlacer(
+            JobTable jobTable,
+            WorkerSelector workerSelector,
+            RoomClaims roomClaims,
+            StarvedJobs starvedJobs,
+            TimeSource time) {
         this.jobTable = jobTable;
         this.workerSelector = workerSelector;
         this.roomClaims = roomClaims;
+        this.starvedJobs = starvedJobs;
         this.time = time;
     }
 
@@ -63,6 +72,7 @@
         startsLeft = maxStarts;
         jobTable.endBackOffs(now);
         placeRestarted(now);
+        placeStarved(now, StarvedJobs.startShare(maxStarts));
         for (Candidate candidate : candidates(now)) {
             if (startsLeft == 0) {
                 return;
@@ -119,6 +129,28 @@
         }
     }
 
+    /** Places one task of each starved job, at most {@code maxStarts}, before the tasks of more urgent jobs. */
+    private void placeStarved(long now, int maxStarts) {
+        int startsOfOthers = startsLeft - Math.min(startsLeft, maxStarts);
+        int trialsLeft = MAX_TRIAL_SEARCHES;
+        for (TaskEntry task : starvedJobs.tasks(now)) {
+            if (startsLeft <= startsOfOthers) {
+                return;
+            }
+            try {
+                WorkerNode node = workerSelector.select(task, now);
+                if (node != null) {
+                    startTask(task.job, task, node, now);
+                } else if (task.step.behaviour().bestEffort() && trialsLeft > 0) {
+                    trialsLeft--;
+                    startTrial(task, now);
+                }
+            } catch (RuntimeException e) {
+                jobTable.setAside(task.job, e);
+            }
+        }
+    }
+
     private void place(JobEntry job, long now) {
         for (int step = 0; step < job.tasksByStep.size(); step++) {
             if (job.isReady(step)) {
@@ -209,13 +241,24 @@
         return null;
     }
 
+    /** Starts a best-effort task at a low CPU limit although the model expects too much interference. */
+    private void startTrial(TaskEntry task, long now) {
+        WorkerNode node = workerSelector.selectForTrial(task, now);
+        if (node != null) {
+            startTask(task.job, task, node, workerSelector.trialCpuLimitPercent(task, node), now);
+        }
+    }
+
     private void startTask(JobEntry job, TaskEntry task, WorkerNode node, long now) {
+        startTask(job, task, node, workerSelector.initialCpuLimitPercent(task, node), now);
+    }
+
+    private void startTask(JobEntry job, TaskEntry task, WorkerNode node, int cpuLimitPercent, long now) {
         startsLeft--;
         roomClaims.release(task);
         Duration waited = job.waited(task, now);
         task.run++;
         task.progressedAt = now;
-        int cpuLimitPercent = workerSelector.initialCpuLimitPercent(task, node);
         task.cpuLimitPercent = cpuLimitPercent;
         node.add(task);
         node.taskStarted(task, now);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -71,8 +71,14 @@
         private int maxCapacityMilliCores = 1;
 
         private long lastingMilliCores;
+        private long freeMilliCores;
         private long capacityMilliCores;
 
+        /** Returns the CPU of these workers that is neither reserved nor kept for claimants. */
+        long freeMilliCores() {
+            return freeMilliCores;
+        }
+
         /** Returns the CPU of these workers that long-running tasks hold and that is kept for claimants. */
         long lastingMilliCores() {
             return lastingMilliCores;
@@ -122,6 +128,7 @@
             maxCapacityMilliCores =
                     Math.max(maxCapacityMilliCores, node.registration.capacity().milliCores());
             lastingMilliCores += state.lastingMilliCores();
+            freeMilliCores += state.freeMilliCores();
             capacityMilliCores += state.capacityMilliCores();
             byFree.put(state.freeKey(), node);
             bySpare.put(state.spareKey(), node);
@@ -134,6 +141,7 @@
 
         private void remove(WorkerNode node, IndexedState state) {
             lastingMilliCores -= state.lastingMilliCores();
+            freeMilliCores -= state.freeMilliCores();
             capacityMilliCores -= state.capacityMilliCores();
             byFree.remove(state.freeKey());
             bySpare.remove(state.spareKey());
@@ -145,6 +153,7 @@
 
         private void update(WorkerNode node, IndexedState before, IndexedState after) {
             lastingMilliCores += after.lastingMilliCores() - before.lastingMilliCores();
+            freeMilliCores += after.freeMilliCores() - before.freeMilliCores();
             byFree.remove(before.freeKey());
             byFree.put(after.freeKey(), node);
             bySpare.remove(before.spareKey());
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -396,6 +396,11 @@
         return Math.max(0, (long) registration.capacity().milliCores() - reserved.milliCores() - claimed.milliCores());
     }
 
+    /** Returns whether a best-effort task on this worker has a lower CPU limit than {@code percent} of its demand. */
+    boolean hasSlowBestEffortTask(int percent) {
+        return tasks.stream().anyMatch(task -> task.step.behaviour().bestEffort() && task.cpuLimitPercent < percent);
+    }
+
     /** Returns the CPU that best-effort tasks may use within their limits, by image, as fractions of the capacity. */
     Map<String, Double> bestEffortDemandByImage() {
         if (bestEffortDemandByImage == null) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -17,6 +17,11 @@
     private static final double MIN_SPEED = 0.8;
     /** Minimum latency headroom that a new best-effort task must leave to the latency-critical tasks on its worker. */
     private static final double MIN_HEADROOM = 1.2;
+    /**
+     * Least share of full speed of a best-effort task that starts although the model expects too much interference on
+     * all workers. At this share it takes little headroom, and its reports correct a model that is too pessimistic.
+     */
+    private static final double TRIAL_SHARE = 0.1;
     /** Weight of spare CPU relative to expected speed, so that workers with more spare CPU win ties. */
     private static final double SPARE_WEIGHT = 0.3;
     /** Weight of image affinity; the other terms of a score are at most about 1. */
@@ -95,6 +100,31 @@
         return best;
     }
 
+    /**
+     * Returns the worker on which a best-effort task that no worker can take at {@link #MIN_SPEED} disturbs least, or
+     * null if there is none with the memory and without another such task. Examines all workers of the service.
+     */
+    WorkerNode selectForTrial(TaskEntry task, long now) {
+        Requirement requirement = equivalenceClass(task).requirement;
+        WorkerNode best = null;
+        double bestShare = Double.NEGATIVE_INFINITY;
+        for (WorkerNode worker : index.pool(requirement.service()).all()) {
+            examinedWorkers++;
+            if (!worker.health.isSound()
+                    || !worker.fits(requirement.freeResources())
+                    || !isEligible(worker, requirement, 0, now)
+                    || worker.hasSlowBestEffortTask((int) (FULL_SPEED_PERCENT * MIN_SPEED))) {
+                continue;
+            }
+            double share = allowedShare(task, worker);
+            if (share > bestShare) {
+                bestShare = share;
+                best = worker;
+            }
+        }
+        return best;
+    }
+
     private boolean mayFit(EquivalenceClass equivalenceClass, long now) {
         if (!equivalenceClass.isInfeasible()) {
             return true;
@@ -310,9 +340,16 @@
         if (!task.step.behaviour().bestEffort()) {
             return FULL_SPEED_PERCENT;
         }
-        double share =
-                allowedShare(task.step.behaviour().image(), task.step.demand().milliCores(), worker);
-        return (int) (FULL_SPEED_PERCENT * Math.clamp(share, MIN_SPEED, 1));
+        return (int) (FULL_SPEED_PERCENT * Math.clamp(allowedShare(task, worker), MIN_SPEED, 1));
+    }
+
+    /** Returns the initial CPU limit of a task on a worker that was selected for a trial. */
+    int trialCpuLimitPercent(TaskEntry task, WorkerNode worker) {
+        return (int) (FULL_SPEED_PERCENT * Math.clamp(allowedShare(task, worker), TRIAL_SHARE, 1));
+    }
+
+    private double allowedShare(TaskEntry task, WorkerNode worker) {
+        return allowedShare(task.step.behaviour().image(), task.step.demand().milliCores(), worker);
     }
 
     /**
