Check API keys, caps and shares of client accounts on the nodes

Cause: the nodes read no accounts. AccountUsage counts what the tasks of an account hold from their order until their listed end, restored by a new owner from the stored progress, and a task starts only within the cap. While accounts are declared, tasks that leave their accounts within their share (weighted dominant resource fairness) are placed before all others. A deployment without accounts is not affected.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -10,6 +10,7 @@
 import org.chestnutbarrow.model.AvailabilityZone;
 import org.chestnutbarrow.model.Checks;
 import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.TimeSource;
 import org.chestnutbarrow.model.WorkerId;
 
@@ -48,8 +49,7 @@
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         roomClaims = new RoomClaims(workerSelector, registry.index());
         drainController = new DrainController(jobTable, roomClaims);
-        StarvedJobs starvedJobs = new StarvedJobs(jobTable, registry.index());
-        taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, starvedJobs, time);
+        taskPlacer = new TaskPlacer(jobTable, workerSelector, roomClaims, registry.index(), time);
         waitDiagnosis = new WaitDiagnosis(jobTable, registry, workerSelector, time);
     }
 
@@ -58,6 +58,16 @@
         jobTable.configure(queues);
     }
 
+    /** Replaces the client accounts in force, by name. */
+    public synchronized void configureAccounts(Map<String, Account> accounts) {
+        jobTable.accountUsage().configure(accounts);
+    }
+
+    /** Returns what the tasks of the accounts in force hold on all workers, by account. */
+    public synchronized Map<String, Resources> accountUsage() {
+        return jobTable.accountUsage().byAccount();
+    }
+
     /** Replaces the set of evacuated availability zones, whose workers get no new tasks. */
     public synchronized void setEvacuatedZones(Set<AvailabilityZone> zones) {
         registry.setEvacuatedZones(zones);
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -29,6 +29,7 @@
     long deadlineMs;
 
     private final Set<JobEntry> waitingJobs;
+    private final AccountUsage accountUsage;
     private final int[] unfinishedByStep;
     /** Since when each step has been ready as far as this owner knows; null before that. */
     private final WaitStart[] readySinceByStep;
@@ -43,9 +44,10 @@
     private final EquivalenceClass[][] equivalenceClasses;
 
     /** Creates a queued job and adds it to {@code waitingJobs}. */
-    JobEntry(JobSpec spec, Queue policy, Set<JobEntry> waitingJobs) {
+    JobEntry(JobSpec spec, Queue policy, Set<JobEntry> waitingJobs, AccountUsage accountUsage) {
         this.spec = spec;
         this.waitingJobs = waitingJobs;
+        this.accountUsage = accountUsage;
         unfinishedByStep = new int[spec.steps().size()];
         readySinceByStep = new WaitStart[spec.steps().size()];
         equivalenceClasses = new EquivalenceClass[spec.steps().size()][2];
@@ -175,12 +177,14 @@
     /** Records that the task was assigned to a worker. */
     void taskPlaced(TaskEntry task) {
         placedTasks++;
+        accountUsage.add(spec.account(), task.step.demand());
         setWaiting(task, false);
     }
 
     /** Records that the task is no longer assigned to a worker. */
     void taskReleased(TaskEntry task) {
         placedTasks--;
+        accountUsage.remove(spec.account(), task.step.demand());
         setWaiting(task, !task.done);
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobSpec.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobSpec.java
@@ -11,11 +11,12 @@
  *
  * @param id job ID chosen by the caller
  * @param queue the queue as configured when the job was accepted
+ * @param account client account that submitted the job; empty if the deployment has none or its queue is public
  * @param submitted submission time
  * @param payload opaque text that is passed to each task
  * @param steps at least one step
  */
-public record JobSpec(JobId id, Queue queue, Instant submitted, String payload, List<Step> steps) {
+public record JobSpec(JobId id, Queue queue, String account, Instant submitted, String payload, List<Step> steps) {
     /** Maximum number of tasks; the progress of this many takes about 225 KB, below the record size of the store. */
     public static final int MAX_TASKS = 5000;
     /** Later deadlines make no difference to the order of jobs. */
@@ -23,8 +24,8 @@
 
     public JobSpec {
         Checks.require(
-                id != null && queue != null && submitted != null && payload != null,
-                "a job needs id, queue, submission time and payload");
+                id != null && queue != null && account != null && submitted != null && payload != null,
+                "a job needs id, queue, account, submission time and payload");
         steps = List.copyOf(steps);
         Checks.require(!steps.isEmpty(), "a job needs at least one step");
         Checks.require(
@@ -37,6 +38,11 @@
         }
     }
 
+    /** Creates a job without an account. */
+    public JobSpec(JobId id, Queue queue, Instant submitted, String payload, List<Step> steps) {
+        this(id, queue, AccountUsage.NO_ACCOUNT, submitted, payload, steps);
+    }
+
     /** Returns the completion deadline under {@code policy}, from the declared run times on the job's critical path. */
     public Instant deadline(Queue policy) {
         long[] finishMs = new long[steps.size()];
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -34,6 +34,7 @@
     /** Tasks in back-off, and possibly some that have been placed since. */
     private final Set<TaskEntry> tasksInBackOff = new LinkedHashSet<>();
 
+    private final AccountUsage accountUsage = new AccountUsage();
     private Map<String, Queue> queues = Map.of();
 
     JobTable(TimeSource time) {
@@ -45,6 +46,10 @@
         jobs.values().forEach(job -> job.setPolicy(policy(job.spec)));
     }
 
+    AccountUsage accountUsage() {
+        return accountUsage;
+    }
+
     /** Returns the policy in force for a job, which is the one at submission if its queue no longer exists. */
     private Queue policy(JobSpec spec) {
         return queues.getOrDefault(spec.queue().key(), spec.queue());
@@ -52,7 +57,7 @@
 
     /** Adds a job that is not known yet. */
     JobEntry add(JobSpec spec) {
-        JobEntry job = new JobEntry(spec, policy(spec), waitingJobs);
+        JobEntry job = new JobEntry(spec, policy(spec), waitingJobs, accountUsage);
         job.markReadySteps(time);
         jobs.put(spec.id(), job);
         return job;
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.chestnutbarrow.model.TimeSource;
 
 /** Assigns waiting tasks to workers, most urgent jobs first. Guarded by the lock of its {@link BatchScheduler}. */
@@ -31,6 +32,8 @@
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
     private final StarvedJobs starvedJobs;
+    private final AccountUsage accountUsage;
+    private final WorkerIndex index;
     private final TimeSource time;
     /** Services in which first runs of long-running tasks wait, because a lost task awaits a claim. */
     private final Set<String> servicesWithLostTasks = new HashSet<>();
@@ -55,12 +58,14 @@
             JobTable jobTable,
             WorkerSelector workerSelector,
             RoomClaims roomClaims,
-            StarvedJobs starvedJobs,
+            WorkerIndex index,
             TimeSource time) {
         this.jobTable = jobTable;
         this.workerSelector = workerSelector;
         this.roomClaims = roomClaims;
-        this.starvedJobs = starvedJobs;
+        this.index = index;
+        this.starvedJobs = new StarvedJobs(jobTable, index);
+        this.accountUsage = jobTable.accountUsage();
         this.time = time;
     }
 
@@ -73,12 +78,35 @@
         jobTable.endBackOffs(now);
         placeRestarted(now);
         placeStarved(now, StarvedJobs.startShare(maxStarts));
-        for (Candidate candidate : candidates(now)) {
+        List<Candidate> candidates = candidates(now);
+        if (accountUsage.hasAccounts()) {
+            placeWithinShares(candidates, now);
+        }
+        place(candidates, accountUsage::permitsStart, now);
+    }
+
+    /**
+     * Places the tasks that leave their accounts within their shares before all others, so that a burst of one account
+     * takes only room that the others leave.
+     */
+    private void placeWithinShares(List<Candidate> candidates, long now) {
+        Set<String> accounts = new HashSet<>();
+        candidates.forEach(candidate -> accounts.add(candidate.job().spec.account()));
+        AccountUsage.FairShares shares = accountUsage.shares(accounts, index.capacity());
+        place(
+                candidates,
+                task -> accountUsage.permitsStart(task)
+                        && shares.covers(task, accountUsage.usage(task.job.spec.account())),
+                now);
+    }
+
+    private void place(List<Candidate> candidates, Predicate<TaskEntry> mayStart, long now) {
+        for (Candidate candidate : candidates) {
             if (startsLeft == 0) {
                 return;
             }
             try {
-                place(candidate.job(), now);
+                place(candidate.job(), mayStart, now);
             } catch (RuntimeException e) {
                 jobTable.setAside(candidate.job(), e);
             }
@@ -108,7 +136,9 @@
     }
 
     private void placeRestarted(TaskEntry task, long now) {
-        if (!task.job.isReady(task.name.step()) || task.failedStarts >= MAX_FAILED_STARTS) {
+        if (!task.job.isReady(task.name.step())
+                || task.failedStarts >= MAX_FAILED_STARTS
+                || !accountUsage.permitsStart(task)) {
             roomClaims.release(task);
             return;
         }
@@ -137,6 +167,9 @@
             if (startsLeft <= startsOfOthers) {
                 return;
             }
+            if (!accountUsage.permitsStart(task)) {
+                continue;
+            }
             try {
                 WorkerNode node = workerSelector.select(task, now);
                 if (node != null) {
@@ -151,10 +184,10 @@
         }
     }
 
-    private void place(JobEntry job, long now) {
+    private void place(JobEntry job, Predicate<TaskEntry> mayStart, long now) {
         for (int step = 0; step < job.tasksByStep.size(); step++) {
             if (job.isReady(step)) {
-                place(job, step, now);
+                place(job, step, mayStart, now);
             }
         }
     }
@@ -192,8 +225,11 @@
 
     private boolean hasPlaceableTask(JobEntry job, int step, long now) {
         TaskEntry first = nextWaiting(job, step, 0, mayStartFirstRuns(job, step));
-        if (first == null || workerSelector.mayFit(first, now)) {
-            return first != null;
+        if (first == null || !accountUsage.permitsStart(first)) {
+            return false;
+        }
+        if (workerSelector.mayFit(first, now)) {
+            return true;
         }
         if (!mayNeedMoreRoomThanOthers(first)) {
             return false;
@@ -202,11 +238,14 @@
         return restarted != null && workerSelector.mayFit(restarted, now);
     }
 
-    private void place(JobEntry job, int step, long now) {
+    private void place(JobEntry job, int step, Predicate<TaskEntry> mayStart, long now) {
         boolean firstRunsFit = mayStartFirstRuns(job, step);
         for (TaskEntry task = nextWaiting(job, step, 0, firstRunsFit);
                 task != null && startsLeft > 0;
                 task = nextWaiting(job, step, task.name.index() + 1, firstRunsFit)) {
+            if (!mayStart.test(task)) {
+                return;
+            }
             WorkerNode node = workerSelector.select(task, now);
             if (node != null) {
                 startTask(job, task, node, now);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
@@ -84,6 +84,9 @@
         if (!startsAllowed) {
             return new WaitReason.StartWindow();
         }
+        if (!jobTable.accountUsage().permitsStart(task)) {
+            return new WaitReason.AccountCap(task.job.spec.account());
+        }
         return switch (searchWorkers(task, now)) {
             case WaitReason.NotPlaced _ when !startsLeft -> new WaitReason.StartWindow();
             case WaitReason reason -> reason;
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
@@ -17,6 +17,9 @@
     /** The plan allowed no further start. */
     record StartWindow() implements WaitReason {}
 
+    /** The cap of the client account permits no further task. */
+    record AccountCap(String account) implements WaitReason {}
+
     /** No worker of the service is listed. */
     record NoWorkers(String service) implements WaitReason {}
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerIndex.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.WorkerId;
 
 /**
@@ -52,12 +53,11 @@
             Availability availability) {}
 
     /** The usable workers of one service, whether they are reachable or not. */
-    record ServiceSize(int workers, long milliCores) {
-        static final ServiceSize NONE = new ServiceSize(0, 0);
+    record ServiceSize(int workers, Resources capacity) {
+        static final ServiceSize NONE = new ServiceSize(0, Resources.NONE);
 
         ServiceSize plus(WorkerNode node) {
-            return new ServiceSize(
-                    workers + 1, milliCores + node.registration.capacity().milliCores());
+            return new ServiceSize(workers + 1, capacity.plus(node.registration.capacity()));
         }
     }
 
@@ -207,6 +207,11 @@
         return latestChange;
     }
 
+    /** Returns the capacity of all usable workers, whether they are reachable or not. */
+    Resources capacity() {
+        return serviceSizes.values().stream().map(ServiceSize::capacity).reduce(Resources.NONE, Resources::plus);
+    }
+
     FailureRates failureRates() {
         return failureRates;
     }
@@ -333,7 +338,8 @@
         }
         return quarantined == 0
                 ? size.workers() > 1
-                : quarantined + node.registration.capacity().milliCores() <= MAX_QUARANTINED_SHARE * size.milliCores();
+                : quarantined + node.registration.capacity().milliCores()
+                        <= MAX_QUARANTINED_SHARE * size.capacity().milliCores();
     }
 
     /** Returns and clears the workers whose quarantine has begun since the last call. */
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
@@ -37,8 +37,7 @@
     private final WorkerRegistry registry = new WorkerRegistry(jobTable, time);
     private final WorkerSelector selector = new WorkerSelector(new InterferenceModel(), registry.index());
     private final RoomClaims roomClaims = new RoomClaims(selector, registry.index());
-    private final TaskPlacer placer =
-            new TaskPlacer(jobTable, selector, roomClaims, new StarvedJobs(jobTable, registry.index()), time);
+    private final TaskPlacer placer = new TaskPlacer(jobTable, selector, roomClaims, registry.index(), time);
     private final ReportProcessor reports = new ReportProcessor(jobTable, registry.index(), new StalledRuns());
     private final List<WorkerRegistration> registrations = new ArrayList<>();
     private final List<JobEntry> jobs = new ArrayList<>();
--- a/node/src/main/java/org/chestnutbarrow/node/ControlTable.java
+++ b/node/src/main/java/org/chestnutbarrow/node/ControlTable.java
@@ -65,6 +65,10 @@
                 latest.version(),
                 "queues",
                 latest.queues().size(),
+                "accounts",
+                latest.access().accounts().size(),
+                "keys",
+                latest.access().accountsByKey().size(),
                 "out",
                 latest.evacuatedZones());
         onChange.accept(latest);
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -86,6 +86,7 @@
     }
 
     private final List<JobShard> shards = new ArrayList<>();
+    private final SubmissionRates submissionRates;
     private volatile Consumer<JobId> changeListener = _ -> {};
     private volatile ObjLongConsumer<List<StateStore.Entry>> storedListener = (_, _) -> {};
     private final AtomicReference<OwnerChange> ownerChange = new AtomicReference<>(OwnerChange.NONE);
@@ -93,6 +94,7 @@
     private volatile Map<TaskRecord.WorkerIncarnation, Duration> silences = Map.of();
 
     JobReplica(TimeSource time) {
+        submissionRates = new SubmissionRates(time);
         for (int i = 0; i < SHARD_COUNT; i++) {
             shards.add(new JobShard(time));
         }
@@ -191,6 +193,22 @@
         return sum;
     }
 
+    /** Returns the number of pending jobs of a client account. */
+    int pendingJobsOfAccount(String account) {
+        int sum = 0;
+        for (JobShard shard : shards) {
+            synchronized (shard) {
+                sum += shard.pendingByAccount.getOrDefault(account, 0);
+            }
+        }
+        return sum;
+    }
+
+    /** Returns the number of jobs of a client account that were accepted in {@link SubmissionRates#WINDOW}. */
+    int recentSubmissions(String account) {
+        return submissionRates.recent(account);
+    }
+
     /** Returns all jobs that match a filter. */
     List<JobView> findAll(Predicate<JobView> filter) {
         List<JobView> result = new ArrayList<>();
@@ -229,7 +247,11 @@
     /** Applies a stored job. */
     void applyJob(JobSpec job) {
         JobShard shard = shard(job.id());
-        shard.update(job.id(), () -> shard.specs.putIfAbsent(job.id(), job));
+        shard.update(job.id(), () -> {
+            if (shard.specs.putIfAbsent(job.id(), job) == null) {
+                submissionRates.record(job.account(), job.submitted());
+            }
+        });
         changeListener.accept(job.id());
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/JobShard.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobShard.java
@@ -22,6 +22,9 @@
      */
     final Map<String, Integer> pendingByQueue = new HashMap<>();
 
+    /** The same by client account; jobs without an account are not counted. */
+    final Map<String, Integer> pendingByAccount = new HashMap<>();
+
     private final TimeSource time;
     /** When this node learnt that a job has ended with all its runs, ns. */
     private final Map<JobId, Long> settledSince = new HashMap<>();
@@ -86,10 +89,15 @@
     }
 
     private void adjustPending(JobId id, int delta) {
-        view(id).filter(view -> view.state() == JobState.QUEUED)
-                .ifPresent(view -> pendingByQueue.merge(
-                        view.spec().queue().key(),
-                        delta,
-                        (current, change) -> current + change == 0 ? null : Integer.valueOf(current + change)));
+        view(id).filter(view -> view.state() == JobState.QUEUED).ifPresent(view -> {
+            adjust(pendingByQueue, view.spec().queue().key(), delta);
+            if (!view.spec().account().isEmpty()) {
+                adjust(pendingByAccount, view.spec().account(), delta);
+            }
+        });
+    }
+
+    private static void adjust(Map<String, Integer> counts, String key, int delta) {
+        counts.merge(key, delta, (current, change) -> current + change == 0 ? null : Integer.valueOf(current + change));
     }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -18,6 +18,7 @@
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
 
@@ -70,6 +71,7 @@
     private final WorkerTable workers;
     private final JobWriter writer;
     private final NodeMetrics metrics;
+    private final CallerAccounts accounts;
     private final TopicFollower controlFollower;
     private final TopicFollower jobFollower;
     private final TopicFollower progressFollower;
@@ -108,7 +110,8 @@
                 replica.jobsListener(),
                 () -> isOwner() ? LONG_POLL : STANDBY_POLL,
                 permissionTime);
-        this.metrics = new NodeMetrics(this::isOwner, jobFollower::age);
+        this.metrics = new NodeMetrics(this::isOwner, jobFollower::age, this::accountUsage);
+        this.accounts = new CallerAccounts(control, controlFollower::age, settings.maxKeyAge(), replica, metrics);
         this.progressFollower = new TopicFollower(
                 store,
                 StateStore.Topic.PROGRESS,
@@ -165,6 +168,11 @@
         builder.name(name).start(() -> Threads.runSupervised(name, loop, () -> !leaving, metrics::threadFailed));
     }
 
+    private Map<String, Resources> accountUsage() {
+        OwnershipTerm current = term;
+        return current == null ? Map.of() : current.accountUsage();
+    }
+
     private boolean isOwner() {
         OwnershipTerm current = term;
         return current != null && current.active();
@@ -237,7 +245,7 @@
                 workers.onChange(_ -> {});
                 boolean read = false;
                 try {
-                    catchUpBoth(workerFollower, progressFollower);
+                    TopicFollower.catchUpBoth(workerFollower, progressFollower);
                     read = true;
                 } finally {
                     takeoverPolicy.updateReads(read, time.nanos());
@@ -318,13 +326,13 @@
                 () -> Collections.max(List.of(controlFollower.age(), jobFollower.age(), workerFollower.age())));
         // A call to a slow store takes 0.3 s or more, so calls that need not follow the fence run concurrently with it.
         try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
-            Future<?> jobsCaughtUp = executor.submit(() -> catchUp(jobFollower));
-            Future<?> workersCaughtUp = executor.submit(() -> catchUp(workerFollower));
+            Future<?> jobsCaughtUp = TopicFollower.catchUp(jobFollower, executor);
+            Future<?> workersCaughtUp = TopicFollower.catchUp(workerFollower, executor);
             next.storage().fenceEarlierOwners(membership.memberId(), progressFollower);
             jobsCaughtUp.get();
             workersCaughtUp.get();
             if (replica.lacksPlacedJobs()) {
-                catchUp(jobFollower);
+                jobFollower.catchUp();
             }
             term = next;
             if (leaving) {
@@ -357,30 +365,15 @@
         }
     }
 
-    /** Reads two topics concurrently, since a call to a slow store takes 0.3 s or more. */
-    private static void catchUpBoth(TopicFollower first, TopicFollower second) throws NotRunException {
-        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
-            Future<?> firstCaughtUp = executor.submit(() -> catchUp(first));
-            second.catchUp();
-            firstCaughtUp.get();
-        } catch (ExecutionException e) {
-            throw new NotRunException(
-                    "a topic could not be read: " + e.getCause().getMessage(), "try again", e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new NotRunException("the read of a topic was interrupted", "try again", e);
-        }
-    }
-
-    private static boolean catchUp(TopicFollower follower) throws NotRunException {
-        follower.catchUp();
-        return true;
-    }
-
     private static void followWorkers(TopicFollower follower, OwnershipTerm term) {
         follower.run(term::active);
     }
 
+    /** Returns the client accounts, for the callers of this node. */
+    public AccountService accounts() {
+        return accounts;
+    }
+
     @Override
     public ControlState control() {
         return control.state();
--- a/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
@@ -11,15 +11,20 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.Map;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.Resources;
 
 /** Prometheus metrics of one node. Safe for use by several threads; label values come from a fixed set. */
 final class NodeMetrics {
     private static final double NANOS_PER_SECOND = 1e9;
+    private static final double MILLICORES_PER_CORE = 1000;
+    /** Bounds the label values; further accounts have no time series. */
+    private static final int MAX_ACCOUNTS = 100;
 
     private final PrometheusRegistry registry = new PrometheusRegistry();
     private final Counter submissions = Counter.builder()
@@ -53,6 +58,12 @@
             .help("Jobs that this node does not place because of an unexpected error")
             .register(registry);
 
+    private final Counter accessRefusals = Counter.builder()
+            .name("chestnutbarrow_node_access_refusals_total")
+            .help("Calls refused because of their API key or the rate of their account")
+            .labelNames("reason")
+            .register(registry);
+
     private final Counter threadFailures = Counter.builder()
             .name("chestnutbarrow_node_thread_failures_total")
             .help("Loops that were started again after an unexpected exception")
@@ -71,13 +82,29 @@
             .classicOnly()
             .register(registry);
 
+    /** Creates the metrics of a node without client accounts. */
+    NodeMetrics(BooleanSupplier isOwner, Supplier<Duration> jobsAge) {
+        this(isOwner, jobsAge, Map::of);
+    }
+
     /**
      * Creates the metrics.
      *
      * @param isOwner whether this node owns the workers
      * @param jobsAge age of the node's copy of the jobs
+     * @param accountUsage what the tasks of client accounts hold, if this node owns the workers
      */
-    NodeMetrics(BooleanSupplier isOwner, Supplier<Duration> jobsAge) {
+    NodeMetrics(BooleanSupplier isOwner, Supplier<Duration> jobsAge, Supplier<Map<String, Resources>> accountUsage) {
+        GaugeWithCallback.builder()
+                .name("chestnutbarrow_node_account_cores")
+                .help("Processor cores that the tasks of client accounts hold, on the owner")
+                .labelNames("account")
+                .callback(callback -> accountUsage.get().entrySet().stream()
+                        .sorted(Map.Entry.comparingByKey())
+                        .limit(MAX_ACCOUNTS)
+                        .forEach(entry ->
+                                callback.call(entry.getValue().milliCores() / MILLICORES_PER_CORE, entry.getKey())))
+                .register(registry);
         GaugeWithCallback.builder()
                 .name("chestnutbarrow_node_owner")
                 .help("1 while this node owns the workers")
@@ -105,6 +132,11 @@
         jobsSetAside.inc();
     }
 
+    /** Counts a call that was refused because of its API key or the rate of its account. */
+    void accessRefused(String reason) {
+        accessRefusals.labelValues(reason).inc();
+    }
+
     void threadFailed() {
         threadFailures.inc();
     }
--- a/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
@@ -100,6 +100,7 @@
             case WaitReason.SetAside _ -> "set-aside";
             case WaitReason.UnknownRuns _ -> "unknown-runs";
             case WaitReason.StartWindow _ -> "start-window";
+            case WaitReason.AccountCap _ -> "account-cap";
             case WaitReason.NoWorkers _ -> "no-workers";
             case WaitReason.NoLabel _ -> "no-label";
             case WaitReason.NoRoom _ -> "no-room";
@@ -116,6 +117,7 @@
     private static String workers(WaitReason reason) {
         return switch (reason) {
             case WaitReason.SetAside _, WaitReason.UnknownRuns _, WaitReason.StartWindow _ -> "";
+            case WaitReason.AccountCap cap -> "account " + cap.account();
             case WaitReason.NoWorkers noWorkers -> "0 of " + noWorkers.service();
             case WaitReason.NoLabel noLabel -> "0 with " + noLabel.label();
             case WaitReason.NoRoom noRoom -> String.valueOf(noRoom.workers());
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -20,6 +20,7 @@
 import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.JobId;
+import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
 
@@ -256,8 +257,7 @@
 
     /** Connects to the workers and starts to place tasks. */
     void start(ControlState control, Collection<WorkerRegistration> workers) {
-        scheduler.configure(control.queues());
-        scheduler.setEvacuatedZones(control.evacuatedZones());
+        control.applyTo(scheduler);
         scheduler.restore(replica.estimates());
         // Workers are contacted only after all jobs are loaded, because runs that belong to no known job are stopped.
         scheduler.updateWorkers(workers);
@@ -297,11 +297,15 @@
 
     /** Applies new declarations. */
     void updateControl(ControlState control) {
-        scheduler.configure(control.queues());
-        scheduler.setEvacuatedZones(control.evacuatedZones());
+        control.applyTo(scheduler);
         wake();
     }
 
+    /** Returns what the tasks of each client account hold on all workers. */
+    Map<String, Resources> accountUsage() {
+        return active.get() ? scheduler.accountUsage() : Map.of();
+    }
+
     /** Applies the current worker list; opens a new link for each worker that is new or has restarted. */
     void updateWorkers(Collection<WorkerRegistration> entries) {
         holds.setWorkerCount(entries.size());
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -54,6 +54,10 @@
             for (Step step : job.steps()) {
                 writeStep(packer, step);
             }
+            // Nodes of earlier builds ignore what follows.
+            if (!job.account().isEmpty()) {
+                packer.packString(job.account());
+            }
         });
     }
 
@@ -94,7 +98,8 @@
             for (int i = 0; i < count; i++) {
                 steps.add(readStep(unpacker));
             }
-            return new JobSpec(id, queue, submitted, payload, steps);
+            String account = unpacker.hasNext() ? unpacker.unpackString() : "";
+            return new JobSpec(id, queue, account, submitted, payload, steps);
         });
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TopicFollower.java
@@ -9,6 +9,9 @@
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
@@ -226,6 +229,29 @@
         }
     }
 
+    /** Reads to the current end of the topic on another thread. */
+    static Future<?> catchUp(TopicFollower follower, ExecutorService executor) {
+        return executor.submit(() -> {
+            follower.catchUp();
+            return true;
+        });
+    }
+
+    /** Reads two topics concurrently, since a call to a slow store takes 0.3 s or more. */
+    static void catchUpBoth(TopicFollower first, TopicFollower second) throws NotRunException {
+        try (ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor()) {
+            Future<?> firstCaughtUp = catchUp(first, executor);
+            second.catchUp();
+            firstCaughtUp.get();
+        } catch (ExecutionException e) {
+            throw new NotRunException(
+                    "a topic could not be read: " + e.getCause().getMessage(), "try again", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new NotRunException("the read of a topic was interrupted", "try again", e);
+        }
+    }
+
     /**
      * Ensures that the received data is no older than {@code maxAge}; zero requires a read that starts after this
      * call. Concurrent callers share one read. If it fails, they share the failure for the duration of a retry delay.
