Bound what all requests of a listener hold in memory

Cause: the limits of the HTTP server hold for one connection. 4,096 connections could each keep 1 MiB in one component for each chunk, very many fields as objects, or a descriptor without sending anything, and all listeners had the same limits. The refusals are counted in two metrics.

--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -8,7 +8,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.util.concurrent.EventExecutor;
 import java.net.InetSocketAddress;
@@ -39,6 +39,7 @@
     private final EventLoopGroup eventLoops;
     private final ExecutorService executor;
     private final ServerConnections connections;
+    private final ReceiveBudget budget;
     private final ListenerChannel listener;
     private final AtomicBoolean closed = new AtomicBoolean();
 
@@ -46,10 +47,12 @@
             EventLoopGroup eventLoops,
             ExecutorService executor,
             ServerConnections connections,
+            ReceiveBudget budget,
             ListenerChannel listener) {
         this.eventLoops = eventLoops;
         this.executor = executor;
         this.connections = connections;
+        this.budget = budget;
         this.listener = listener;
     }
 
@@ -63,6 +66,8 @@
         EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
         ServerConnections connections = new ServerConnections(limits.maxConnections());
+        ReceiveBudget budget = new ReceiveBudget(limits.maxHeldBytes());
+        HttpHeadersFactory headersFactory = LimitedHeaders.factory(limits.maxHeaderFields());
         ServerBootstrap bootstrap = new ServerBootstrap()
                 .group(eventLoops)
                 .channelFactory(() -> new ListenerChannel(BACKLOG))
@@ -78,13 +83,18 @@
                         }
                         HttpDecoderConfig config = new HttpDecoderConfig()
                                 .setMaxInitialLineLength(MAX_REQUEST_LINE_BYTES)
-                                .setMaxHeaderSize(limits.maxHeaderBytes());
+                                .setMaxHeaderSize(limits.maxHeaderBytes())
+                                .setHeadersFactory(headersFactory)
+                                .setTrailersFactory(headersFactory);
                         ReceiveTimeout timeout = new ReceiveTimeout(limits.receiveTimeout(), limits.idleTimeout());
+                        RequestBytes requestBytes = new RequestBytes(budget);
                         channel.pipeline()
                                 .addLast(timeout)
+                                .addLast(requestBytes)
                                 .addLast(new HttpServerCodec(config))
-                                .addLast(new HttpObjectAggregator(limits.maxBodyBytes()))
-                                .addLast(new ServerConnectionHandler(handler, executor, connections, timeout));
+                                .addLast(new RequestAssembler(limits.maxBodyBytes()))
+                                .addLast(new ServerConnectionHandler(
+                                        handler, executor, connections, timeout, requestBytes));
                     }
                 });
         try {
@@ -92,7 +102,7 @@
                     .bind(new InetSocketAddress(bind.ip(), bind.port()))
                     .sync()
                     .channel();
-            return new HttpServer(eventLoops, executor, connections, listener);
+            return new HttpServer(eventLoops, executor, connections, budget, listener);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw shutDownAfterBindFailure(eventLoops, executor, bind, e);
@@ -112,6 +122,16 @@
         return connections.inFlight();
     }
 
+    /** Returns the number of requests that were refused because all requests together were too large. */
+    public long refusedRequests() {
+        return budget.refusals();
+    }
+
+    /** Returns the number of connections that were closed because there were too many. */
+    public long evictedConnections() {
+        return connections.evictions();
+    }
+
     /** Returns the number of open connections. */
     public int openConnections() {
         return connections.openCount();
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnectionHandler.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnectionHandler.java
@@ -1,6 +1,5 @@
 package org.chestnutbarrow.http;
 
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -10,7 +9,6 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
@@ -30,7 +28,7 @@
  *
  * <p>Invariant: no request is handled after the last response of a drained connection was sent.
  */
-final class ServerConnectionHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class ServerConnectionHandler extends SimpleChannelInboundHandler<Object> {
     /** Time for the client to read the last response and close an idle connection. */
     private static final Duration LAST_RESPONSE_TIMEOUT = Duration.ofSeconds(1);
 
@@ -40,42 +38,55 @@
     private final Executor executor;
     private final ServerConnections connections;
     private final ReceiveTimeout timeout;
+    private final RequestBytes requestBytes;
     private boolean busy;
     private boolean closeAfterResponse;
     private boolean lastResponseSent;
     private boolean drainInFlight;
 
     ServerConnectionHandler(
-            HttpHandler handler, Executor executor, ServerConnections connections, ReceiveTimeout timeout) {
+            HttpHandler handler,
+            Executor executor,
+            ServerConnections connections,
+            ReceiveTimeout timeout,
+            RequestBytes requestBytes) {
         this.handler = handler;
         this.executor = executor;
         this.connections = connections;
         this.timeout = timeout;
+        this.requestBytes = requestBytes;
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+    protected void channelRead0(ChannelHandlerContext ctx, Object message) {
         if (lastResponseSent) {
             return;
         }
+        switch (message) {
+            case RequestAssembler.Received received -> receive(ctx, received.head(), received.body());
+            case RequestAssembler.Rejected rejected -> reject(ctx, rejected.status());
+            default -> ctx.close();
+        }
+    }
+
+    private void receive(ChannelHandlerContext ctx, io.netty.handler.codec.http.HttpRequest message, byte[] body) {
         if (busy) {
             // The response to a pipelined request would be taken for the response to the request in progress.
             closeAfterResponse = true;
             return;
         }
-        if (!message.decoderResult().isSuccess() || !message.uri().startsWith("/")) {
-            rejectMalformed(ctx);
+        if (!message.uri().startsWith("/")) {
+            reject(ctx, HttpResponseStatus.BAD_REQUEST);
             return;
         }
         busy = true;
+        requestBytes.requestReceived();
+        connections.removeWithoutRequest(ctx.channel());
         ctx.channel().config().setAutoRead(false);
         timeout.requestReceived();
         boolean keepAlive = HttpUtil.isKeepAlive(message);
         HttpRequest request = new HttpRequest(
-                message.method().name(),
-                message.uri(),
-                NettyConversions.fromNetty(message.headers()),
-                ByteBufUtil.getBytes(message.content()));
+                message.method().name(), message.uri(), NettyConversions.fromNetty(message.headers()), body);
         connections.requestStarted();
         endDrain();
         try {
@@ -124,6 +135,7 @@
     /** Resumes reading after the complete response is written, so that draining never truncates a response. */
     private void finish(ChannelHandlerContext ctx, boolean close) {
         busy = false;
+        requestBytes.requestEnded();
         connections.requestEnded();
         if (close || closeAfterResponse) {
             ctx.close();
@@ -134,6 +146,7 @@
 
     private void writeTruncated(ChannelHandlerContext ctx, TruncatedResponseException truncated) {
         connections.requestEnded();
+        requestBytes.requestEnded();
         if (truncated.part() == TruncatedResponseException.Part.NOTHING) {
             ctx.close();
             return;
@@ -167,17 +180,32 @@
         }
     }
 
-    private static void rejectMalformed(ChannelHandlerContext ctx) {
-        FullHttpResponse message = new DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER);
-        message.headers()
-                .set(HttpHeaderNames.CONTENT_LENGTH, 0)
-                .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        ctx.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE);
+    /**
+     * Answers a request that is not handled, and carries no further one. A pending response to an earlier request is
+     * completed first.
+     */
+    private void reject(ChannelHandlerContext ctx, HttpResponseStatus status) {
+        requestBytes.discard();
+        if (busy) {
+            closeAfterResponse = true;
+            return;
+        }
+        if (lastResponseSent) {
+            return;
+        }
+        endDrain();
+        HttpResponse response = HttpResponse.text(status.code(), "");
+        sendLastResponse(
+                ctx,
+                status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE) ? response.with("Retry-After", "1") : response);
     }
 
     @Override
     public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event instanceof RequestBytes.RefusedEvent) {
+            reject(ctx, HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
+        }
         if (!(event instanceof ServerConnections.DrainEvent drain)) {
             return;
         }
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -2,16 +2,19 @@
 
 import io.netty.channel.Channel;
 import java.time.Duration;
+import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.SequencedSet;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Tracks the open connections and requests in flight of a server. Thread-safe.
  *
- * <p>Invariant: the number of connections never exceeds the limit.
+ * <p>Invariant: the number of connections that are not being closed never exceeds the limit.
  */
 final class ServerConnections {
     /** Time for a request that was in transit when draining started to be read, sufficient under load as well. */
@@ -19,6 +22,12 @@
 
     private final int maxConnections;
     private final Set<Channel> openChannels = ConcurrentHashMap.newKeySet();
+    /** Connections that have not carried a complete request, eldest first; guarded by its monitor. */
+    private final SequencedSet<Channel> withoutRequest = new LinkedHashSet<>();
+    /** Connections that are being closed and no longer count. */
+    private final Set<Channel> evicted = ConcurrentHashMap.newKeySet();
+
+    private final AtomicLong evictions = new AtomicLong();
     private final AtomicInteger connectionCount = new AtomicInteger();
     private final AtomicInteger inFlight = new AtomicInteger();
     private volatile boolean draining;
@@ -28,22 +37,59 @@
         this.maxConnections = maxConnections;
     }
 
+    /** Adds a connection; returns whether it may stay open. */
     boolean add(Channel channel) {
-        if (draining || connectionCount.incrementAndGet() > maxConnections) {
+        if (draining || (connectionCount.incrementAndGet() > maxConnections && !evictEldest())) {
             if (!draining) {
                 connectionCount.decrementAndGet();
             }
             return false;
         }
         openChannels.add(channel);
+        synchronized (withoutRequest) {
+            withoutRequest.addLast(channel);
+        }
         channel.closeFuture().addListener(done -> {
             openChannels.remove(channel);
-            connectionCount.decrementAndGet();
+            removeWithoutRequest(channel);
+            if (!evicted.remove(channel)) {
+                connectionCount.decrementAndGet();
+            }
         });
         // Draining may have iterated over the open connections before this one was added.
         return !draining;
     }
 
+    /**
+     * Closes the connection that has been open longest without a complete request, so that connections of clients that
+     * send nothing do not keep others out. Returns whether there is one.
+     */
+    private boolean evictEldest() {
+        Channel eldest;
+        synchronized (withoutRequest) {
+            if (withoutRequest.isEmpty()) {
+                return false;
+            }
+            eldest = withoutRequest.removeFirst();
+            evicted.add(eldest);
+        }
+        evictions.incrementAndGet();
+        connectionCount.decrementAndGet();
+        eldest.close();
+        return true;
+    }
+
+    /** Records that a connection has carried a complete request or was closed. */
+    void removeWithoutRequest(Channel channel) {
+        synchronized (withoutRequest) {
+            withoutRequest.remove(channel);
+        }
+    }
+
+    long evictions() {
+        return evictions.get();
+    }
+
     void requestStarted() {
         inFlight.incrementAndGet();
     }
