Tolerate a quarter over the share of an account

Cause: with exact shares, an account of large tasks is beyond its share on each full service, so that its urgent tasks come after less urgent ones of others although nobody bursts. Change: an account is beyond its share from 1.25 times on. Result: AccountUsageTest passes.

--- a/batch/src/main/java/org/chestnutbarrow/batch/AccountUsage.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/AccountUsage.java
@@ -93,11 +93,17 @@
      * @param capacity what the workers have beside the tasks of jobs without an account
      */
     record FairShares(Map<String, Account> accounts, double weights, Resources capacity) {
+        /**
+         * An account is beyond its share only from this factor on. Tasks are of different sizes, so exact shares would
+         * change the order of jobs on each full service, also without a burst.
+         */
+        private static final double TOLERANCE = 1.25;
+
         /** Returns whether a task leaves its account, which holds {@code used}, within its share. */
         boolean covers(TaskEntry task, Resources used) {
             Account account = accounts.get(task.job.spec.account());
             return account == null
-                    || dominantShare(used.plus(task.step.demand())) * weights <= account.weight()
+                    || dominantShare(used.plus(task.step.demand())) * weights <= TOLERANCE * account.weight()
                     || used.equals(Resources.NONE);
         }
 
