Keep room for wide tasks beside a stream of small ones

Cause: on a full service the ends of small tasks free small pieces of room, each of which the next small task takes. A task that needs several pieces on one worker waits for as long as small ones arrive. Change: a waiting task of over a third of an average worker claims the room of the worker that is expected to have it first, by progress and estimates of what runs there, while narrower tasks of the service are started. Such claims hold 1/32 of the service at most, or one task; four searches a plan. Claims of other kinds keep their bounds. RoomClaimsTest, ClaimedRoomTest and PlanCostTest pass.

--- a/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/RoomClaims.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -15,7 +16,8 @@
 
 /**
  * Keeps room on workers for tasks that run again soon: long-running ones without a worker or on a draining one, and
- * best-effort ones that were stopped because they disturb others. Without a claim, short tasks take each piece of room
+ * best-effort ones that were stopped because they disturb others; and for wide tasks that wait, see {@link WideTasks}.
+ * Without a claim, short tasks take each piece of room
  * that gets free, and a task that needs several pieces waits until the load falls. Guarded by the lock of its
  * {@link BatchScheduler}.
  *
@@ -35,6 +37,8 @@
     private static final double MAX_CLAIMED_SHARE_FOR_MOVES = MAX_CLAIMED_SHARE / 2;
     /** The same for waiting tasks while less than {@link #SHORT_TASK_SHARE} is left to short tasks. */
     private static final double MAX_CLAIMED_SHARE_OF_FULL_SERVICE = MAX_CLAIMED_SHARE / 2;
+    /** The same for wide tasks; the room of a claim stays unused until the last run before it has ended. */
+    private static final double MAX_CLAIMED_SHARE_FOR_WIDE_TASKS = MAX_CLAIMED_SHARE / 4;
     /** Share of the CPU capacity of a service below which long-running tasks and claims leave little to short tasks. */
     private static final double SHORT_TASK_SHARE = 0.08;
     /** Run times are estimates, so a better worker may be found for a claim of this age. */
@@ -43,6 +47,8 @@
     private static final int MAX_SEARCHES = 16;
     /** The same for tasks that move, whose claims are made between two plans. */
     private static final int MAX_SEARCHES_FOR_MOVES = 4;
+    /** The same for wide tasks. */
+    private static final int MAX_SEARCHES_FOR_WIDE_TASKS = 4;
 
     private static final int FINISHED_PERCENT = 100;
 
@@ -59,21 +65,45 @@
     private final Map<Requirement, Boolean> leavesPlaceByRequirement = new HashMap<>();
 
     private final List<Plan.Claim> newClaims = new ArrayList<>();
-    private int searchesLeft = MAX_SEARCHES;
-    private int searchesLeftForMoves = MAX_SEARCHES_FOR_MOVES;
+    /** Searches that the current plan may still make. */
+    private final Map<Kind, Integer> searchesLeft = new EnumMap<>(Kind.class);
 
     /**
-     * A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns, and
-     * {@code moves} whether the earlier run went on when the claim was made.
+     * A claim for the run that follows {@code run}; {@code searchedAt} is when its worker was last chosen, in ns.
      */
-    private record Claim(WorkerNode worker, int run, boolean moves, long searchedAt) {}
+    private record Claim(WorkerNode worker, int run, Kind kind, long searchedAt) {}
+
+    /** Why room is kept for a task. */
+    private enum Kind {
+        /** A long-running task must run again. */
+        RESTART,
+        /** The earlier run went on when the claim was made. */
+        MOVE,
+        /** A task that ends by itself needs more room than other tasks leave. */
+        WIDE_TASK
+    }
 
-    /** The claims that share a bound: those of tasks that move, or of the others, on the workers of a service. */
-    private record ClaimantGroup(String service, boolean moves) {}
+    /** The claims of one kind on the workers of a service, which share a bound. */
+    private record ClaimantGroup(String service, Kind kind) {}
 
     RoomClaims(WorkerSelector workerSelector, WorkerIndex index) {
         this.workerSelector = workerSelector;
         this.index = index;
+        resetSearches();
+    }
+
+    private void resetSearches() {
+        for (Kind kind : Kind.values()) {
+            searchesLeft.put(kind, maxSearches(kind));
+        }
+    }
+
+    private static int maxSearches(Kind kind) {
+        return switch (kind) {
+            case RESTART -> MAX_SEARCHES;
+            case MOVE -> MAX_SEARCHES_FOR_MOVES;
+            case WIDE_TASK -> MAX_SEARCHES_FOR_WIDE_TASKS;
+        };
     }
 
     /**
@@ -81,8 +111,7 @@
      * Called at the start of each plan.
      */
     void review(long now) {
-        searchesLeft = MAX_SEARCHES;
-        searchesLeftForMoves = MAX_SEARCHES_FOR_MOVES;
+        resetSearches();
         servicesAtBound.clear();
         leavesPlaceByRequirement.clear();
         List.copyOf(claims.sequencedKeySet().reversed()).forEach(task -> validClaim(task, now));
@@ -132,7 +161,8 @@
      * kept for it yet.
      */
     boolean awaitsClaimAfterLoss(TaskEntry task, long now) {
-        return task.assignedNode == null
+        return task.step.longRunning()
+                && task.assignedNode == null
                 && !task.endedInTouch
                 && !claims.containsKey(task)
                 && workerSelector.mayClaim(task, now);
@@ -184,13 +214,34 @@
      */
     void claimLaterRoom(TaskEntry task, long now) {
         Claim claim = validClaim(task, now);
-        if (claim == null) {
+        if (claim == null && kind(task) == Kind.WIDE_TASK) {
+            claimForWideTask(task, now);
+        } else if (claim == null) {
             addClaim(task, now);
         } else if (now - claim.searchedAt() >= REVIEW_INTERVAL.toNanos()) {
             moveIfSooner(task, claim, now);
         }
     }
 
+    /**
+     * Keeps room for a waiting task that needs more than other tasks leave, on the worker that is expected to have it
+     * first, as far as the bound on claims of wide tasks allows.
+     */
+    void claimForWideTask(TaskEntry task, long now) {
+        if (validClaim(task, now) != null
+                || searchesLeft(task) == 0
+                || !isWithinBound(task, task.job.policy.service())
+                || !workerSelector.mayClaim(task, now)) {
+            return;
+        }
+        LaterRoom room = soonestRoom(task, now);
+        if (room == null) {
+            workerSelector.markUnclaimable(task);
+        } else {
+            putOnLaterRoom(task, room.worker(), now);
+        }
+    }
+
     /** Releases the claim of a task. Has no effect if it has none. */
     void release(TaskEntry task) {
         Claim claim = claims.remove(task);
@@ -216,7 +267,7 @@
 
     private void put(TaskEntry task, WorkerNode worker, long now) {
         release(task);
-        Claim claim = new Claim(worker, task.run, task.assignedNode != null, now);
+        Claim claim = new Claim(worker, task.run, kind(task), now);
         claims.put(task, claim);
         leavesPlaceByRequirement.clear();
         addClaimed(claim, task.step.reservation().milliCores());
@@ -230,7 +281,7 @@
     }
 
     private void addClaimed(Claim claim, long milliCores) {
-        ClaimantGroup group = new ClaimantGroup(claim.worker().registration.service(), claim.moves());
+        ClaimantGroup group = new ClaimantGroup(claim.worker().registration.service(), claim.kind());
         claimedMilliCores.merge(group, milliCores, Long::sum);
     }
 
@@ -288,30 +339,34 @@
     }
 
     private boolean isWithinBound(TaskEntry task, String service) {
-        boolean moves = task.assignedNode != null;
-        long claimed = claimedMilliCores.getOrDefault(new ClaimantGroup(service, moves), 0L);
+        Kind kind = kind(task);
+        long claimed = claimedMilliCores.getOrDefault(new ClaimantGroup(service, kind), 0L);
         long wanted = claimed + task.step.reservation().milliCores();
         return claimed == 0
-                || wanted <= maxClaimedShare(task, moves) * index.pool(service).capacityMilliCores();
+                || wanted <= maxClaimedShare(task, kind) * index.pool(service).capacityMilliCores();
+    }
+
+    private double maxClaimedShare(TaskEntry task, Kind kind) {
+        return switch (kind) {
+            case MOVE -> MAX_CLAIMED_SHARE_FOR_MOVES;
+            case WIDE_TASK -> MAX_CLAIMED_SHARE_FOR_WIDE_TASKS;
+            case RESTART -> leavesShortTaskShare(task) ? MAX_CLAIMED_SHARE : MAX_CLAIMED_SHARE_OF_FULL_SERVICE;
+        };
     }
 
-    private double maxClaimedShare(TaskEntry task, boolean moves) {
-        if (moves) {
-            return MAX_CLAIMED_SHARE_FOR_MOVES;
+    private static Kind kind(TaskEntry task) {
+        if (task.assignedNode != null) {
+            return Kind.MOVE;
         }
-        return leavesShortTaskShare(task) ? MAX_CLAIMED_SHARE : MAX_CLAIMED_SHARE_OF_FULL_SERVICE;
+        return WideTasks.mayBeWide(task.step) ? Kind.WIDE_TASK : Kind.RESTART;
     }
 
     private int searchesLeft(TaskEntry task) {
-        return task.assignedNode == null ? searchesLeft : searchesLeftForMoves;
+        return searchesLeft.get(kind(task));
     }
 
     private void countSearch(TaskEntry task) {
-        if (task.assignedNode == null) {
-            searchesLeft--;
-        } else {
-            searchesLeftForMoves--;
-        }
+        searchesLeft.merge(kind(task), -1, Integer::sum);
     }
 
     private void moveIfSooner(TaskEntry task, Claim claim, long now) {
@@ -323,7 +378,7 @@
         if (room != null && (current.isEmpty() || room.time().compareTo(current.get()) < 0)) {
             putOnLaterRoom(task, room.worker(), now);
         } else {
-            claims.put(task, new Claim(claim.worker(), claim.run(), claim.moves(), now));
+            claims.put(task, new Claim(claim.worker(), claim.run(), claim.kind(), now));
         }
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -32,11 +32,14 @@
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
     private final StarvedJobs starvedJobs;
+    private final WideTasks wideTasks;
     private final AccountUsage accountUsage;
     private final WorkerIndex index;
     private final TimeSource time;
     /** Services in which first runs of long-running tasks wait, because a lost task awaits a claim. */
     private final Set<String> servicesWithLostTasks = new HashSet<>();
+    /** Services in which the current plan has started tasks that take the room of wide ones. */
+    private final Set<String> servicesWithNarrowStarts = new HashSet<>();
     /** Number of tasks that the current plan may still start. */
     private int startsLeft;
 
@@ -65,6 +68,7 @@
         this.roomClaims = roomClaims;
         this.index = index;
         this.starvedJobs = new StarvedJobs(jobTable, index);
+        this.wideTasks = new WideTasks(jobTable, index, time);
         this.accountUsage = jobTable.accountUsage();
         this.time = time;
     }
@@ -75,6 +79,7 @@
      */
     void place(long now, int maxStarts) {
         startsLeft = maxStarts;
+        servicesWithNarrowStarts.clear();
         jobTable.endBackOffs(now);
         placeRestarted(now);
         placeStarved(now, StarvedJobs.startShare(maxStarts));
@@ -83,6 +88,20 @@
             placeWithinShares(candidates, now);
         }
         place(candidates, accountUsage::permitsStart, now);
+        claimForWideTasks(now);
+    }
+
+    /** Keeps later room for the wide tasks that this plan could not place beside the narrower ones that it has placed. */
+    private void claimForWideTasks(long now) {
+        for (TaskEntry task : wideTasks.waiting(servicesWithNarrowStarts, now)) {
+            try {
+                if (accountUsage.permitsStart(task)) {
+                    roomClaims.claimForWideTask(task, now);
+                }
+            } catch (RuntimeException e) {
+                jobTable.setAside(task.job, e);
+            }
+        }
     }
 
     /**
@@ -294,6 +313,9 @@
 
     private void startTask(JobEntry job, TaskEntry task, WorkerNode node, int cpuLimitPercent, long now) {
         startsLeft--;
+        if (wideTasks.isNarrow(task)) {
+            servicesWithNarrowStarts.add(job.policy.service());
+        }
         roomClaims.release(task);
         Duration waited = job.waited(task, now);
         task.run++;
