Show the end of a job by a copy as recent as its queue calls for

Cause: a node answered the state of a job from a copy of the progress up to 1.5 s old, 0.25 s in the mean while the store answers. A job whose queue allows 0.3 s in addition to its run times was shown as completed too late. Change: JobAnswers reads the progress again if the copy is older than half of the time that the queue allows (0.1 s to 1.5 s), waits 0.25 s at most for that, and else answers as before. Answers move from Node to JobAnswers, reads of two topics to TopicFollower.

--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -34,9 +34,6 @@
 public final class Node implements JobService, AutoCloseable {
     /** Maximum age of the copy of the jobs at which the node still reports that it is ready. */
     private static final Duration MAX_READY_AGE = Duration.ofMillis(2500);
-    /** Maximum age of a copy that is used for answers. Callers are promised 2 s, part of which is network latency. */
-    private static final Duration MAX_COPY_AGE = Duration.ofMillis(1500);
-
     /** Maximum retry pause of the owner, whose plans wait for the store, and of the small control topic. */
     private static final Duration MAX_OWNER_RETRY_PAUSE = Duration.ofMillis(300);
     /** Maximum retry pause of the other nodes, which share the read capacity of the store with the owner. */
@@ -75,6 +72,7 @@
     private final TopicFollower controlFollower;
     private final TopicFollower jobFollower;
     private final TopicFollower progressFollower;
+    private final JobAnswers answers;
     private final GroupMembership membership;
     private final TakeoverEvents takeoverEvents = new TakeoverEvents();
     private volatile OwnershipTerm term;
@@ -118,6 +116,7 @@
                 replica.progressListener(),
                 () -> isOwner() ? OWNER_PROGRESS_POLL : STANDBY_POLL,
                 permissionTime);
+        this.answers = new JobAnswers(replica, jobFollower, progressFollower, time);
         replica.onStored((entries, offset) -> progressFollower.skip(offset, entries.size()));
     }
 
@@ -297,7 +296,7 @@
 
         @Override
         public Optional<String> payload(JobId job, Duration timeout) throws NotRunException {
-            return findJob(job, timeout).map(view -> view.spec().payload());
+            return answers.find(job, timeout).map(view -> view.spec().payload());
         }
     }
 
@@ -403,7 +402,7 @@
         long start = time.nanos();
         boolean known;
         try {
-            Optional<JobReplica.JobView> job = findJob(id, timeout);
+            Optional<JobReplica.JobView> job = answers.find(id, timeout);
             known = job.isPresent();
             if (known && job.get().state().isFinal()) {
                 return Receipt.STORED;
@@ -423,48 +422,18 @@
 
     @Override
     public Optional<JobState> state(JobId id, Duration timeout) throws NotRunException {
-        long start = time.nanos();
-        Optional<JobReplica.JobView> known = findJob(id, timeout);
-        if (known.isEmpty() || known.get().hasStoredFinalState()) {
-            return known.map(JobReplica.JobView::state);
-        }
-        try {
-            refresh(remaining(start, timeout));
-        } catch (NotRunException e) {
-            // Unless the job was cancelled, the state read last is one that the job has actually been in.
-            if (!progressFollower.loaded() || known.get().cancelled()) {
-                throw e;
-            }
-        }
-        return replica.find(id).map(JobReplica.JobView::state);
+        return answers.state(id, timeout);
     }
 
-    /** Finds a job; reads the store if it is unknown here, since another node may just have accepted it. */
-    private Optional<JobReplica.JobView> findJob(JobId id, Duration timeout) throws NotRunException {
-        Optional<JobReplica.JobView> known = replica.find(id);
-        if (known.isPresent()) {
-            return known;
-        }
-        jobFollower.refresh(Duration.ZERO, timeout);
-        return replica.find(id);
-    }
-
-    private void refresh(Duration timeout) throws NotRunException {
-        long start = time.nanos();
-        jobFollower.refresh(MAX_COPY_AGE, timeout);
-        progressFollower.refresh(MAX_COPY_AGE, remaining(start, timeout));
+    @Override
+    public int pendingJobs(String queueKey, Duration timeout) throws NotRunException {
+        return answers.pendingJobs(queueKey, timeout);
     }
 
     private Duration remaining(long start, Duration timeout) {
         return timeout.minusNanos(time.nanos() - start);
     }
 
-    @Override
-    public int pendingJobs(String queueKey, Duration timeout) throws NotRunException {
-        refresh(timeout);
-        return replica.pendingJobs(queueKey);
-    }
-
     @Override
     public String metrics() {
         return metrics.toText();
