Revert "Start a task again elsewhere if its run is several times slower than its step"

Cause: the change assumed that a few runs in a hundred take several times as long as the other tasks of their step. What takes seven times as long are whole steps. It would have changed how runs on slow workers of all deployments are treated, without a measured gain.

--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -34,8 +34,6 @@
     /** Since when each step has been ready as far as this owner knows; null before that. */
     private final WaitStart[] readySinceByStep;
 
-    private final RunTimes[] runTimesByStep;
-
     private final List<BitSet> waitingByStep = new ArrayList<>();
     private boolean setAside;
     private boolean partlyRestored;
@@ -52,8 +50,6 @@
         this.accountUsage = accountUsage;
         unfinishedByStep = new int[spec.steps().size()];
         readySinceByStep = new WaitStart[spec.steps().size()];
-        runTimesByStep = new RunTimes[spec.steps().size()];
-        Arrays.setAll(runTimesByStep, _ -> new RunTimes());
         equivalenceClasses = new EquivalenceClass[spec.steps().size()][2];
         for (int stepIndex = 0; stepIndex < spec.steps().size(); stepIndex++) {
             Step step = spec.steps().get(stepIndex);
@@ -164,11 +160,6 @@
         return waitingByStep.get(step);
     }
 
-    /** Returns the run times of the finished tasks of a step. */
-    RunTimes runTimes(int step) {
-        return runTimesByStep[step];
-    }
-
     /** Returns the number of tasks that have not finished. */
     int unfinishedTasks() {
         return unfinishedTasks;
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -29,13 +29,11 @@
     private final JobTable jobTable;
     private final WorkerIndex index;
     private final StalledRuns stalledRuns;
-    private final SlowRuns slowRuns;
 
     ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns) {
         this.jobTable = jobTable;
         this.index = index;
         this.stalledRuns = stalledRuns;
-        this.slowRuns = new SlowRuns(index);
     }
 
     /**
@@ -119,12 +117,6 @@
         boolean overTarget = task.isLatencyCritical()
                 && task.loadMetric > task.step.behaviour().latencyTargetMs();
         task.overTargetSince = !overTarget ? 0 : task.overTargetSince == 0 ? now : task.overTargetSince;
-        stopIfUnwanted(node, task, now);
-        return task;
-    }
-
-    /** Stops a listed run that has no use any more or that makes too little progress. */
-    private void stopIfUnwanted(WorkerNode node, TaskEntry task, long now) {
         if (task.job.state.isFinal()) {
             jobTable.stop(task, "job-ended");
         } else if (task.done) {
@@ -134,10 +126,8 @@
         } else if (isStuck(task, now)) {
             node.recordFailure(now, task.job);
             jobTable.stop(task, "stuck");
-        } else if (slowRuns.takeRestart(task, now)) {
-            task.failedOn = node;
-            jobTable.stop(task, "slow");
         }
+        return task;
     }
 
     /** Records the progress of a run; a long-running task that gets ready under this owner counts as a success. */
@@ -193,9 +183,6 @@
         boolean stopOrdered = task.stopOrdered;
         boolean wasAtWork = task.isAtWork();
         boolean inherited = task.inherited;
-        if (end.kind() == WorkerReport.EndKind.DONE) {
-            slowRuns.runFinished(task, now);
-        }
         jobTable.release(task);
         if (!end.checkpoint().isEmpty()) {
             task.checkpoint = end.checkpoint();
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -62,9 +62,7 @@
     BaselineHeadroom baseline = new BaselineHeadroom();
 
     long progressedAt;
-    /** Whether this owner has stopped a run of the task because it was slow, see {@link SlowRuns}. */
-    boolean restartedAsSlow;
-    /** Worker on which the last run failed or was slow, if it was under this owner and no run has got ready since. */
+    /** Worker on which the last run failed, if it did under this owner and no run has got ready since. */
     WorkerNode failedOn;
     /** Whether this owner has released the last run while its worker was listed and answered. */
     boolean endedInTouch;
