Expect the start of the job that has waited longest after a quarantine

A worker on probation gets one run, so the new job waits. The length of the quarantine, which the test guards, is as before. Change: the test expects no start at all 1 ms before the end of the quarantine, not only none of the new job, and then exactly one start, that of the job that has waited longest.

--- a/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/WorkerHealthTest.java
@@ -178,9 +178,13 @@
         failOnce(second, SUSPICIOUS_FAILURES + 1, "trial");
         second.time.advance(FIRST_QUARANTINE.multipliedBy(2).minusMillis(1));
         second.report("w1", List.of(), List.of());
-        assertFalse(startsTasks(second, "e"));
+        second.add(second.job("e", onWorker1(1)));
+        assertEquals(second.starts(), List.of());
         second.time.advance(Duration.ofMillis(1));
-        assertFalse(startsOf(second, "e").isEmpty());
+        List<Order.Start> next = second.starts();
+        assertEquals(next.size(), 1);
+        // Its failed task has waited for longer than that of the other job.
+        assertEquals(next.getFirst().task().job(), new JobId("trial"));
     }
 
     /** Guards against a suspected worker that gets many runs before one has ended well, also under the next owner. */
