Close silent connections for new ones only at the listeners of a node

Cause: PlatformTest#connectionsOverLimitAreClosed failed: the stand-in of a worker counts connections as the platform's workers do, and got the rule for clients that are not trusted, by which a silent connection makes way for a new one. Change: the rule is a setting of HttpLimits, off by default; the nodes' listeners set it.

--- a/http/src/main/java/org/chestnutbarrow/http/HttpLimits.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpLimits.java
@@ -11,8 +11,9 @@
  * @param maxBodyBytes maximum size of a request body; a larger one is rejected with status 413
  * @param maxHeldBytes maximum size of all requests that are being received or handled; beyond it the request that has
  *     been received for longest is refused with status 503
- * @param maxConnections maximum number of open connections; for a further one, the connection is closed that has been
- *     open longest without a complete request, or the new one if there is none
+ * @param maxConnections maximum number of open connections; further ones are closed immediately
+ * @param evictsSilent whether instead of a further connection the one is closed that has been open longest without a
+ *     complete request, if there is one
  * @param receiveTimeout maximum time between the first and the last byte of a request
  * @param idleTimeout maximum time that a connection may be idle between requests
  */
@@ -22,6 +23,7 @@
         int maxBodyBytes,
         long maxHeldBytes,
         int maxConnections,
+        boolean evictsSilent,
         Duration receiveTimeout,
         Duration idleTimeout) {
     /** Each field takes about 150 bytes as objects; clients send fewer than 50. */
@@ -52,13 +54,24 @@
                 maxBodyBytes,
                 Math.max(Runtime.getRuntime().maxMemory() / HEAP_FRACTION, 2 * ((long) maxHeaderBytes + maxBodyBytes)),
                 maxConnections,
+                false,
                 receiveTimeout,
                 idleTimeout);
     }
 
-    /** Returns these limits with another maximum number of connections. */
-    public HttpLimits withMaxConnections(int connections) {
+    /**
+     * Returns these limits with another maximum number of connections, for clients that are not trusted: connections
+     * without a request make way for new ones.
+     */
+    public HttpLimits forUntrustedClients(int connections) {
         return new HttpLimits(
-                maxHeaderBytes, maxHeaderFields, maxBodyBytes, maxHeldBytes, connections, receiveTimeout, idleTimeout);
+                maxHeaderBytes,
+                maxHeaderFields,
+                maxBodyBytes,
+                maxHeldBytes,
+                connections,
+                true,
+                receiveTimeout,
+                idleTimeout);
     }
 }
--- a/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
+++ b/http/src/main/java/org/chestnutbarrow/http/HttpServer.java
@@ -65,7 +65,7 @@
     public static HttpServer start(Address bind, HttpLimits limits, HttpHandler handler) throws InvalidInputException {
         EventLoopGroup eventLoops = new MultiThreadIoEventLoopGroup(EVENT_LOOPS, NioIoHandler.newFactory());
         ExecutorService executor = Executors.newVirtualThreadPerTaskExecutor();
-        ServerConnections connections = new ServerConnections(limits.maxConnections());
+        ServerConnections connections = new ServerConnections(limits.maxConnections(), limits.evictsSilent());
         ReceiveBudget budget = new ReceiveBudget(limits.maxHeldBytes());
         HttpHeadersFactory headersFactory = LimitedHeaders.factory(limits.maxHeaderFields());
         ServerBootstrap bootstrap = new ServerBootstrap()
--- a/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
+++ b/http/src/main/java/org/chestnutbarrow/http/ServerConnections.java
@@ -21,6 +21,7 @@
     private static final Duration DRAIN_GRACE_PERIOD = Duration.ofMillis(300);
 
     private final int maxConnections;
+    private final boolean evictsSilent;
     private final Set<Channel> openChannels = ConcurrentHashMap.newKeySet();
     /** Connections that have not carried a complete request, eldest first; guarded by its monitor. */
     private final SequencedSet<Channel> withoutRequest = new LinkedHashSet<>();
@@ -33,8 +34,9 @@
     private volatile boolean draining;
     private volatile boolean keepAliveDisabled;
 
-    ServerConnections(int maxConnections) {
+    ServerConnections(int maxConnections, boolean evictsSilent) {
         this.maxConnections = maxConnections;
+        this.evictsSilent = evictsSilent;
     }
 
     /** Adds a connection; returns whether it may stay open. */
@@ -67,7 +69,7 @@
     private boolean evictEldest() {
         Channel eldest;
         synchronized (withoutRequest) {
-            if (withoutRequest.isEmpty()) {
+            if (!evictsSilent || withoutRequest.isEmpty()) {
                 return false;
             }
             eldest = withoutRequest.removeFirst();
