Log jobs that come to the owner with progress or after their end

Cause: a log did not tell whether a job came to the owner's table again, and with which progress, after this term had planned its end. Change: the scheduler remembers which jobs have ended until the removal of their progress is stored, and addJob returns what became of a job. The event job-added names the job, the state of the progress it came with, and whether the term knows it as ended. Nothing is decided by the new knowledge yet. A job without progress, one that is in the table already and one whose end is stored get no line.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -101,25 +101,29 @@
      * before any of its tasks can be placed. A job whose progress cannot be restored is set aside. Has no further effect
      * if the job is already known or its stored progress shows that it has ended and has no runs left.
      */
-    public synchronized void addJob(JobSpec spec, Optional<JobProgress> storedProgress, boolean cancelled) {
-        if (jobTable.job(spec.id()) == null) {
-            addUnknownJob(spec, storedProgress);
-        }
+    public synchronized JobAddition addJob(JobSpec spec, Optional<JobProgress> storedProgress, boolean cancelled) {
+        JobAddition addition = add(spec, storedProgress);
         if (cancelled) {
             cancelJob(spec.id());
         }
+        return addition;
     }
 
     /** Equivalent to {@code addJob(spec, storedProgress, false)}. */
-    public void addJob(JobSpec spec, Optional<JobProgress> storedProgress) {
-        addJob(spec, storedProgress, false);
+    public JobAddition addJob(JobSpec spec, Optional<JobProgress> storedProgress) {
+        return addJob(spec, storedProgress, false);
     }
 
-    private void addUnknownJob(JobSpec spec, Optional<JobProgress> storedProgress) {
+    private JobAddition add(JobSpec spec, Optional<JobProgress> storedProgress) {
+        boolean ended = jobTable.hasEnded(spec.id());
+        if (jobTable.job(spec.id()) != null) {
+            return ended ? JobAddition.ENDED : JobAddition.KNOWN;
+        }
         if (storedProgress.isPresent()
                 && storedProgress.get().state().isFinal()
                 && storedProgress.get().steps().isEmpty()) {
-            return;
+            jobTable.markEnded(spec.id());
+            return JobAddition.ENDED;
         }
         JobEntry job = jobTable.add(spec);
         try {
@@ -127,6 +131,17 @@
         } catch (RuntimeException e) {
             jobTable.setAsidePartlyRestored(job, e);
         }
+        return ended ? JobAddition.ENDED : JobAddition.ADDED;
+    }
+
+    /** Forgets the ends of jobs whose stored progress is removed. */
+    public synchronized void forgetEnded(Collection<JobId> jobs) {
+        jobTable.forgetEnded(jobs);
+    }
+
+    /** Returns the number of jobs that are known to have ended. */
+    synchronized int endedJobs() {
+        return jobTable.endedJobs();
     }
 
     private void restore(JobEntry job, JobProgress progress) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -23,6 +24,12 @@
 
     private final TimeSource time;
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
+    /**
+     * Jobs that have ended with all their runs and have left {@link #jobs}. The replica of the owner learns of an end only
+     * once the store has answered, so that an ended job may be added again with older progress.
+     */
+    private final Set<JobId> endedJobs = new HashSet<>();
+
     private final Set<JobEntry> changedJobs = new LinkedHashSet<>();
     private final Set<WorkerNode> processedWorkers = new LinkedHashSet<>();
     private final List<Order> orders = new ArrayList<>();
@@ -78,6 +85,26 @@
         return jobs.get(id);
     }
 
+    /** Returns whether the job is known to have ended with all its runs. */
+    boolean hasEnded(JobId id) {
+        return endedJobs.contains(id);
+    }
+
+    /** Records that a job that is not in this table has ended with all its runs. */
+    void markEnded(JobId id) {
+        endedJobs.add(id);
+    }
+
+    /** Forgets the ends of jobs whose stored progress is removed. */
+    void forgetEnded(Collection<JobId> ids) {
+        ids.forEach(endedJobs::remove);
+    }
+
+    /** Returns the number of jobs that are known to have ended. */
+    int endedJobs() {
+        return endedJobs.size();
+    }
+
     /** Returns the task, or null if it is unknown. */
     TaskEntry task(TaskName name) {
         JobEntry job = jobs.get(name.job());
@@ -200,7 +227,7 @@
         }
     }
 
-    /** Returns and clears the progress to store, and forgets jobs that have ended and have no runs left. */
+    /** Returns and clears the progress to store, and removes jobs that have ended and have no runs left. */
     List<JobProgress> takeChanges() {
         List<JobProgress> changes = new ArrayList<>();
         for (JobEntry job : changedJobs) {
@@ -211,6 +238,7 @@
             changes.add(job.progress());
             if (job.isTerminated()) {
                 jobs.remove(job.spec.id());
+                markEnded(job.spec.id());
             }
         }
         changedJobs.clear();
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.chestnutbarrow.batch.BatchScheduler;
-import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskRecord;
@@ -58,6 +57,7 @@
     private final LeaseTracker leases;
     private final ThreadDelayEstimator threadDelayEstimator = new ThreadDelayEstimator();
     private final BatchScheduler scheduler;
+    private final TermJobs jobs;
     private final EndedJobCleaner endedJobCleaner;
     private final WorkerLinks links;
     private final List<Thread> threads = new ArrayList<>();
@@ -112,6 +112,7 @@
                 ANSWER_WINDOW.plus(MAX_OWNER_PAUSE).plus(LeaseTimes.upperBound(LeaseTimes.requested(maxLease)));
         this.leases = new LeaseTracker(time, maxSilence, maxLease);
         this.links = new WorkerLinks(scheduler, leases, this::openLink, time, MAX_EXTENSION_WITHOUT_STORE);
+        this.jobs = new TermJobs(token, scheduler, replica, metrics);
         this.endedJobCleaner = new EndedJobCleaner(store, replica, time, token);
     }
 
@@ -263,9 +264,7 @@
         scheduler.updateWorkers(workers);
         // Registered before the scan so that no job read in the meantime is missed; adding a job twice has no effect.
         replica.onChange(this::jobChanged);
-        for (JobReplica.JobView known : replica.findAll(k -> true)) {
-            addJob(known);
-        }
+        jobs.addAll();
         leases.start(replica.silences(), storage.inheritedLeases(), scheduler.unconfirmedIncarnations());
         updateWorkers(workers);
         startThread("plans", this::planLoop);
@@ -276,25 +275,11 @@
 
     private void jobChanged(JobId id) {
         if (active.get()) {
-            replica.find(id).ifPresent(this::addJob);
+            jobs.add(id);
             wake();
         }
     }
 
-    /** Adds a job. One that causes an unexpected error is left out, so that it does not end the term or a takeover. */
-    private void addJob(JobReplica.JobView known) {
-        try {
-            scheduler.addJob(known.spec(), known.progress(), known.cancelled());
-        } catch (RuntimeException e) {
-            setAside(known.spec().id(), e);
-        }
-    }
-
-    private void setAside(JobId job, RuntimeException cause) {
-        metrics.jobSetAside();
-        Events.warn("job-set-aside", "job", job, "token", token, "cause", cause);
-    }
-
     /** Applies new declarations. */
     void updateControl(ControlState control) {
         control.applyTo(scheduler);
@@ -398,7 +383,7 @@
     }
 
     private void execute(Plan plan) {
-        plan.setAside().forEach(job -> setAside(job.job(), job.cause()));
+        plan.setAside().forEach(job -> jobs.setAside(job.job(), job.cause()));
         plan.claims().forEach(OrderEvents::log);
         plan.waiting().ifPresent(OrderEvents::log);
         plan.quarantined().forEach(worker -> Events.info("worker-quarantined", "worker", worker));
@@ -411,12 +396,15 @@
         Optional<Map<TaskRecord.WorkerIncarnation, Duration>> silenceRecord =
                 storage.confirmationAge().compareTo(ANSWER_WINDOW) < 0 ? leases.dueRecord() : Optional.empty();
         silenceRecord.ifPresent(record -> entries.add(JobReplica.silencesEntry(record)));
-        entries.addAll(endedJobCleaner.takeProgressRemovals());
+        List<StateStore.Entry> progressRemovals = endedJobCleaner.takeProgressRemovals();
+        entries.addAll(progressRemovals);
         Optional<OwnerRecord> ownerRecord = dueOwnerRecord();
         ownerRecord.ifPresent(record -> entries.add(JobReplica.ownerEntry(record)));
-        if (!entries.isEmpty() && !persist(entries, plan.changes())) {
+        if (!entries.isEmpty() && !persist(entries)) {
             return;
         }
+        jobs.changesStored(plan.changes());
+        jobs.progressRemoved(progressRemovals);
         silenceRecord.ifPresent(leases::recordStored);
         ownerRecord.ifPresent(storage::recordStored);
         links.acknowledge(plan.acknowledgements());
@@ -444,23 +432,14 @@
         }
     }
 
-    /** Stores the entries, which include the changes; returns false if this term has ended. */
-    private boolean persist(List<StateStore.Entry> entries, List<JobProgress> changes) {
+    /** Stores the entries; returns false if this term has ended. */
+    private boolean persist(List<StateStore.Entry> entries) {
         try {
-            if (!storage.store(entries, active::get)) {
-                return false;
-            }
+            return storage.store(entries, active::get);
         } catch (StaleEpochException e) {
             fenced("store: " + e.getMessage());
             return false;
         }
-        for (JobProgress change : changes) {
-            if (change.state().isFinal() && change.steps().isEmpty()) {
-                metrics.jobEnded(change.state());
-                Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
-            }
-        }
-        return true;
     }
 
     private boolean isClosing() {
--- /dev/null
+++ b/node/src/main/java/org/chestnutbarrow/node/TermJobs.java
@@ -0,0 +1,88 @@
+package org.chestnutbarrow.node;
+
+import java.util.List;
+import java.util.Optional;
+import org.chestnutbarrow.batch.BatchScheduler;
+import org.chestnutbarrow.batch.JobAddition;
+import org.chestnutbarrow.batch.JobProgress;
+import org.chestnutbarrow.logging.Events;
+import org.chestnutbarrow.model.JobId;
+
+/**
+ * Passes the jobs of the replica to the scheduler of one term of ownership, and logs what became of them. Thread-safe;
+ * has no state of its own.
+ *
+ * <p>Invariant: a job that causes an unexpected error is left out, so that it does not end the term or a takeover.
+ */
+final class TermJobs {
+    private final long token;
+    private final BatchScheduler scheduler;
+    private final JobReplica replica;
+    private final NodeMetrics metrics;
+
+    TermJobs(long token, BatchScheduler scheduler, JobReplica replica, NodeMetrics metrics) {
+        this.token = token;
+        this.scheduler = scheduler;
+        this.replica = replica;
+        this.metrics = metrics;
+    }
+
+    /** Adds all jobs of the replica. */
+    void addAll() {
+        replica.findAll(_ -> true).forEach(this::add);
+    }
+
+    /** Adds a job of the replica, if it exists. */
+    void add(JobId id) {
+        replica.find(id).ifPresent(this::add);
+    }
+
+    private void add(JobReplica.JobView known) {
+        try {
+            log(known, scheduler.addJob(known.spec(), known.progress(), known.cancelled()));
+        } catch (RuntimeException e) {
+            setAside(known.spec().id(), e);
+        }
+    }
+
+    /** Logs a job that has run before. A job that has not, or whose end is stored, comes with each submission. */
+    private void log(JobReplica.JobView known, JobAddition addition) {
+        Optional<JobReplica.StoredProgress> progress = known.storedProgress();
+        boolean settled = progress.filter(JobReplica.StoredProgress::isSettled).isPresent();
+        boolean ended = addition == JobAddition.ENDED;
+        if (ended ? !settled : addition == JobAddition.ADDED && progress.isPresent()) {
+            Events.info(
+                    "job-added",
+                    "job",
+                    known.spec().id(),
+                    "state",
+                    progress.map(p -> p.state().name()).orElse("NONE"),
+                    "ended",
+                    ended,
+                    "token",
+                    token);
+        }
+    }
+
+    /** Records that the scheduler does not place a job because of an unexpected error. */
+    void setAside(JobId job, RuntimeException cause) {
+        metrics.jobSetAside();
+        Events.warn("job-set-aside", "job", job, "token", token, "cause", cause);
+    }
+
+    /** Records the ends of jobs among changes that are stored. */
+    void changesStored(List<JobProgress> changes) {
+        for (JobProgress change : changes) {
+            if (change.state().isFinal() && change.steps().isEmpty()) {
+                metrics.jobEnded(change.state());
+                Events.info("job-ended", "job", change.id(), "state", change.state(), "token", token);
+            }
+        }
+    }
+
+    /** Records that the removal of the progress of jobs is stored. */
+    void progressRemoved(List<StateStore.Entry> removals) {
+        scheduler.forgetEnded(
+                removals.stream().map(entry -> new JobId(entry.key())).toList());
+    }
+}
--- a/node/src/test/java/org/chestnutbarrow/node/OrderEventsTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OrderEventsTest.java
@@ -6,11 +6,6 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.logging.Handler;
-import java.util.logging.Level;
-import java.util.logging.LogRecord;
-import java.util.logging.Logger;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskName;
@@ -21,54 +16,22 @@
 
 /** Tests the log lines of orders and of waiting jobs. */
 public class OrderEventsTest {
-    private static final Logger LOGGER = Logger.getLogger("chestnutbarrow");
     private static final String JOB = "order-events-test";
 
-    /** Collects the log lines of the test's job; other tests may log meanwhile. Safe for use by several threads. */
-    private static final class LineCollector extends Handler {
-        private final List<String> lines = new CopyOnWriteArrayList<>();
-
-        @Override
-        public void publish(LogRecord logRecord) {
-            if (logRecord.getMessage().contains("job=" + JOB)) {
-                lines.add(logRecord.getMessage());
-            }
-        }
-
-        @Override
-        public void flush() {}
-
-        @Override
-        public void close() {}
-    }
-
-    /** Returns the lines that are logged meanwhile. */
-    private static List<String> linesOf(Runnable logging) {
-        LineCollector collector = new LineCollector();
-        Level level = LOGGER.getLevel();
-        LOGGER.setLevel(Level.INFO);
-        LOGGER.addHandler(collector);
-        try {
-            logging.run();
-        } finally {
-            LOGGER.removeHandler(collector);
-            LOGGER.setLevel(level);
-        }
-        return collector.lines;
-    }
-
     /** Guards against starts in the log that do not tell tasks of different sizes apart. */
     @Test
     public void startShowsCpuAndWaitOfTask() {
-        List<String> lines = linesOf(() -> OrderEvents.log(new Order.Start(
-                new TaskName(new JobId(JOB), 1, 4),
-                2,
-                new WorkerId("w"),
-                7,
-                "payload",
-                "",
-                20_500,
-                Duration.ofMillis(1300))));
+        List<String> lines = LogLines.of(
+                JOB,
+                () -> OrderEvents.log(new Order.Start(
+                        new TaskName(new JobId(JOB), 1, 4),
+                        2,
+                        new WorkerId("w"),
+                        7,
+                        "payload",
+                        "",
+                        20_500,
+                        Duration.ofMillis(1300))));
         assertEquals(
                 lines,
                 List.of("event=task-start job=" + JOB + " task=1/4 run=2 worker=w milliCores=20500 waitedMs=1300"));
@@ -92,7 +55,8 @@
 
     private static String waitLine(WaitReason reason) {
         TaskName task = new TaskName(new JobId(JOB), 1, 4);
-        String line = linesOf(
+        String line = LogLines.of(
+                        JOB,
                         () -> OrderEvents.log(new Plan.WaitingJob(task, 20_500, Duration.ofMillis(1300), 2, reason)))
                 .getFirst();
         String prefix = "event=job-waits job=" + JOB + " task=1/4 milliCores=20500 waitedMs=1300 jobs=2 ";
