Add failing tests of ended jobs that are added again

Cause: BatchScheduler forgets a job once its end is planned; the replica learns of the end only once the store has answered. FakeWorkers can fail runs, and NodeStore can answer appends late.

--- a/node/src/test/java/org/chestnutbarrow/node/FakeWorkers.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeWorkers.java
@@ -9,14 +9,30 @@
 import org.chestnutbarrow.batch.WorkerRegistration;
 import org.chestnutbarrow.batch.WorkerReport;
 
-/** Fake workers that finish each run immediately and reject outdated fencing tokens. Thread-safe. */
+/** Fake workers that end each run immediately and reject outdated fencing tokens. Thread-safe. */
 final class FakeWorkers implements WorkerPort {
+    private final WorkerReport.EndKind endKind;
     private final List<WorkerReport.Ended> ended = new ArrayList<>();
     private final Set<String> started = new HashSet<>();
     private final List<String> startedTwice = new ArrayList<>();
     private long token;
     private long lastEndNumber;
     private long acknowledgedNumber;
+    private int starts;
+
+    FakeWorkers() {
+        this(WorkerReport.EndKind.DONE);
+    }
+
+    /** Creates workers on which each run ends in the given way. */
+    FakeWorkers(WorkerReport.EndKind endKind) {
+        this.endKind = endKind;
+    }
+
+    /** Returns the number of starts, including repeated ones. */
+    synchronized int starts() {
+        return starts;
+    }
 
     /** Returns the tasks that were started more than once. */
     synchronized List<String> startedTwice() {
@@ -50,8 +66,9 @@
             if (!started.add(task)) {
                 startedTwice.add(task);
             }
+            starts++;
             lastEndNumber++;
-            ended.add(new WorkerReport.Ended(lastEndNumber, order.task(), order.run(), WorkerReport.EndKind.DONE, ""));
+            ended.add(new WorkerReport.Ended(lastEndNumber, order.task(), order.run(), endKind, ""));
         }
         return new Done(1);
     }
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -7,6 +7,7 @@
 import java.lang.management.ManagementFactory;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -181,6 +182,52 @@
         assertEquals(replica.find(new JobId("a")).orElseThrow().state(), JobState.RUNNING);
     }
 
+    /** Guards against an ended job that comes to the owner again with each entry that repeats it. */
+    @Test
+    public void listenerIsNotCalledForEntriesThatChangeNothing() {
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
+        List<JobId> changed = new ArrayList<>();
+        replica.onChange(changed::add);
+        StateStore.Entry spec = JobReplica.jobEntry(job("a", A));
+        StateStore.Entry cancellation = JobReplica.cancelEntry(new JobId("a"));
+        for (int i = 0; i < 2; i++) {
+            replica.applyJob(job("a", A));
+            replica.jobsListener().onEntry(new StateStore.StoredEntry(i, spec));
+            replica.applyCancellation(new JobId("a"));
+            replica.jobsListener().onSnapshot(snapshot(9, spec, cancellation));
+        }
+        assertEquals(changed, List.of(new JobId("a"), new JobId("a")), "the job and its cancellation");
+    }
+
+    private static JobState state(JobReplica replica, String id) {
+        return replica.find(new JobId(id)).orElseThrow().state();
+    }
+
+    /** Guards against a job that is shown as running after it was shown as completed. */
+    @Test
+    public void olderProgressDoesNotReplaceStoredEnd() {
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
+        replica.applyJob(job("a", A));
+        replica.applyStored(List.of(progress("a", JobState.COMPLETED)), 7);
+        replica.progressListener().onEntry(new StateStore.StoredEntry(6, progress("a", JobState.RUNNING)));
+        assertEquals(state(replica, "a"), JobState.COMPLETED);
+        // The values of a snapshot are as old as the page that brought them.
+        replica.progressListener().onSnapshot(snapshot(20, progress("a", JobState.RUNNING)));
+        assertEquals(state(replica, "a"), JobState.COMPLETED);
+        replica.progressListener().onEntry(new StateStore.StoredEntry(30, progress("a", JobState.CANCELLED)));
+        assertEquals(state(replica, "a"), JobState.COMPLETED);
+    }
+
+    /** Guards against newer progress that is lost when an older removal is read. */
+    @Test
+    public void olderRemovalDoesNotRemoveProgress() {
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
+        replica.applyJob(job("a", A));
+        replica.applyStored(List.of(progress("a", JobState.RUNNING)), 7);
+        replica.progressListener().onEntry(new StateStore.StoredEntry(5, removalOf(progress("a", JobState.COMPLETED))));
+        assertEquals(state(replica, "a"), JobState.RUNNING);
+    }
+
     private static StateStore.StoredEntry stored(long offset, OwnerRecord owner) {
         return new StateStore.StoredEntry(offset, JobReplica.ownerEntry(owner));
     }
--- a/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
@@ -2,15 +2,24 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
+import java.util.function.Predicate;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 
 /** The view that one node has of a store, which can refuse calls of this node only. Safe for use by several threads. */
 final class NodeStore implements StateStore {
+    private record LateAnswer(Predicate<Entry> entries, CountDownLatch stored, CountDownLatch released) {
+        boolean appliesTo(List<Entry> appended) {
+            return appended.stream().anyMatch(entries);
+        }
+    }
+
     private final StateStore store;
+    private volatile Optional<LateAnswer> lateAnswer = Optional.empty();
     private volatile Set<Topic> refusedReads = Set.of();
     private volatile boolean refusesProgress;
     private volatile CountDownLatch progressHangs = new CountDownLatch(0);
@@ -35,6 +44,24 @@
         progressHangs = released;
     }
 
+    /**
+     * Answers appends of progress with a matching entry only once {@code released} is released, although they have taken
+     * effect. Returns a latch that is released when the first of them has.
+     */
+    CountDownLatch answerLate(Predicate<Entry> entries, CountDownLatch released) {
+        CountDownLatch stored = new CountDownLatch(1);
+        lateAnswer = Optional.of(new LateAnswer(entries, stored, released));
+        return stored;
+    }
+
+    private static void awaitRelease(CountDownLatch released) {
+        try {
+            released.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns whether an append of progress has begun. */
     boolean progressAppended() {
         return progressAppended;
@@ -54,13 +81,16 @@
         }
         if (topic == Topic.PROGRESS) {
             progressAppended = true;
-            try {
-                progressHangs.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
+            awaitRelease(progressHangs);
+        }
+        long offset = store.append(topic, entries, writer, timeout);
+        if (topic == Topic.PROGRESS) {
+            lateAnswer.filter(late -> late.appliesTo(entries)).ifPresent(late -> {
+                late.stored().countDown();
+                awaitRelease(late.released());
+            });
         }
-        return store.append(topic, entries, writer, timeout);
+        return offset;
     }
 
     @Override
