Keep ended jobs ended when they are added again

Cause: an ended job left the scheduler with the plan that ended it, although the store, and with it the replica, learnt of the end later. A second submission, the follower, a reload or a cancellation then added it with older progress: its task started again on the same worker, since the end of its run was processed already, or COMPLETED was replaced by CANCELLED. The replica called its listener for each entry, known or not. Change: adding is idempotent by the job: the scheduler takes no job that it knows to have ended, until the removal of its progress is stored.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -99,7 +99,8 @@
     /**
      * Adds a job and restores {@code storedProgress}, if an earlier owner stored any; a cancelled job is cancelled
      * before any of its tasks can be placed. A job whose progress cannot be restored is set aside. Has no further effect
-     * if the job is already known or its stored progress shows that it has ended and has no runs left.
+     * if the job is already known, or if it has ended and has no runs left, by its stored progress or by an earlier call or
+     * plan: {@code storedProgress} may have been read before the end was stored.
      */
     public synchronized JobAddition addJob(JobSpec spec, Optional<JobProgress> storedProgress, boolean cancelled) {
         JobAddition addition = add(spec, storedProgress);
@@ -115,9 +116,11 @@
     }
 
     private JobAddition add(JobSpec spec, Optional<JobProgress> storedProgress) {
-        boolean ended = jobTable.hasEnded(spec.id());
         if (jobTable.job(spec.id()) != null) {
-            return ended ? JobAddition.ENDED : JobAddition.KNOWN;
+            return JobAddition.KNOWN;
+        }
+        if (jobTable.hasEnded(spec.id())) {
+            return JobAddition.ENDED;
         }
         if (storedProgress.isPresent()
                 && storedProgress.get().state().isFinal()
@@ -131,10 +134,13 @@
         } catch (RuntimeException e) {
             jobTable.setAsidePartlyRestored(job, e);
         }
-        return ended ? JobAddition.ENDED : JobAddition.ADDED;
+        return JobAddition.ADDED;
     }
 
-    /** Forgets the ends of jobs whose stored progress is removed. */
+    /**
+     * Forgets the ends of jobs whose stored progress is removed. Until then a job stays ended whatever progress it is added
+     * with.
+     */
     public synchronized void forgetEnded(Collection<JobId> jobs) {
         jobTable.forgetEnded(jobs);
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -25,8 +25,9 @@
     private final TimeSource time;
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
     /**
-     * Jobs that have ended with all their runs and have left {@link #jobs}. The replica of the owner learns of an end only
-     * once the store has answered, so that an ended job may be added again with older progress.
+     * Jobs that have ended with all their runs, none of which is in {@link #jobs}. The replica of the owner learns of an end
+     * only once the store has answered, so that an ended job may be added again with older progress. Bounded by the jobs
+     * whose progress is stored.
      */
     private final Set<JobId> endedJobs = new HashSet<>();
 
--- a/batch/src/test/java/org/chestnutbarrow/batch/EndedJobTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/EndedJobTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -94,6 +95,20 @@
         assertEquals(startsWithinSeconds(), List.of());
     }
 
+    /** Guards against memory that grows with each job that has ever ended. */
+    @Test
+    public void endsAreForgottenWithTheirProgress() {
+        JobSpec completed = job();
+        runToEnd(completed, EndKind.DONE);
+        JobSpec settled = fixture.job("b", SchedulerFixture.step(1, 1000, Step.Behaviour.PLAIN));
+        JobProgress end = new JobProgress(settled.id(), JobState.FAILED, Instant.EPOCH, List.of());
+        assertEquals(fixture.scheduler.addJob(settled, Optional.of(end)), JobAddition.ENDED);
+        assertEquals(fixture.scheduler.addJob(settled, Optional.empty()), JobAddition.ENDED);
+        assertEquals(fixture.scheduler.endedJobs(), 2);
+        fixture.scheduler.forgetEnded(List.of(completed.id(), settled.id()));
+        assertEquals(fixture.scheduler.endedJobs(), 0);
+    }
+
     /** Guards against the same faults in other orders of the events between the end of a job and its storage. */
     @Test
     public void endedJobsStayEndedInAnyOrderOfEvents() {
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -49,6 +49,14 @@
         boolean isSettled() {
             return state.isFinal() && ProgressCodec.hasNoTasks(encoded);
         }
+
+        /**
+         * Returns whether an update may replace this progress. A final state stays until the progress is removed: the
+         * offset of a value from a snapshot is only an upper bound, so that an older value may seem to be newer.
+         */
+        boolean permits(StoredProgress update) {
+            return offset <= update.offset() && (!state.isFinal() || state == update.state());
+        }
     }
 
     /**
@@ -151,7 +159,7 @@
         return silences;
     }
 
-    /** Sets the listener that is called for each job that is added or cancelled. */
+    /** Sets the listener that is called for each job that is added or cancelled, but not for repeated entries. */
     void onChange(Consumer<JobId> listener) {
         changeListener = listener;
     }
@@ -247,19 +255,18 @@
     /** Applies a stored job. */
     void applyJob(JobSpec job) {
         JobShard shard = shard(job.id());
-        shard.update(job.id(), () -> {
-            if (shard.specs.putIfAbsent(job.id(), job) == null) {
-                submissionRates.record(job.account(), job.submitted());
-            }
-        });
-        changeListener.accept(job.id());
+        if (shard.update(job.id(), () -> shard.addSpec(job))) {
+            submissionRates.record(job.account(), job.submitted());
+            changeListener.accept(job.id());
+        }
     }
 
     /** Applies a stored cancellation. */
     void applyCancellation(JobId id) {
         JobShard shard = shard(id);
-        shard.update(id, () -> shard.cancelled.add(id));
-        changeListener.accept(id);
+        if (shard.update(id, () -> shard.cancelled.add(id))) {
+            changeListener.accept(id);
+        }
     }
 
     /** Returns a listener that applies the jobs topic. */
@@ -324,7 +331,7 @@
             progressById.forEach((id, progress) -> {
                 if (progress.offset() < snapshot.nextOffset()
                         && !snapshot.values().containsKey(id.value())) {
-                    removeJob(id);
+                    removeJob(id, snapshot.nextOffset() - 1);
                 }
             });
         }
@@ -347,26 +354,13 @@
 
     private void removeEntry(JobId id, boolean isSpec) {
         JobShard shard = shard(id);
-        shard.update(id, () -> {
-            if (isSpec) {
-                shard.removeSpec(id);
-            } else {
-                shard.cancelled.remove(id);
-            }
-        });
+        shard.update(id, () -> isSpec ? shard.removeSpec(id) : shard.cancelled.remove(id));
     }
 
-    /**
-     * Removes all entries of a job. The spec of a job is removed from the store before its progress, so a replica
-     * whose jobs topic lags must not show the job as queued once the progress is gone.
-     */
-    private void removeJob(JobId id) {
+    /** Removes all entries of a job whose progress was removed at an offset. */
+    private void removeJob(JobId id, long offset) {
         JobShard shard = shard(id);
-        shard.update(id, () -> {
-            shard.progress.remove(id);
-            shard.specs.remove(id);
-            shard.cancelled.remove(id);
-        });
+        shard.update(id, () -> shard.removeProgress(id, offset));
     }
 
     private void applyProgressEntry(String key, Optional<byte[]> value, long offset) {
@@ -387,14 +381,9 @@
             JobShard shard = shard(id);
             if (value.isPresent()) {
                 StoredProgress newest = new StoredProgress(ProgressCodec.decodeState(value.get()), value.get(), offset);
-                shard.update(
-                        id,
-                        () -> shard.progress.merge(
-                                id,
-                                newest,
-                                (current, update) -> current.offset() <= update.offset() ? update : current));
+                shard.update(id, () -> shard.putProgress(id, newest));
             } else {
-                removeJob(id);
+                removeJob(id, offset);
             }
         } catch (InvalidInputException | RuntimeException e) {
             logUnreadable(StateStore.Topic.PROGRESS, key, e);
--- a/node/src/main/java/org/chestnutbarrow/node/JobShard.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobShard.java
@@ -6,12 +6,18 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.TimeSource;
 
-/** The jobs of one shard of {@link JobReplica}. Guarded by its own monitor. */
+/**
+ * The jobs of one shard of {@link JobReplica}. Guarded by its own monitor.
+ *
+ * <p>Invariant: the progress of a job is never replaced or removed by an entry with a lower offset, and a final state is
+ * never replaced by another state, whichever way an entry arrives.
+ */
 final class JobShard {
     final Map<JobId, JobSpec> specs = new HashMap<>();
     final Set<JobId> cancelled = new HashSet<>();
@@ -43,20 +49,56 @@
                         new JobReplica.JobView(spec, cancelled.contains(id), Optional.ofNullable(progress.get(id))));
     }
 
-    /** Applies an update of a job, adjusts the numbers of pending jobs and notes the times of the job's states. */
-    synchronized void update(JobId id, Runnable update) {
+    /**
+     * Applies an update of a job, which returns whether it has changed something; adjusts the numbers of pending jobs and
+     * notes the times of the job's states.
+     */
+    synchronized boolean update(JobId id, BooleanSupplier update) {
         adjustPending(id, -1);
-        update.run();
+        boolean changed = update.getAsBoolean();
         adjustPending(id, 1);
         noteTimes(id);
+        return changed;
+    }
+
+    /** Adds a job; returns whether it is new. Called within an update. */
+    boolean addSpec(JobSpec job) {
+        return specs.putIfAbsent(job.id(), job) == null;
     }
 
     /** Removes a job that the store has removed. Called within an update. */
-    void removeSpec(JobId id) {
-        specs.remove(id);
+    boolean removeSpec(JobId id) {
+        boolean removed = specs.remove(id) != null;
         if (progress.containsKey(id)) {
             removedSince.putIfAbsent(id, time.nanos());
         }
+        return removed;
+    }
+
+    /** Sets the progress of a job unless what is known is newer. Called within an update. */
+    boolean putProgress(JobId id, JobReplica.StoredProgress update) {
+        JobReplica.StoredProgress current = progress.get(id);
+        if (current != null && !current.permits(update)) {
+            return false;
+        }
+        progress.put(id, update);
+        return true;
+    }
+
+    /**
+     * Removes all entries of a job whose progress was removed at an offset, unless its progress is newer. The spec of a
+     * job is removed from the store before its progress, so a replica whose jobs topic lags must not show the job as queued
+     * once the progress is gone. Called within an update.
+     */
+    boolean removeProgress(JobId id, long offset) {
+        JobReplica.StoredProgress current = progress.get(id);
+        if (current != null && current.offset() > offset) {
+            return false;
+        }
+        progress.remove(id);
+        specs.remove(id);
+        cancelled.remove(id);
+        return true;
     }
 
     private void noteTimes(JobId id) {
