Keep the progress of a removed job that is stored again

Cause: EndedJobCleaner removed the progress 30 s after it had removed the job, whether its node had read that removal and whether the job had been appended again meanwhile. Change: progress is removed only while the node has read the removal of the job and does not know the job. A job that is there after 30 s is removed again.

--- a/node/src/main/java/org/chestnutbarrow/node/EndedJobCleaner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EndedJobCleaner.java
@@ -20,8 +20,9 @@
  * Removes the records of jobs that ended long ago, so that the size of the store and the initial load of a node stay
  * bounded. Safe for use by two threads: one sweeps, the other takes the progress removals that are due.
  *
- * <p>Invariant: the progress of a job is removed no earlier than {@link #PROGRESS_DELAY} after the job itself, because
- * a job without progress would run again. The times are counted by the node and not by the term, so that a change of the
+ * <p>Invariant: the progress of a job is removed no earlier than {@link #PROGRESS_DELAY} after the job itself, and only
+ * while this node, which has read that removal, does not know the job, because a job without progress would run again. The
+ * times are counted by the node and not by the term, so that a change of the
  * owner does not begin them anew; the wall-clock time at which a job ended is not used, because a wrong clock would
  * remove jobs that callers still query.
  */
@@ -65,13 +66,18 @@
     /** Removes the jobs whose retention time has passed. */
     void sweep(BooleanSupplier active) {
         EndedJobs ended = replica.endedJobs();
+        long now = time.nanos();
         removedAt.keySet().retainAll(ended.settledFor().keySet());
+        // The removal has not been read, or the job was appended again after it: the job is removed again.
+        removedAt
+                .entrySet()
+                .removeIf(removed -> now - removed.getValue() >= PROGRESS_DELAY.toNanos()
+                        && !ended.removedFor().containsKey(removed.getKey()));
         List<JobId> expired = longerThan(RETENTION, ended.settledFor()).stream()
                 .filter(id -> !removedAt.containsKey(id) && !ended.removedFor().containsKey(id))
                 .toList();
         // Writers stop repeating the append of a job after JobWriter.MAX_REPEAT_TIME, so the job can no longer appear.
         List<JobId> expiredCancellations = longerThan(RETENTION, ended.cancelledUnknownFor());
-        long now = time.nanos();
         try {
             for (List<JobId> jobs : batches(expired)) {
                 remove(jobs, active);
@@ -124,7 +130,10 @@
         List<StateStore.Entry> entries = new ArrayList<>();
         for (JobId id : List.copyOf(progressToRemove)) {
             progressToRemove.remove(id);
-            entries.add(new StateStore.Entry(id.value(), Optional.empty()));
+            // A job that was appended again since the sweep is removed again first.
+            if (replica.find(id).isEmpty()) {
+                entries.add(new StateStore.Entry(id.value(), Optional.empty()));
+            }
         }
         return entries;
     }
--- a/node/src/test/java/org/chestnutbarrow/node/EndedJobCleanerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EndedJobCleanerTest.java
@@ -212,4 +212,42 @@
         sweep();
         assertEquals(keys(StateStore.Topic.JOBS), Set.of("j/b", "c/b"));
     }
+
+    /**
+     * Guards against a job that runs again because it was appended late, after its removal, and only its progress is
+     * removed then.
+     */
+    @Test
+    public void jobAddedAgainAfterItsRemovalKeepsItsProgress() throws NotRunException {
+        putJob("a", JobState.COMPLETED, List.of());
+        sweep();
+        time.advance(EndedJobCleaner.RETENTION);
+        sweep();
+        sweep();
+        StateStore.Entry late = store.records(StateStore.Topic.JOBS).getFirst();
+        store.put(StateStore.Topic.JOBS, late);
+        time.advance(EndedJobCleaner.PROGRESS_DELAY);
+        sweep();
+        assertEquals(cleaner.takeProgressRemovals(), List.of());
+        sweep();
+        assertEquals(keys(StateStore.Topic.JOBS), Set.of());
+        sweep();
+        time.advance(EndedJobCleaner.PROGRESS_DELAY);
+        sweep();
+        assertEquals(cleaner.takeProgressRemovals(), List.of(new StateStore.Entry("a", Optional.empty())));
+    }
+
+    /** Guards against a job that runs again because its owner reads it only after it has removed its progress. */
+    @Test
+    public void progressStaysUntilTheRemovalOfTheJobIsRead() throws NotRunException {
+        putJob("a", JobState.COMPLETED, List.of());
+        progressFollower.catchUp();
+        cleaner.sweep(() -> false);
+        time.advance(EndedJobCleaner.RETENTION);
+        for (int i = 0; i < 3; i++) {
+            cleaner.sweep(() -> false);
+            time.advance(EndedJobCleaner.PROGRESS_DELAY);
+        }
+        assertEquals(cleaner.takeProgressRemovals(), List.of());
+    }
 }
