Remember the ends of removed jobs while late entries may come

Cause: an entry of a job that is stored after its progress was removed, such as an append of a paused node, or one between the two removals, brought a job without progress, which ran from the beginning.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -65,8 +65,9 @@
      * @param spec specification of the job
      * @param cancelled whether a cancellation is stored
      * @param storedProgress the newest stored progress, if there is any
+     * @param endRemoved whether that progress is the end of the job and has been removed from the store
      */
-    record JobView(JobSpec spec, boolean cancelled, Optional<StoredProgress> storedProgress) {
+    record JobView(JobSpec spec, boolean cancelled, Optional<StoredProgress> storedProgress, boolean endRemoved) {
         /** Returns whether a final state is stored, so that the state never changes again. */
         boolean hasStoredFinalState() {
             return storedProgress.isPresent() && storedProgress.get().state().isFinal();
@@ -230,6 +231,11 @@
         return result;
     }
 
+    /** Returns the number of jobs whose end is remembered although their progress was removed. */
+    int removedEnds() {
+        return shards.stream().mapToInt(JobShard::removedEnds).sum();
+    }
+
     /** Returns the jobs with records that can be removed at some time. */
     EndedJobs endedJobs() {
         Map<JobId, Duration> settledFor = new HashMap<>();
@@ -360,7 +366,9 @@
     /** Removes all entries of a job whose progress was removed at an offset. */
     private void removeJob(JobId id, long offset) {
         JobShard shard = shard(id);
-        shard.update(id, () -> shard.removeProgress(id, offset));
+        if (shard.update(id, () -> shard.removeProgress(id, offset)) && find(id).isPresent()) {
+            changeListener.accept(id);
+        }
     }
 
     private void applyProgressEntry(String key, Optional<byte[]> value, long offset) {
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -398,6 +398,7 @@
         silenceRecord.ifPresent(record -> entries.add(JobReplica.silencesEntry(record)));
         List<StateStore.Entry> progressRemovals = endedJobCleaner.takeProgressRemovals();
         entries.addAll(progressRemovals);
+        entries.addAll(jobs.takeEndsToStore());
         Optional<OwnerRecord> ownerRecord = dueOwnerRecord();
         ownerRecord.ifPresent(record -> entries.add(JobReplica.ownerEntry(record)));
         if (!entries.isEmpty() && !persist(entries)) {
--- a/node/src/main/java/org/chestnutbarrow/node/TermJobs.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TermJobs.java
@@ -1,7 +1,10 @@
 package org.chestnutbarrow.node;
 
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.JobAddition;
 import org.chestnutbarrow.batch.JobProgress;
@@ -9,8 +12,7 @@
 import org.chestnutbarrow.model.JobId;
 
 /**
- * Passes the jobs of the replica to the scheduler of one term of ownership, and logs what became of them. Thread-safe;
- * has no state of its own.
+ * Passes the jobs of the replica to the scheduler of one term of ownership, and logs what became of them. Thread-safe.
  *
  * <p>Invariant: a job that causes an unexpected error is left out, so that it does not end the term or a takeover.
  */
@@ -19,6 +21,8 @@
     private final BatchScheduler scheduler;
     private final JobReplica replica;
     private final NodeMetrics metrics;
+    /** Ends of jobs that came after the removal of their progress; without them a later owner would run the jobs. */
+    private final Map<JobId, JobProgress> endsToStore = new ConcurrentHashMap<>();
 
     TermJobs(long token, BatchScheduler scheduler, JobReplica replica, NodeMetrics metrics) {
         this.token = token;
@@ -39,6 +43,9 @@
 
     private void add(JobReplica.JobView known) {
         try {
+            if (known.endRemoved()) {
+                known.progress().ifPresent(end -> endsToStore.put(end.id(), end));
+            }
             log(known, scheduler.addJob(known.spec(), known.progress(), known.cancelled()));
         } catch (RuntimeException e) {
             setAside(known.spec().id(), e);
@@ -70,6 +77,15 @@
         Events.warn("job-set-aside", "job", job, "token", token, "cause", cause);
     }
 
+    /** Takes the ends of jobs that have to be stored again. */
+    List<StateStore.Entry> takeEndsToStore() {
+        List<StateStore.Entry> entries = new ArrayList<>();
+        for (JobId id : List.copyOf(endsToStore.keySet())) {
+            entries.add(JobReplica.progressEntry(endsToStore.remove(id)));
+        }
+        return entries;
+    }
+
     /** Records the ends of jobs among changes that are stored. */
     void changesStored(List<JobProgress> changes) {
         for (JobProgress change : changes) {
--- a/node/src/test/java/org/chestnutbarrow/node/EndedJobTermTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EndedJobTermTest.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Queue;
@@ -102,6 +103,26 @@
         }
     }
 
+    /** Guards against a job that runs from the beginning because it is stored late, after its progress was removed. */
+    @Test
+    public void jobThatComesAfterItsRemovalIsNotStarted() throws Exception {
+        FakeStore records = new FakeStore();
+        FakeWorkers workers = new FakeWorkers();
+        JobReplica replica = new JobReplica(clock);
+        JobProgress end = new JobProgress(JOB.id(), JobState.COMPLETED, Instant.EPOCH, List.of());
+        replica.applyJob(JOB);
+        replica.applyStored(List.of(JobReplica.progressEntry(end)), 0);
+        replica.applyStored(List.of(new StateStore.Entry(JOB.id().value(), Optional.empty())), 1);
+        OwnershipTerm term = startTerm(records, workers, replica);
+        replica.applyJob(JOB);
+        Thread.sleep(1000);
+        assertEquals(workers.starts(), 0);
+        assertEquals(replica.find(JOB.id()).orElseThrow().state(), JobState.COMPLETED);
+        byte[] newest = records.values(StateStore.Topic.PROGRESS).get(JOB.id().value());
+        assertEquals(ProgressCodec.decode(JOB.id(), newest), end, "the end is stored again for later owners");
+        term.end();
+    }
+
     private static boolean isEnd(StateStore.Entry entry) {
         try {
             return entry.key().equals(JOB.id().value())
