Set jobs with unreadable progress aside

Cause: progress whose tasks were unreadable counted as none, so that the owner ran the job from the beginning; progress whose state was unreadable was skipped, so that the owner went on from older progress. Change: the newest progress is kept also if it is unreadable, except that an end stays. JobView.progress has three outcomes (ProgressReading), and a job with unreadable progress is set aside with the warning job-set-aside: nothing of it is started, stopped or stored until it is cancelled.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -115,12 +115,32 @@
         return addJob(spec, storedProgress, false);
     }
 
-    private JobAddition add(JobSpec spec, Optional<JobProgress> storedProgress) {
-        if (jobTable.job(spec.id()) != null) {
+    /**
+     * Adds a job whose stored progress cannot be read for the given cause, and sets it aside: its tasks may run or have
+     * finished. Has no further effect if the job is known or has ended; it can be cancelled.
+     */
+    public synchronized JobAddition addUnreadableJob(JobSpec spec, RuntimeException cause, boolean cancelled) {
+        JobAddition addition = additionOf(spec.id());
+        if (addition == JobAddition.ADDED) {
+            jobTable.setAsidePartlyRestored(jobTable.add(spec), cause);
+        }
+        if (cancelled) {
+            cancelJob(spec.id());
+        }
+        return addition;
+    }
+
+    private JobAddition additionOf(JobId id) {
+        if (jobTable.job(id) != null) {
             return JobAddition.KNOWN;
         }
-        if (jobTable.hasEnded(spec.id())) {
-            return JobAddition.ENDED;
+        return jobTable.hasEnded(id) ? JobAddition.ENDED : JobAddition.ADDED;
+    }
+
+    private JobAddition add(JobSpec spec, Optional<JobProgress> storedProgress) {
+        JobAddition addition = additionOf(spec.id());
+        if (addition != JobAddition.ADDED) {
+            return addition;
         }
         if (storedProgress.isPresent()
                 && storedProgress.get().state().isFinal()
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -79,17 +79,17 @@
             return cancelled && !state.isFinal() ? JobState.CANCELLED : state;
         }
 
-        /** Decodes the progress with its tasks; empty if there is none or it is unreadable. */
-        Optional<JobProgress> progress() {
+        /** Decodes the progress with its tasks. */
+        ProgressReading progress() {
             if (storedProgress.isEmpty()) {
-                return Optional.empty();
+                return new ProgressReading.None();
             }
             try {
-                return Optional.of(
+                return new ProgressReading.Decoded(
                         ProgressCodec.decode(spec.id(), storedProgress.get().encoded()));
-            } catch (InvalidInputException e) {
+            } catch (InvalidInputException | RuntimeException e) {
                 logUnreadable(StateStore.Topic.PROGRESS, spec.id().value(), e);
-                return Optional.empty();
+                return new ProgressReading.Unreadable(e);
             }
         }
     }
@@ -388,7 +388,7 @@
             JobId id = new JobId(key);
             JobShard shard = shard(id);
             if (value.isPresent()) {
-                StoredProgress newest = new StoredProgress(ProgressCodec.decodeState(value.get()), value.get(), offset);
+                StoredProgress newest = new StoredProgress(decodeState(key, value.get()), value.get(), offset);
                 shard.update(id, () -> shard.putProgress(id, newest));
             } else {
                 removeJob(id, offset);
@@ -398,6 +398,16 @@
         }
     }
 
+    /** Returns the state in a record; running if it is unreadable, because a job has progress once a task was placed. */
+    private static JobState decodeState(String key, byte[] value) {
+        try {
+            return ProgressCodec.decodeState(value);
+        } catch (InvalidInputException | RuntimeException e) {
+            logUnreadable(StateStore.Topic.PROGRESS, key, e);
+            return JobState.RUNNING;
+        }
+    }
+
     private void applyOwner(Optional<byte[]> value) throws InvalidInputException {
         try {
             Optional<OwnerRecord> owner =
--- a/node/src/main/java/org/chestnutbarrow/node/TermJobs.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TermJobs.java
@@ -43,15 +43,27 @@
 
     private void add(JobReplica.JobView known) {
         try {
-            if (known.endRemoved()) {
-                known.progress().ifPresent(end -> endsToStore.put(end.id(), end));
-            }
-            log(known, scheduler.addJob(known.spec(), known.progress(), known.cancelled()));
+            log(known, pass(known));
         } catch (RuntimeException e) {
             setAside(known.spec().id(), e);
         }
     }
 
+    private JobAddition pass(JobReplica.JobView known) {
+        return switch (known.progress()) {
+            case ProgressReading.None _ -> scheduler.addJob(known.spec(), Optional.empty(), known.cancelled());
+            case ProgressReading.Decoded(JobProgress progress) -> {
+                if (known.endRemoved()) {
+                    endsToStore.put(progress.id(), progress);
+                }
+                yield scheduler.addJob(known.spec(), Optional.of(progress), known.cancelled());
+            }
+            case ProgressReading.Unreadable(Exception cause) ->
+                scheduler.addUnreadableJob(
+                        known.spec(), new IllegalStateException("unreadable progress", cause), known.cancelled());
+        };
+    }
+
     /** Logs a job that has run before. A job that has not, or whose end is stored, comes with each submission. */
     private void log(JobReplica.JobView known, JobAddition addition) {
         Optional<JobReplica.StoredProgress> progress = known.storedProgress();
