Append no entry that has waited for longer than appends are repeated

Cause: the time for which an append is repeated began with its first attempt, so that an entry that waited in a suspended process was appended whenever that went on, possibly after its job had ended and was removed. Change: the 60 s begin with the call. An entry that has waited for longer is not stored, and its caller is told so. Result: JobWriterTest#entryThatHasWaitedForLongIsNotAppended failed before (STORED instead of NOT_STORED) and passes.

--- a/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
@@ -32,17 +32,22 @@
     static final int MAX_ENTRY_BYTES = 250 * 1024;
 
     /**
-     * Time after which an append is no longer repeated. Its caller has given up long before, and a cancellation of a job
-     * that is not stored is kept only for {@link EndedJobCleaner#RETENTION}.
+     * Time after which an entry is no longer appended. Its caller has given up long before, and a cancellation of a job
+     * that is not stored is kept only for {@link EndedJobCleaner#RETENTION}. It counts from the call, since a process may be
+     * suspended while an entry waits.
      */
     static final Duration MAX_REPEAT_TIME = Duration.ofSeconds(60);
 
     private static final class PendingEntry {
         final StateStore.Entry entry;
+        /** When the caller handed the entry over, ns. */
+        final long since;
+
         final CompletableFuture<JobService.Receipt> result = new CompletableFuture<>();
 
-        PendingEntry(StateStore.Entry entry) {
+        PendingEntry(StateStore.Entry entry, long since) {
             this.entry = entry;
+            this.since = since;
         }
     }
 
@@ -64,7 +69,7 @@
 
     /** Appends an entry and waits up to {@code timeout} for the outcome. */
     JobService.Receipt append(StateStore.Entry entry, Duration timeout) {
-        PendingEntry pending = new PendingEntry(entry);
+        PendingEntry pending = new PendingEntry(entry, time.nanos());
         synchronized (queue) {
             queue.addLast(pending);
             queue.notifyAll();
@@ -101,6 +106,7 @@
                 queue.wait();
             }
             List<PendingEntry> batch = new ArrayList<>();
+            dropOldEntries();
             int bytes = 0;
             while (!queue.isEmpty() && batch.size() < MAX_BATCH_ENTRIES) {
                 bytes += SequencedWriter.sizeBytes(queue.peekFirst().entry);
@@ -113,9 +119,20 @@
         }
     }
 
+    /** Refuses the first entries of the queue that have waited for too long. */
+    private void dropOldEntries() {
+        long now = time.nanos();
+        while (!queue.isEmpty() && now - queue.peekFirst().since >= MAX_REPEAT_TIME.toNanos()) {
+            queue.removeFirst().result.complete(JobService.Receipt.NOT_STORED);
+        }
+    }
+
     private void writeBatch(List<PendingEntry> batch) {
+        if (batch.isEmpty()) {
+            return;
+        }
         JobService.Receipt receipt;
-        long repeatUntil = time.nanos() + MAX_REPEAT_TIME.toNanos();
+        long repeatUntil = batch.getFirst().since + MAX_REPEAT_TIME.toNanos();
         try {
             writer.append(
                     batch.stream().map(pending -> pending.entry).toList(),
--- a/node/src/test/java/org/chestnutbarrow/node/JobWriterTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobWriterTest.java
@@ -7,6 +7,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.testng.annotations.AfterMethod;
@@ -104,4 +106,23 @@
         store.applyDelayed();
         assertEquals(store.records(StateStore.Topic.JOBS), List.of(secondEntry));
     }
+
+    /**
+     * Guards against an entry that is stored when its job has ended and is removed, because the process was suspended
+     * while the entry waited.
+     */
+    @Test
+    public void entryThatHasWaitedForLongIsNotAppended() throws InterruptedException, ExecutionException {
+        store.fault(FakeStore.Fault.DELAYS);
+        assertEquals(writer.append(ENTRY, Duration.ofMillis(200)), JobService.Receipt.UNKNOWN);
+        StateStore.Entry second = new StateStore.Entry("j/b", Optional.of(new byte[] {1}));
+        CompletableFuture<JobService.Receipt> receipt =
+                CompletableFuture.supplyAsync(() -> writer.append(second, Duration.ofSeconds(5)));
+        Thread.sleep(200);
+        clock.advance(JobWriter.MAX_REPEAT_TIME.plusSeconds(1));
+        Thread.sleep(300);
+        store.fault(FakeStore.Fault.NONE);
+        assertEquals(receipt.get(), JobService.Receipt.NOT_STORED);
+        assertEquals(store.records(StateStore.Topic.JOBS), List.of());
+    }
 }
