Do not replace records of the owner by older ones

Cause: the records of the owner, its silences and its estimates were applied in the order in which a node learnt of them. The late answer to an append of an ended term could replace a newer record that the follower had read, so that an earlier owner seemed to be the current one. Change: they are applied by offset, as the progress of jobs. Result: JobReplicaTest#olderOwnerRecordDoesNotReplaceNewerOne failed before (the first owner instead of the second) and passes.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -37,6 +37,8 @@
     /** Key of the estimates of the latest owner; cannot be a job id. */
     private static final String ESTIMATES_KEY = "learned/";
 
+    private static final Set<String> OWNER_RECORD_KEYS = Set.of(OWNER_KEY, SILENCES_KEY, ESTIMATES_KEY);
+
     /**
      * Newest progress of a job. The tasks stay encoded because only an owner needs them.
      *
@@ -98,6 +100,9 @@
     private final SubmissionRates submissionRates;
     private volatile Consumer<JobId> changeListener = _ -> {};
     private volatile ObjLongConsumer<List<StateStore.Entry>> storedListener = (_, _) -> {};
+    /** Offsets of the newest records of the owner by key, guarded by its monitor. */
+    private final Map<String, Long> ownerRecordOffsets = new HashMap<>();
+
     private final AtomicReference<OwnerChange> ownerChange = new AtomicReference<>(OwnerChange.NONE);
     private volatile Estimates estimates = Estimates.NONE;
     private volatile Map<TaskRecord.WorkerIncarnation, Duration> silences = Map.of();
@@ -373,16 +378,8 @@
 
     private void applyProgressEntry(String key, Optional<byte[]> value, long offset) {
         try {
-            if (key.equals(OWNER_KEY)) {
-                applyOwner(value);
-                return;
-            }
-            if (key.equals(SILENCES_KEY)) {
-                silences = value.isPresent() ? StateCodec.decodeSilences(value.get()) : Map.of();
-                return;
-            }
-            if (key.equals(ESTIMATES_KEY)) {
-                estimates = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
+            if (OWNER_RECORD_KEYS.contains(key)) {
+                applyOwnerRecord(key, value, offset);
                 return;
             }
             JobId id = new JobId(key);
@@ -398,6 +395,20 @@
         }
     }
 
+    /** Applies a record of the owner unless a newer one is known: the answer to an append may come after a later read. */
+    private void applyOwnerRecord(String key, Optional<byte[]> value, long offset) throws InvalidInputException {
+        synchronized (ownerRecordOffsets) {
+            if (ownerRecordOffsets.merge(key, offset, Math::max) > offset) {
+                return;
+            }
+            switch (key) {
+                case OWNER_KEY -> applyOwner(value);
+                case SILENCES_KEY -> silences = value.isPresent() ? StateCodec.decodeSilences(value.get()) : Map.of();
+                default -> estimates = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
+            }
+        }
+    }
+
     /** Returns the state in a record; running if it is unreadable, because a job has progress once a task was placed. */
     private static JobState decodeState(String key, byte[] value) {
         try {
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -347,4 +347,14 @@
                 Map.of(),
                 "an owner whose record cannot be read may have extended the leases");
     }
+
+    /** Guards against an older owner that seems to be the current one because an answer of the store was late. */
+    @Test
+    public void olderOwnerRecordDoesNotReplaceNewerOne() {
+        OwnerRecord second = new OwnerRecord("second", 2);
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
+        replica.progressListener().onEntry(stored(5, second));
+        replica.applyStored(List.of(JobReplica.ownerEntry(new OwnerRecord("first", 1))), 4);
+        assertEquals(replica.owner(), Optional.of(second));
+    }
 }
