--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -99,27 +99,54 @@
     /**
      * Adds a job and restores {@code storedProgress}, if an earlier owner stored any; a cancelled job is cancelled
      * before any of its tasks can be placed. A job whose progress cannot be restored is set aside. Has no further effect
-     * if the job is already known or its stored progress shows that it has ended and has no runs left.
+     * if the job is already known, or if it has ended and has no runs left, by its stored progress or by an earlier call or
+     * plan: {@code storedProgress} may have been read before the end was stored.
      */
-    public synchronized void addJob(JobSpec spec, Optional<JobProgress> storedProgress, boolean cancelled) {
-        if (jobTable.job(spec.id()) == null) {
-            addUnknownJob(spec, storedProgress);
-        }
+    public synchronized JobAddition addJob(JobSpec spec, Optional<JobProgress> storedProgress, boolean cancelled) {
+        JobAddition addition = add(spec, storedProgress);
         if (cancelled) {
             cancelJob(spec.id());
         }
+        return addition;
     }
 
     /** Equivalent to {@code addJob(spec, storedProgress, false)}. */
-    public void addJob(JobSpec spec, Optional<JobProgress> storedProgress) {
-        addJob(spec, storedProgress, false);
+    public JobAddition addJob(JobSpec spec, Optional<JobProgress> storedProgress) {
+        return addJob(spec, storedProgress, false);
+    }
+
+    /**
+     * Adds a job whose stored progress cannot be read for the given cause, and sets it aside: its tasks may run or have
+     * finished. Has no further effect if the job is known or has ended; it can be cancelled.
+     */
+    public synchronized JobAddition addUnreadableJob(JobSpec spec, RuntimeException cause, boolean cancelled) {
+        JobAddition addition = additionOf(spec.id());
+        if (addition == JobAddition.ADDED) {
+            jobTable.setAsidePartlyRestored(jobTable.add(spec), cause);
+        }
+        if (cancelled) {
+            cancelJob(spec.id());
+        }
+        return addition;
+    }
+
+    private JobAddition additionOf(JobId id) {
+        if (jobTable.job(id) != null) {
+            return JobAddition.KNOWN;
+        }
+        return jobTable.hasEnded(id) ? JobAddition.ENDED : JobAddition.ADDED;
     }
 
-    private void addUnknownJob(JobSpec spec, Optional<JobProgress> storedProgress) {
+    private JobAddition add(JobSpec spec, Optional<JobProgress> storedProgress) {
+        JobAddition addition = additionOf(spec.id());
+        if (addition != JobAddition.ADDED) {
+            return addition;
+        }
         if (storedProgress.isPresent()
                 && storedProgress.get().state().isFinal()
                 && storedProgress.get().steps().isEmpty()) {
-            return;
+            jobTable.markEnded(spec.id());
+            return JobAddition.ENDED;
         }
         JobEntry job = jobTable.add(spec);
         try {
@@ -127,6 +154,20 @@
         } catch (RuntimeException e) {
             jobTable.setAsidePartlyRestored(job, e);
         }
+        return JobAddition.ADDED;
+    }
+
+    /**
+     * Forgets the ends of jobs whose stored progress is removed. Until then a job stays ended whatever progress it is added
+     * with.
+     */
+    public synchronized void forgetEnded(Collection<JobId> jobs) {
+        jobTable.forgetEnded(jobs);
+    }
+
+    /** Returns the number of jobs that are known to have ended. */
+    synchronized int endedJobs() {
+        return jobTable.endedJobs();
     }
 
     private void restore(JobEntry job, JobProgress progress) {
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -37,6 +37,8 @@
     /** Key of the estimates of the latest owner; cannot be a job id. */
     private static final String ESTIMATES_KEY = "learned/";
 
+    private static final Set<String> OWNER_RECORD_KEYS = Set.of(OWNER_KEY, SILENCES_KEY, ESTIMATES_KEY);
+
     /**
      * Newest progress of a job. The tasks stay encoded because only an owner needs them.
      *
@@ -49,6 +51,14 @@
         boolean isSettled() {
             return state.isFinal() && ProgressCodec.hasNoTasks(encoded);
         }
+
+        /**
+         * Returns whether an update may replace this progress. A final state stays until the progress is removed: the
+         * offset of a value from a snapshot is only an upper bound, so that an older value may seem to be newer.
+         */
+        boolean permits(StoredProgress update) {
+            return offset <= update.offset() && (!state.isFinal() || state == update.state());
+        }
     }
 
     /**
@@ -57,8 +67,9 @@
      * @param spec specification of the job
      * @param cancelled whether a cancellation is stored
      * @param storedProgress the newest stored progress, if there is any
+     * @param endRemoved whether that progress is the end of the job and has been removed from the store
      */
-    record JobView(JobSpec spec, boolean cancelled, Optional<StoredProgress> storedProgress) {
+    record JobView(JobSpec spec, boolean cancelled, Optional<StoredProgress> storedProgress, boolean endRemoved) {
         /** Returns whether a final state is stored, so that the state never changes again. */
         boolean hasStoredFinalState() {
             return storedProgress.isPresent() && storedProgress.get().state().isFinal();
@@ -70,17 +81,17 @@
             return cancelled && !state.isFinal() ? JobState.CANCELLED : state;
         }
 
-        /** Decodes the progress with its tasks; empty if there is none or it is unreadable. */
-        Optional<JobProgress> progress() {
+        /** Decodes the progress with its tasks. */
+        ProgressReading progress() {
             if (storedProgress.isEmpty()) {
-                return Optional.empty();
+                return new ProgressReading.None();
             }
             try {
-                return Optional.of(
+                return new ProgressReading.Decoded(
                         ProgressCodec.decode(spec.id(), storedProgress.get().encoded()));
-            } catch (InvalidInputException e) {
+            } catch (InvalidInputException | RuntimeException e) {
                 logUnreadable(StateStore.Topic.PROGRESS, spec.id().value(), e);
-                return Optional.empty();
+                return new ProgressReading.Unreadable(e);
             }
         }
     }
@@ -89,6 +100,9 @@
     private final SubmissionRates submissionRates;
     private volatile Consumer<JobId> changeListener = _ -> {};
     private volatile ObjLongConsumer<List<StateStore.Entry>> storedListener = (_, _) -> {};
+    /** Offsets of the newest records of the owner by key, guarded by its monitor. */
+    private final Map<String, Long> ownerRecordOffsets = new HashMap<>();
+
     private final AtomicReference<OwnerChange> ownerChange = new AtomicReference<>(OwnerChange.NONE);
     private volatile Estimates estimates = Estimates.NONE;
     private volatile Map<TaskRecord.WorkerIncarnation, Duration> silences = Map.of();
@@ -151,7 +165,7 @@
         return silences;
     }
 
-    /** Sets the listener that is called for each job that is added or cancelled. */
+    /** Sets the listener that is called for each job that is added or cancelled, but not for repeated entries. */
     void onChange(Consumer<JobId> listener) {
         changeListener = listener;
     }
@@ -222,6 +236,11 @@
         return result;
     }
 
+    /** Returns the number of jobs whose end is remembered although their progress was removed. */
+    int removedEnds() {
+        return shards.stream().mapToInt(JobShard::removedEnds).sum();
+    }
+
     /** Returns the jobs with records that can be removed at some time. */
     EndedJobs endedJobs() {
         Map<JobId, Duration> settledFor = new HashMap<>();
@@ -247,19 +266,18 @@
     /** Applies a stored job. */
     void applyJob(JobSpec job) {
         JobShard shard = shard(job.id());
-        shard.update(job.id(), () -> {
-            if (shard.specs.putIfAbsent(job.id(), job) == null) {
-                submissionRates.record(job.account(), job.submitted());
-            }
-        });
-        changeListener.accept(job.id());
+        if (shard.update(job.id(), () -> shard.addSpec(job))) {
+            submissionRates.record(job.account(), job.submitted());
+            changeListener.accept(job.id());
+        }
     }
 
     /** Applies a stored cancellation. */
     void applyCancellation(JobId id) {
         JobShard shard = shard(id);
-        shard.update(id, () -> shard.cancelled.add(id));
-        changeListener.accept(id);
+        if (shard.update(id, () -> shard.cancelled.add(id))) {
+            changeListener.accept(id);
+        }
     }
 
     /** Returns a listener that applies the jobs topic. */
@@ -324,7 +342,7 @@
             progressById.forEach((id, progress) -> {
                 if (progress.offset() < snapshot.nextOffset()
                         && !snapshot.values().containsKey(id.value())) {
-                    removeJob(id);
+                    removeJob(id, snapshot.nextOffset() - 1);
                 }
             });
         }
@@ -347,60 +365,60 @@
 
     private void removeEntry(JobId id, boolean isSpec) {
         JobShard shard = shard(id);
-        shard.update(id, () -> {
-            if (isSpec) {
-                shard.removeSpec(id);
-            } else {
-                shard.cancelled.remove(id);
-            }
-        });
+        shard.update(id, () -> isSpec ? shard.removeSpec(id) : shard.cancelled.remove(id));
     }
 
-    /**
-     * Removes all entries of a job. The spec of a job is removed from the store before its progress, so a replica
-     * whose jobs topic lags must not show the job as queued once the progress is gone.
-     */
-    private void removeJob(JobId id) {
+    /** Removes all entries of a job whose progress was removed at an offset. */
+    private void removeJob(JobId id, long offset) {
         JobShard shard = shard(id);
-        shard.update(id, () -> {
-            shard.progress.remove(id);
-            shard.specs.remove(id);
-            shard.cancelled.remove(id);
-        });
+        if (shard.update(id, () -> shard.removeProgress(id, offset)) && find(id).isPresent()) {
+            changeListener.accept(id);
+        }
     }
 
     private void applyProgressEntry(String key, Optional<byte[]> value, long offset) {
         try {
-            if (key.equals(OWNER_KEY)) {
-                applyOwner(value);
-                return;
-            }
-            if (key.equals(SILENCES_KEY)) {
-                silences = value.isPresent() ? StateCodec.decodeSilences(value.get()) : Map.of();
-                return;
-            }
-            if (key.equals(ESTIMATES_KEY)) {
-                estimates = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
+            if (OWNER_RECORD_KEYS.contains(key)) {
+                applyOwnerRecord(key, value, offset);
                 return;
             }
             JobId id = new JobId(key);
             JobShard shard = shard(id);
             if (value.isPresent()) {
-                StoredProgress newest = new StoredProgress(ProgressCodec.decodeState(value.get()), value.get(), offset);
-                shard.update(
-                        id,
-                        () -> shard.progress.merge(
-                                id,
-                                newest,
-                                (current, update) -> current.offset() <= update.offset() ? update : current));
+                StoredProgress newest = new StoredProgress(decodeState(key, value.get()), value.get(), offset);
+                shard.update(id, () -> shard.putProgress(id, newest));
             } else {
-                removeJob(id);
+                removeJob(id, offset);
             }
         } catch (InvalidInputException | RuntimeException e) {
             logUnreadable(StateStore.Topic.PROGRESS, key, e);
         }
     }
 
+    /** Applies a record of the owner unless a newer one is known: the answer to an append may come after a later read. */
+    private void applyOwnerRecord(String key, Optional<byte[]> value, long offset) throws InvalidInputException {
+        synchronized (ownerRecordOffsets) {
+            if (ownerRecordOffsets.merge(key, offset, Math::max) > offset) {
+                return;
+            }
+            switch (key) {
+                case OWNER_KEY -> applyOwner(value);
+                case SILENCES_KEY -> silences = value.isPresent() ? StateCodec.decodeSilences(value.get()) : Map.of();
+                default -> estimates = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
+            }
+        }
+    }
+
+    /** Returns the state in a record; running if it is unreadable, because a job has progress once a task was placed. */
+    private static JobState decodeState(String key, byte[] value) {
+        try {
+            return ProgressCodec.decodeState(value);
+        } catch (InvalidInputException | RuntimeException e) {
+            logUnreadable(StateStore.Topic.PROGRESS, key, e);
+            return JobState.RUNNING;
+        }
+    }
+
     private void applyOwner(Optional<byte[]> value) throws InvalidInputException {
         try {
             Optional<OwnerRecord> owner =
