--- a/model/src/main/java/org/chestnutbarrow/model/SchedulerException.java
+++ b/model/src/main/java/org/chestnutbarrow/model/SchedulerException.java
@@ -10,13 +10,20 @@
                 UnavailableException {
     private static final long serialVersionUID = 1L;
 
+    private final String problem;
     private final String remedy;
 
     SchedulerException(String message, String remedy, Throwable cause) {
         super(message + "; " + remedy, cause);
+        this.problem = message;
         this.remedy = remedy;
     }
 
+    /** Returns the cause without the suggested action. */
+    public final String problem() {
+        return problem;
+    }
+
     /** Returns the suggested action. */
     public final String remedy() {
         return remedy;
