Add command config check for configurations of nodes

Cause: an operator learned only from the log of the nodes, after sending it, that a configuration or an entry of it was not taken. Result: exit code 0 without findings, 1 with findings, 2 for unreadable files or wrong arguments.

--- a/cli/src/main/java/org/chestnutbarrow/cli/Command.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/Command.java
@@ -4,6 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.kohsuke.args4j.spi.SubCommand;
+import org.kohsuke.args4j.spi.SubCommandHandler;
+import org.kohsuke.args4j.spi.SubCommands;
 
 /** A command with its arguments, which are set by args4j. Not thread-safe. */
 sealed interface Command {
@@ -58,6 +62,25 @@
     /** Lists jobs that have not ended. */
     final class Jobs implements Command {}
 
+    /** Commands on the configuration that nodes read from the platform's store. */
+    final class Config implements Command {
+        @Argument(metaVar = "check", required = true, handler = SubCommandHandler.class, usage = "check a file")
+        @SubCommands({@SubCommand(name = "check", impl = ConfigCheck.class)})
+        Command command;
+    }
+
+    /** Checks a configuration of nodes without sending it. */
+    final class ConfigCheck implements Command {
+        @Argument(metaVar = "FILE", required = true, usage = "configuration in the platform's form")
+        Path file;
+
+        @Option(name = "--against", metaVar = "FILE", usage = "configuration in force, to list the differences")
+        Path against;
+
+        @Option(name = "--json", usage = "print one JSON document, as --output json does")
+        boolean json;
+    }
+
     /** Cancels jobs. */
     final class Cancel implements Command {
         @Argument(metaVar = "JOB...", required = true, usage = "job ids")
--- a/cli/src/main/java/org/chestnutbarrow/cli/CommandRunner.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/CommandRunner.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.UUID;
 import org.chestnutbarrow.format.DeclarationFile;
 import org.chestnutbarrow.format.Json;
@@ -18,6 +19,7 @@
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
+import org.chestnutbarrow.platform.ConfigurationCheck;
 
 /** Executes one command and prints its result. Not thread-safe. */
 final class CommandRunner {
@@ -39,6 +41,8 @@
             case Command.Check check -> check(check.file);
             case Command.Diff diff -> diff(diff.file);
             case Command.Apply apply -> apply(apply.file);
+            case Command.Config config -> run(config.command);
+            case Command.ConfigCheck check -> checkConfiguration(check);
             case Command.Zone zone -> zone(zone);
             case Command.Status _ -> printResult(client.get("/v1/status"));
             case Command.Explain explain ->
@@ -60,6 +64,18 @@
         return ExitCode.DONE;
     }
 
+    private ExitCode checkConfiguration(Command.ConfigCheck check) throws InvalidInputException {
+        byte[] file = readBytes(check.file);
+        Optional<byte[]> against = check.against == null ? Optional.empty() : Optional.of(readBytes(check.against));
+        ConfigurationCheck.Report report = ConfigurationCheck.check(file, against);
+        if (check.json || options.output == Options.Output.json) {
+            out.println(ReportOutput.json(report));
+        } else {
+            ReportOutput.lines(report).forEach(out::println);
+        }
+        return report.findings().isEmpty() ? ExitCode.DONE : ExitCode.FINDINGS;
+    }
+
     private ExitCode diff(Path file) throws InvalidInputException, NotRunException {
         Declarations target = readDeclarations(file);
         DaemonResponse current = client.get("/v1/configuration");
--- a/cli/src/main/java/org/chestnutbarrow/cli/ExitCode.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/ExitCode.java
@@ -6,6 +6,8 @@
     DONE(0),
     /** Nothing was applied: the change was refused or conflicted with an earlier one. */
     NOT_APPLIED(1),
+    /** A check has findings; nothing was sent. */
+    FINDINGS(1),
     /** The command line or an input file is invalid; nothing was sent. */
     INVALID(2),
     /** The change is in the log, but not all daemons have confirmed it yet. */
--- a/cli/src/main/java/org/chestnutbarrow/cli/Main.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/Main.java
@@ -26,6 +26,7 @@
               check FILE         check a declaration file            check examples/hivatal/declarations.jsonc
               diff FILE          show what apply would change        diff examples/hivatal/declarations.jsonc
               apply FILE         apply a declaration file            apply examples/hivatal/declarations.jsonc
+              config check FILE  check a configuration of nodes      config check new.json --against old.json
               zone out|in NAME   take a zone out of service or in    zone out eger
               status             zones, classes, backlog, daemons    --output json status
               submit FILE        submit a job                        submit job.json
@@ -33,7 +34,7 @@
               explain ID         decisions on a request or job       explain reconcile-1
               cancel JOB...      cancel jobs                         cancel reconcile-1 reconcile-2
 
-            Exit codes: 0 done, 1 not applied, 2 invalid input, 3 accepted but not yet in force everywhere,
+            Exit codes: 0 done, 1 not applied or findings, 2 invalid input, 3 accepted but not yet in force everywhere,
             4 unknown, 5 no daemon reached""";
 
     private Main() {}
--- a/cli/src/main/java/org/chestnutbarrow/cli/Options.java
+++ b/cli/src/main/java/org/chestnutbarrow/cli/Options.java
@@ -32,6 +32,7 @@
         @SubCommand(name = "check", impl = Command.Check.class),
         @SubCommand(name = "diff", impl = Command.Diff.class),
         @SubCommand(name = "apply", impl = Command.Apply.class),
+        @SubCommand(name = "config", impl = Command.Config.class),
         @SubCommand(name = "zone", impl = Command.Zone.class),
         @SubCommand(name = "status", impl = Command.Status.class),
         @SubCommand(name = "explain", impl = Command.Explain.class),
