Process the ends of runs whatever the order in which a worker lists them

Cause: ReportProcessor skipped each end whose number was not above the last one that it had processed, and acknowledged the highest number. An end that was listed after a higher one, or that a full list of 500 left out, was acknowledged without effect, and its task ran again. WorkerLink did not log it either. Change: EndNumbers keeps the processed numbers of a worker incarnation. An end is processed once, in the order of the numbers within a report, and the acknowledgement stops below the first number that was not listed. Numbers that an earlier owner has acknowledged are never listed again, so a missing number is given up 1 s after a higher one was listed; if it is listed afterwards all the same, it is still processed. The event end-without-effect (a warning, once a second at most) names ends that have no effect on a task that is not done: numbers that were never listed, failures of other runs, unknown tasks. Result: EndOrderTest; 6 of its 7 tests failed before on (with stubs for the new names): one of two results was lost in lowerNumberAfterHigherOneIsProcessed, 501 was acknowledged instead of 2 in fullListIsAcknowledgedUpToNumberThatItLeavesOut. repeatedEndIsProcessedOnce was green before. PlacementSearchTest passes the new argument of the constructor.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -29,6 +29,7 @@
     private final WorkerRegistry registry;
     private final InterferenceModel interferenceModel = new InterferenceModel();
     private final StalledRuns stalledRuns = new StalledRuns();
+    private final IneffectiveEnds ineffectiveEnds;
     private final ReportProcessor reportProcessor;
     private final InterferenceController interferenceController;
     private final RoomClaims roomClaims;
@@ -44,7 +45,8 @@
         this.time = time;
         jobTable = new JobTable(time);
         registry = new WorkerRegistry(jobTable, time);
-        reportProcessor = new ReportProcessor(jobTable, registry.index(), stalledRuns);
+        ineffectiveEnds = new IneffectiveEnds(time);
+        reportProcessor = new ReportProcessor(jobTable, registry.index(), stalledRuns, ineffectiveEnds);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         roomClaims = new RoomClaims(workerSelector, registry.index());
@@ -301,7 +303,7 @@
         for (WorkerNode node : jobTable.takeProcessed()) {
             if (registry.find(node.id()) == node) {
                 acknowledgements.put(
-                        new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), node.lastProcessedEnd);
+                        new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), node.ends.acknowledgeable());
             }
         }
         return new Plan(
@@ -311,7 +313,8 @@
                 jobTable.takeSetAside(),
                 roomClaims.takeNewClaims(),
                 registry.index().takeNewQuarantines(),
-                waiting);
+                waiting,
+                ineffectiveEnds.take());
     }
 
     /** Returns the worker on which room is kept for the next run of a task, by task. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
@@ -18,6 +18,7 @@
  * @param claims claims that were made on room that is not free yet
  * @param quarantined workers that get no new tasks for some seconds because of failed runs
  * @param waiting the job that has waited longest with nothing running, at most once a second
+ * @param ineffectiveEnd an end that is acknowledged without effect on a task that is not done, at most once a second
  */
 public record Plan(
         List<JobProgress> changes,
@@ -26,7 +27,8 @@
         List<SetAsideJob> setAside,
         List<Claim> claims,
         List<WorkerId> quarantined,
-        Optional<WaitingJob> waiting) {
+        Optional<WaitingJob> waiting,
+        Optional<IneffectiveEnd> ineffectiveEnd) {
     /**
      * A job whose tasks are no longer placed because of an unexpected error. Its runs are not affected.
      *
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.batch;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -29,11 +30,13 @@
     private final JobTable jobTable;
     private final WorkerIndex index;
     private final StalledRuns stalledRuns;
+    private final IneffectiveEnds ineffectiveEnds;
 
-    ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns) {
+    ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns, IneffectiveEnds ineffectiveEnds) {
         this.jobTable = jobTable;
         this.index = index;
         this.stalledRuns = stalledRuns;
+        this.ineffectiveEnds = ineffectiveEnds;
     }
 
     /**
@@ -41,13 +44,12 @@
      */
     void process(WorkerNode node, WorkerReport report, long sentAt, long now) {
         node.responded(now);
-        for (WorkerReport.Ended end : report.ended()) {
-            if (end.sequence() > node.lastProcessedEnd) {
-                processEnded(node, end, now);
-                node.lastProcessedEnd = end.sequence();
-                jobTable.markProcessed(node);
-            }
-        }
+        boolean allEndsListed = report.ended().size() < MAX_LISTED_ENDS;
+        // A list need not be in the order of the numbers, in which the runs of a task have ended.
+        report.ended().stream()
+                .sorted(Comparator.comparingLong(WorkerReport.Ended::sequence))
+                .forEach(end -> processOnce(node, end, now));
+        acknowledge(node, now);
         Set<TaskEntry> listed = new HashSet<>();
         for (WorkerReport.Running run : report.running()) {
             TaskEntry task = processRunning(node, run, now);
@@ -55,7 +57,6 @@
                 listed.add(task);
             }
         }
-        boolean allEndsListed = report.ended().size() < MAX_LISTED_ENDS;
         if (!node.ownershipConfirmed()) {
             settleInherited(node, listed, allEndsListed, now);
             node.confirmOwnership();
@@ -63,6 +64,22 @@
         releaseMissing(node, listed, allEndsListed, sentAt);
     }
 
+    private void processOnce(WorkerNode node, WorkerReport.Ended end, long now) {
+        if (!node.ends.isProcessed(end.sequence())) {
+            processEnded(node, end, now);
+            node.ends.markProcessed(end.sequence(), now);
+        }
+    }
+
+    /** Lets the ends of a worker be acknowledged that have had their effect. */
+    private void acknowledge(WorkerNode node, long now) {
+        long before = node.ends.acknowledgeable();
+        node.ends.advance(now).forEach(gap -> ineffectiveEnds.record(node, gap));
+        if (node.ends.acknowledgeable() > before) {
+            jobTable.markProcessed(node);
+        }
+    }
+
     /**
      * Returns whether a run that its worker may list is over, and its end was processed if its result matters. A report
      * lists all current runs. The end of a run that it does not list may be among the ends that it leaves out; a
@@ -167,13 +184,20 @@
 
     private void processEnded(WorkerNode node, WorkerReport.Ended end, long now) {
         TaskEntry task = jobTable.task(end.task());
-        if (task != null) {
-            jobTable.markRunning(task.job);
+        if (task == null && jobTable.job(end.task().job()) == null) {
+            return;
         }
-        if (task == null || task.run != end.run() || (task.assignedNode != null && task.assignedNode != node)) {
+        if (task == null) {
+            ineffectiveEnds.record(node, end, IneffectiveEnd.Reason.UNKNOWN_TASK);
+            return;
+        }
+        jobTable.markRunning(task.job);
+        if (task.run != end.run() || (task.assignedNode != null && task.assignedNode != node)) {
             // A long-running task has no result, so the end of an earlier run says nothing about the latest one.
-            if (task != null && end.kind() == WorkerReport.EndKind.DONE && !task.done && !task.step.longRunning()) {
+            if (end.kind() == WorkerReport.EndKind.DONE && !task.done && !task.step.longRunning()) {
                 jobTable.finishTask(task);
+            } else if (end.kind() == WorkerReport.EndKind.FAILED && !task.done) {
+                ineffectiveEnds.record(node, end, IneffectiveEnd.Reason.OTHER_RUN);
             }
             return;
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -26,8 +26,7 @@
 
     final WorkerRegistration registration;
     final Set<TaskEntry> tasks = new LinkedHashSet<>();
-    /** Sequence number of the last processed end of a run. */
-    long lastProcessedEnd;
+    final EndNumbers ends = new EndNumbers();
     /** Last capacity increase, as numbered by {@link WorkerIndex}. */
     long lastFreedChange;
     /** Last change of the room for best-effort tasks, as numbered by {@link WorkerIndex}. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -148,6 +148,7 @@
             restoreHealth(node);
             workers.put(registration.id(), node);
             if (current != null) {
+                node.ends.markStartKnown();
                 current.setListed(false);
                 transferRuns(current, node, now);
             }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerReport.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerReport.java
@@ -9,7 +9,7 @@
  * @param worker the worker
  * @param incarnation the worker incarnation that sent the report
  * @param running all current runs
- * @param ended ends that have not been acknowledged, oldest first
+ * @param ended ends that have not been acknowledged, in any order
  */
 public record WorkerReport(WorkerId worker, long incarnation, List<Running> running, List<Ended> ended) {
     public WorkerReport {
--- a/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/PlacementSearchTest.java
@@ -38,7 +38,8 @@
     private final WorkerSelector selector = new WorkerSelector(new InterferenceModel(), registry.index());
     private final RoomClaims roomClaims = new RoomClaims(selector, registry.index());
     private final TaskPlacer placer = new TaskPlacer(jobTable, selector, roomClaims, registry.index(), time);
-    private final ReportProcessor reports = new ReportProcessor(jobTable, registry.index(), new StalledRuns());
+    private final ReportProcessor reports =
+            new ReportProcessor(jobTable, registry.index(), new StalledRuns(), new IneffectiveEnds(time));
     private final List<WorkerRegistration> registrations = new ArrayList<>();
     private final List<JobEntry> jobs = new ArrayList<>();
     private final long[] lastEnd = new long[WORKERS];
--- a/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.stream.Collectors;
+import org.chestnutbarrow.batch.IneffectiveEnd;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskName;
@@ -133,6 +134,29 @@
         return task.step() + "/" + task.index();
     }
 
+    static void log(IneffectiveEnd ineffective) {
+        Events.warn(
+                "end-without-effect",
+                "job",
+                ineffective.end().map(end -> end.task().job().value()).orElse(""),
+                "task",
+                ineffective.end().map(end -> indexes(end.task())).orElse(""),
+                "run",
+                ineffective.end().map(end -> String.valueOf(end.run())).orElse(""),
+                "worker",
+                ineffective.worker(),
+                "how",
+                ineffective.end().map(end -> end.kind().name()).orElse(""),
+                "number",
+                ineffective.first() == ineffective.last()
+                        ? ineffective.first()
+                        : ineffective.first() + " to " + ineffective.last(),
+                "reason",
+                ineffective.reason().name().toLowerCase(Locale.ROOT).replace('_', '-'),
+                "ends",
+                ineffective.count());
+    }
+
     static void logEnd(WorkerReport.Ended ended, WorkerId worker) {
         Events.info(
                 "task-ended",
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -401,6 +401,7 @@
         plan.setAside().forEach(job -> setAside(job.job(), job.cause()));
         plan.claims().forEach(OrderEvents::log);
         plan.waiting().ifPresent(OrderEvents::log);
+        plan.ineffectiveEnd().ifPresent(OrderEvents::log);
         plan.quarantined().forEach(worker -> Events.info("worker-quarantined", "worker", worker));
         List<StateStore.Entry> entries = new ArrayList<>();
         plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -1,8 +1,11 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.Semaphore;
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.Order;
@@ -53,6 +56,8 @@
     private volatile boolean closed;
     private final Acknowledgement acknowledgement;
     private long lastReportedSequence;
+    /** Numbers of the ends that the last report listed; accessed only by the thread of the holds. */
+    private final Set<Long> loggedEnds = new HashSet<>();
     /** Expiry time of leases in the last hold that extended them, by the clock of the worker; negative if none did. */
     private long heldUntilMs = -1;
 
@@ -430,16 +435,24 @@
         }
         scheduler.report(status.report(), sentAt);
         owner.wake();
-        for (WorkerReport.Ended ended : status.report().ended()) {
-            if (ended.sequence() > lastReportedSequence) {
-                lastReportedSequence = ended.sequence();
+        logEnds(status.report().ended());
+        // An earlier hold would return immediately with the same ends.
+        acknowledgement.await(lastReportedSequence, owner.holdWait(), this::isOpen);
+        return true;
+    }
+
+    /** Logs the ends that no earlier report listed; a list need not be in the order of the numbers. */
+    private void logEnds(List<WorkerReport.Ended> ends) {
+        long lowest =
+                ends.stream().mapToLong(WorkerReport.Ended::sequence).min().orElse(Long.MAX_VALUE);
+        loggedEnds.removeIf(number -> number < lowest);
+        for (WorkerReport.Ended ended : ends) {
+            if (loggedEnds.add(ended.sequence())) {
+                lastReportedSequence = Math.max(lastReportedSequence, ended.sequence());
                 owner.runEnded(ended.kind());
                 OrderEvents.logEnd(ended, worker.id());
             }
         }
-        // An earlier hold would return immediately with the same ends.
-        acknowledgement.await(lastReportedSequence, owner.holdWait(), this::isOpen);
-        return true;
     }
 
     private void reportIfUnreachable() {
