Withhold ends of unknown and partly restored jobs from acknowledgement

Cause: an end was acknowledged as soon as it was listed, also if the scheduler did not know its job yet, because the copy of the jobs was behind, or left the progress of its job out of the changes, because only part of it was restored. The result was in no stored progress, and the task ran again. If such a job was added with older progress, its task was started before the next report. Change: an end of an unknown job blocks the acknowledgements of its worker until the job is added, or for 15 s, which exceeds the expected outages of the store. EarlyEnds keeps it after that as well, and it is processed in the call that adds the job. Jobs that this owner has seen end, or that were stored as ended, are remembered (JobTable.isTerminated), so that their ends do not wait. Ends of a partly restored job are withheld until the job ends or the list of the worker is full, since a worker lists no further ends then. Ends that are given up are named by end-without-effect.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -121,6 +121,7 @@
         if (storedProgress.isPresent()
                 && storedProgress.get().state().isFinal()
                 && storedProgress.get().steps().isEmpty()) {
+            jobTable.markTerminated(spec.id());
             return;
         }
         JobEntry job = jobTable.add(spec);
@@ -129,6 +130,7 @@
         } catch (RuntimeException e) {
             jobTable.setAsidePartlyRestored(job, e);
         }
+        reportProcessor.jobAdded(spec.id(), time.nanos());
     }
 
     private void restore(JobEntry job, JobProgress progress) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 
@@ -11,7 +12,8 @@
  * Numbers of the ends that one worker incarnation has listed, and up to which of them it may discard its ends. Guarded
  * by the lock of its {@link BatchScheduler}.
  *
- * <p>Invariants: a number is processed once; {@link #acknowledgeable} never falls, and passes a number that was never listed only {@link #MAX_LISTING_DELAY} after a higher one was listed.
+ * <p>Invariants: a number is processed once; {@link #acknowledgeable} never falls, is below each withheld number, and
+ * passes a number that was never listed only {@link #MAX_LISTING_DELAY} after a higher one was listed.
  */
 final class EndNumbers {
     /**
@@ -19,6 +21,17 @@
      * list holds part of them in any order, but those that an earlier owner has acknowledged are never listed again.
      */
     static final Duration MAX_LISTING_DELAY = Duration.ofSeconds(1);
+    /** Time after which an end of an unknown job is acknowledged; longer than the expected outages of the store, 9 s. */
+    static final Duration MAX_WITHHOLDING = Duration.ofSeconds(15);
+
+    /** An end without effect in stored progress, which must not be acknowledged yet. */
+    record Withheld(WorkerReport.Ended end, IneffectiveEnd.Reason reason, long since) {
+        /** A job that is restored in part stays so, and a later owner needs its ends. */
+        private boolean isOverdue(long now) {
+            return reason == IneffectiveEnd.Reason.UNKNOWN_JOB && now - since >= MAX_WITHHOLDING.toNanos();
+        }
+    }
+
     /** Consecutive numbers that were never listed and are acknowledged all the same. */
     record Gap(long first, long last) {
         private boolean contains(long number) {
@@ -29,6 +42,7 @@
     /** Processed numbers above {@link #acknowledgeable}, and when they were listed first, in ns. */
     private final TreeMap<Long, Long> processed = new TreeMap<>();
 
+    private final TreeMap<Long, Withheld> withheld = new TreeMap<>();
     private final List<Gap> passedGaps = new ArrayList<>();
     /** Processed numbers in {@link #passedGaps}. */
     private final Set<Long> processedInGaps = new HashSet<>();
@@ -56,20 +70,50 @@
     }
 
     void markProcessed(long number, long now) {
+        Withheld earlier = withheld.remove(number);
         if (number > acknowledgeable) {
-            processed.put(number, now);
+            processed.put(number, earlier == null ? now : earlier.since());
         } else {
             processedInGaps.add(number);
         }
     }
 
+    /** Returns why an end is withheld; empty if it is not. */
+    Optional<IneffectiveEnd.Reason> withheldFor(long number) {
+        return Optional.ofNullable(withheld.get(number)).map(Withheld::reason);
+    }
+
+    /** Keeps an end from being acknowledged, unless it may be already. */
+    void withhold(WorkerReport.Ended end, IneffectiveEnd.Reason reason, long now) {
+        if (end.sequence() <= acknowledgeable) {
+            processedInGaps.add(end.sequence());
+            return;
+        }
+        withheld.merge(
+                end.sequence(),
+                new Withheld(end, reason, now),
+                (earlier, update) -> new Withheld(end, update.reason(), earlier.since()));
+    }
+
+    /**
+     * Gives up and returns the ends that have been withheld for too long; all if the list of the worker is full, since
+     * it lists no further ends before it has discarded some.
+     */
+    List<Withheld> giveUpWithheld(boolean listFull, long now) {
+        List<Withheld> overdue = withheld.values().stream()
+                .filter(end -> listFull || end.isOverdue(now))
+                .toList();
+        overdue.forEach(end -> markProcessed(end.end().sequence(), now));
+        return overdue;
+    }
+
     /** Raises {@link #acknowledgeable} as far as possible and returns the gaps that it has passed. */
     List<Gap> advance(long now) {
         List<Gap> passed = new ArrayList<>();
         passProcessed();
-        while (!processed.isEmpty()) {
-            long next = processed.firstKey();
-            long listedAt = processed.get(next);
+        while (!processed.isEmpty() && !withheld.containsKey(acknowledgeable + 1)) {
+            long next = nextListed();
+            long listedAt = withheld.containsKey(next) ? withheld.get(next).since() : processed.get(next);
             if (now - listedAt < MAX_LISTING_DELAY.toNanos()) {
                 return passed;
             }
@@ -85,6 +129,11 @@
         return passed;
     }
 
+    private long nextListed() {
+        long next = processed.firstKey();
+        return withheld.isEmpty() ? next : Math.min(next, withheld.firstKey());
+    }
+
     private void passProcessed() {
         while (processed.remove(acknowledgeable + 1) != null) {
             acknowledgeable++;
--- a/batch/src/main/java/org/chestnutbarrow/batch/IneffectiveEnd.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/IneffectiveEnd.java
@@ -18,8 +18,12 @@
         WorkerId worker, long first, long last, Optional<WorkerReport.Ended> end, Reason reason, int count) {
     /** Why an end has no effect. */
     public enum Reason {
+        /** The scheduler does not know the job. */
+        UNKNOWN_JOB,
         /** The job has no such task. */
         UNKNOWN_TASK,
+        /** Only a part of the stored progress of the job was restored, so that none of it is stored. */
+        PARTLY_RESTORED,
         /** The task has a later run. */
         OTHER_RUN,
         /** A higher number was listed, but not this one. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobTable.java
@@ -21,6 +21,9 @@
     /** A stop takes up to 0.9 s, so a run that is listed this long after its stop was ordered has not received it. */
     private static final Duration STOP_REPEAT_INTERVAL = Duration.ofMillis(1200);
 
+    /** The ends of runs of jobs beyond this number are acknowledged later, see {@link EndNumbers#MAX_WITHHOLDING}. */
+    private static final int MAX_TERMINATED_JOBS = 20_000;
+
     private final TimeSource time;
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
     private final Set<JobEntry> changedJobs = new LinkedHashSet<>();
@@ -34,6 +37,9 @@
     /** Tasks in back-off, and possibly some that have been placed since. */
     private final Set<TaskEntry> tasksInBackOff = new LinkedHashSet<>();
 
+    /** Jobs that have ended and have no runs left, the latest last. */
+    private final SequencedSet<JobId> terminatedJobs = new LinkedHashSet<>();
+
     private final AccountUsage accountUsage = new AccountUsage();
     private Map<String, Queue> queues = Map.of();
 
@@ -88,6 +94,19 @@
         return name.index() < tasks.size() ? tasks.get(name.index()) : null;
     }
 
+    /** Records that a job has ended and has no runs left, so that the ends of its runs have no further effect. */
+    void markTerminated(JobId id) {
+        terminatedJobs.addLast(id);
+        if (terminatedJobs.size() > MAX_TERMINATED_JOBS) {
+            terminatedJobs.removeFirst();
+        }
+    }
+
+    /** Returns whether a job is known to have ended without any run left. */
+    boolean isTerminated(JobId id) {
+        return terminatedJobs.contains(id);
+    }
+
     /** Marks a job whose progress must be stored. */
     void markChanged(JobEntry job) {
         changedJobs.add(job);
@@ -211,6 +230,7 @@
             changes.add(job.progress());
             if (job.isTerminated()) {
                 jobs.remove(job.spec.id());
+                markTerminated(job.spec.id());
             }
         }
         changedJobs.clear();
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.chestnutbarrow.model.JobId;
 
 /**
  * Processes worker reports: progress of runs, ends of runs, and runs that are missing from them. Guarded by the lock of
@@ -31,6 +32,7 @@
     private final WorkerIndex index;
     private final StalledRuns stalledRuns;
     private final IneffectiveEnds ineffectiveEnds;
+    private final EarlyEnds earlyEnds = new EarlyEnds();
 
     ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns, IneffectiveEnds ineffectiveEnds) {
         this.jobTable = jobTable;
@@ -49,7 +51,7 @@
         report.ended().stream()
                 .sorted(Comparator.comparingLong(WorkerReport.Ended::sequence))
                 .forEach(end -> processOnce(node, end, now));
-        acknowledge(node, now);
+        acknowledge(node, allEndsListed, now);
         Set<TaskEntry> listed = new HashSet<>();
         for (WorkerReport.Running run : report.running()) {
             TaskEntry task = processRunning(node, run, now);
@@ -64,16 +66,50 @@
         releaseMissing(node, listed, allEndsListed, sentAt);
     }
 
+    /** Processes the ends of a job's runs that were listed before the job was added. */
+    void jobAdded(JobId job, long now) {
+        for (EarlyEnds.EarlyEnd early : earlyEnds.take(job)) {
+            // One that is acknowledged already was kept for this.
+            processKnown(early.node(), early.end(), now);
+        }
+    }
+
     private void processOnce(WorkerNode node, WorkerReport.Ended end, long now) {
-        if (!node.ends.isProcessed(end.sequence())) {
+        if (node.ends.isProcessed(end.sequence())) {
+            return;
+        }
+        JobId job = end.task().job();
+        if (jobTable.job(job) != null || jobTable.isTerminated(job)) {
+            processKnown(node, end, now);
+        } else if (node.ends.withheldFor(end.sequence()).isEmpty()) {
+            node.ends.withhold(end, IneffectiveEnd.Reason.UNKNOWN_JOB, now);
+            earlyEnds.add(node, end);
+        }
+    }
+
+    /** Processes an end of a known job, and withholds it as long as the progress of the job is not stored. */
+    private void processKnown(WorkerNode node, WorkerReport.Ended end, long now) {
+        JobEntry job = jobTable.job(end.task().job());
+        boolean processedBefore = node.ends
+                .withheldFor(end.sequence())
+                .filter(reason -> reason == IneffectiveEnd.Reason.PARTLY_RESTORED)
+                .isPresent();
+        if (job != null && !processedBefore) {
             processEnded(node, end, now);
+        }
+        if (job != null && job.hasUnknownRuns()) {
+            node.ends.withhold(end, IneffectiveEnd.Reason.PARTLY_RESTORED, now);
+        } else {
             node.ends.markProcessed(end.sequence(), now);
         }
     }
 
-    /** Lets the ends of a worker be acknowledged that have had their effect. */
-    private void acknowledge(WorkerNode node, long now) {
+    /** Lets the ends of a worker be acknowledged that have had their effect or have been withheld for too long. */
+    private void acknowledge(WorkerNode node, boolean allEndsListed, long now) {
         long before = node.ends.acknowledgeable();
+        node.ends
+                .giveUpWithheld(!allEndsListed, now)
+                .forEach(withheld -> ineffectiveEnds.record(node, withheld.end(), withheld.reason()));
         node.ends.advance(now).forEach(gap -> ineffectiveEnds.record(node, gap));
         if (node.ends.acknowledgeable() > before) {
             jobTable.markProcessed(node);
@@ -184,9 +220,6 @@
 
     private void processEnded(WorkerNode node, WorkerReport.Ended end, long now) {
         TaskEntry task = jobTable.task(end.task());
-        if (task == null && jobTable.job(end.task().job()) == null) {
-            return;
-        }
         if (task == null) {
             ineffectiveEnds.record(node, end, IneffectiveEnd.Reason.UNKNOWN_TASK);
             return;
