Send each acknowledgement to the worker incarnation that it is meant for once

Cause: each hold carried the highest number that may be acknowledged, also if the incarnation had received it long ago. If the worker restarted between two answered holds, the next one made the later incarnation, which counts its ends from 1, discard ends that it had never listed. The header Expect-Instance does not prevent it: it names the worker, not the incarnation. Change: a hold carries the number only until the incarnation has answered a hold with it, and again if the incarnation still lists an acknowledged end. The others carry 0.

--- a/node/src/main/java/org/chestnutbarrow/node/Acknowledgement.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Acknowledgement.java
@@ -2,22 +2,40 @@
 
 import java.time.Duration;
 import java.util.function.BooleanSupplier;
+import java.util.stream.LongStream;
 import org.chestnutbarrow.model.TimeSource;
 
 /**
- * The sequence number up to which the ends of a worker's runs may be acknowledged. Thread-safe; all state is guarded by
- * the monitor of this object, and the number never falls.
+ * The sequence number up to which the ends of a worker's runs may be acknowledged, and whether the worker has received
+ * it. Thread-safe; all state is guarded by the monitor of this object, and the number never falls.
  */
 final class Acknowledgement {
     private final TimeSource time;
     private long upTo;
+    /** Number up to which the incarnation has discarded its ends. */
+    private long carriedOut;
 
     Acknowledgement(TimeSource time) {
         this.time = time;
     }
 
-    synchronized long upTo() {
-        return upTo;
+    /**
+     * Returns the number to send with the next hold; 0 if the worker has received it. Another incarnation, which may
+     * carry out the hold, would discard ends by it that were never reported.
+     */
+    synchronized long pending() {
+        return upTo > carriedOut ? upTo : 0;
+    }
+
+    /**
+     * Records that the incarnation has answered a hold with the number {@code sent}. If it still lists an acknowledged
+     * end, the number is sent again.
+     *
+     * @param listed numbers of the ends in the answer
+     */
+    synchronized void answered(long sent, LongStream listed) {
+        carriedOut = Math.max(carriedOut, sent);
+        carriedOut = Math.min(carriedOut, listed.min().orElse(Long.MAX_VALUE) - 1);
     }
 
     /** Raises the number and wakes the threads that wait for it. Has no effect if it is not higher. */
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -374,12 +374,12 @@
         // A hold after an unanswered one repeats its expiry time, since the worker may not have received it.
         long leaseUntil = extendable ? heldUntilMs : -1;
         // Sequence numbers start anew in each incarnation, so a later one would discard ends that were never reported.
-        long acknowledged = incarnationCheck.isConfirmed() ? acknowledgement.upTo() : 0;
+        long acknowledged = incarnationCheck.isConfirmed() ? acknowledgement.pending() : 0;
         try {
             WorkerPort.Answer answer =
                     port.hold(worker, owner.token(), leaseUntil, acknowledged, wait, wait.plus(answerTimeout));
             recordHoldDelay(sentAt, wait);
-            return handleHoldAnswer(answer, sentAt, failedBefore);
+            return handleHoldAnswer(answer, acknowledged, sentAt, failedBefore);
         } catch (OutcomeUnknownException | NotRunException e) {
             incarnationCheck.callFailed(e);
             recordHoldDelay(sentAt, wait);
@@ -406,7 +406,7 @@
         owner.recordHoldDelay(Duration.ofNanos(Math.max(0, time.nanos() - sentAt - wait.toNanos())));
     }
 
-    private boolean handleHoldAnswer(WorkerPort.Answer answer, long sentAt, long failedBefore) {
+    private boolean handleHoldAnswer(WorkerPort.Answer answer, long acknowledged, long sentAt, long failedBefore) {
         if (answer instanceof WorkerPort.Refused refused && refused.reason() == WorkerPort.Refusal.FENCED) {
             owner.fenced("worker " + worker.id().value());
         }
@@ -421,6 +421,8 @@
             return false;
         }
         incarnationCheck.confirm(failedBefore);
+        acknowledgement.answered(
+                acknowledged, status.report().ended().stream().mapToLong(WorkerReport.Ended::sequence));
         lastAnswerAt = time.nanos();
         // An earlier owner may have extended leases until the first answer.
         long earlierLeasesUntil = lastAnswerAt + LeaseTimes.upperBound(lease).toNanos();
