--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -29,6 +29,7 @@
     private final WorkerRegistry registry;
     private final InterferenceModel interferenceModel = new InterferenceModel();
     private final StalledRuns stalledRuns = new StalledRuns();
+    private final IneffectiveEnds ineffectiveEnds;
     private final ReportProcessor reportProcessor;
     private final InterferenceController interferenceController;
     private final RoomClaims roomClaims;
@@ -44,7 +45,8 @@
         this.time = time;
         jobTable = new JobTable(time);
         registry = new WorkerRegistry(jobTable, time);
-        reportProcessor = new ReportProcessor(jobTable, registry.index(), stalledRuns);
+        ineffectiveEnds = new IneffectiveEnds(time);
+        reportProcessor = new ReportProcessor(jobTable, registry.index(), stalledRuns, ineffectiveEnds);
         interferenceController = new InterferenceController(jobTable, interferenceModel);
         workerSelector = new WorkerSelector(interferenceModel, registry.index());
         roomClaims = new RoomClaims(workerSelector, registry.index());
@@ -154,6 +156,7 @@
         } catch (RuntimeException e) {
             jobTable.setAsidePartlyRestored(job, e);
         }
+        reportProcessor.jobAdded(spec.id(), time.nanos());
         return JobAddition.ADDED;
     }
 
@@ -219,6 +222,17 @@
         registry.update(registrations, time.nanos());
     }
 
+    /**
+     * Keeps tasks with a result from a worker incarnation until a time, ns. Until then, acknowledgements meant for an
+     * earlier one may make it discard ends that it has not listed.
+     */
+    public synchronized void keepResultsAway(TaskRecord.WorkerIncarnation incarnation, long until) {
+        WorkerNode node = registry.find(incarnation.worker());
+        if (node != null && node.incarnation() == incarnation.incarnation()) {
+            node.keepResultsAwayUntil(until);
+        }
+    }
+
     /** Releases all runs of a worker incarnation whose leases have expired. */
     public synchronized void expireLeases(TaskRecord.WorkerIncarnation incarnation) {
         registry.expireLeases(incarnation);
@@ -342,7 +356,7 @@
         for (WorkerNode node : jobTable.takeProcessed()) {
             if (registry.find(node.id()) == node) {
                 acknowledgements.put(
-                        new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), node.lastProcessedEnd);
+                        new TaskRecord.WorkerIncarnation(node.id(), node.incarnation()), node.ends.acknowledgeable());
             }
         }
         return new Plan(
@@ -352,7 +366,8 @@
                 jobTable.takeSetAside(),
                 roomClaims.takeNewClaims(),
                 registry.index().takeNewQuarantines(),
-                waiting);
+                waiting,
+                ineffectiveEnds.take());
     }
 
     /** Returns the worker on which room is kept for the next run of a task, by task. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -1,9 +1,11 @@
 package org.chestnutbarrow.batch;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.chestnutbarrow.model.JobId;
 
 /**
  * Processes worker reports: progress of runs, ends of runs, and runs that are missing from them. Guarded by the lock of
@@ -29,11 +31,14 @@
     private final JobTable jobTable;
     private final WorkerIndex index;
     private final StalledRuns stalledRuns;
+    private final IneffectiveEnds ineffectiveEnds;
+    private final EarlyEnds earlyEnds = new EarlyEnds();
 
-    ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns) {
+    ReportProcessor(JobTable jobTable, WorkerIndex index, StalledRuns stalledRuns, IneffectiveEnds ineffectiveEnds) {
         this.jobTable = jobTable;
         this.index = index;
         this.stalledRuns = stalledRuns;
+        this.ineffectiveEnds = ineffectiveEnds;
     }
 
     /**
@@ -41,13 +46,12 @@
      */
     void process(WorkerNode node, WorkerReport report, long sentAt, long now) {
         node.responded(now);
-        for (WorkerReport.Ended end : report.ended()) {
-            if (end.sequence() > node.lastProcessedEnd) {
-                processEnded(node, end, now);
-                node.lastProcessedEnd = end.sequence();
-                jobTable.markProcessed(node);
-            }
-        }
+        boolean allEndsListed = report.ended().size() < MAX_LISTED_ENDS;
+        // A list need not be in the order of the numbers, in which the runs of a task have ended.
+        report.ended().stream()
+                .sorted(Comparator.comparingLong(WorkerReport.Ended::sequence))
+                .forEach(end -> processOnce(node, end, now));
+        acknowledge(node, allEndsListed, now);
         Set<TaskEntry> listed = new HashSet<>();
         for (WorkerReport.Running run : report.running()) {
             TaskEntry task = processRunning(node, run, now);
@@ -55,7 +59,6 @@
                 listed.add(task);
             }
         }
-        boolean allEndsListed = report.ended().size() < MAX_LISTED_ENDS;
         if (!node.ownershipConfirmed()) {
             settleInherited(node, listed, allEndsListed, now);
             node.confirmOwnership();
@@ -63,6 +66,56 @@
         releaseMissing(node, listed, allEndsListed, sentAt);
     }
 
+    /** Processes the ends of a job's runs that were listed before the job was added. */
+    void jobAdded(JobId job, long now) {
+        for (EarlyEnds.EarlyEnd early : earlyEnds.take(job)) {
+            // One that is acknowledged already was kept for this.
+            processKnown(early.node(), early.end(), now);
+        }
+    }
+
+    private void processOnce(WorkerNode node, WorkerReport.Ended end, long now) {
+        if (node.ends.isProcessed(end.sequence())) {
+            return;
+        }
+        JobId job = end.task().job();
+        if (jobTable.job(job) != null || jobTable.hasEnded(job)) {
+            processKnown(node, end, now);
+        } else if (node.ends.withheldFor(end.sequence()).isEmpty()) {
+            node.ends.withhold(end, IneffectiveEnd.Reason.UNKNOWN_JOB, now);
+            earlyEnds.add(node, end);
+        }
+    }
+
+    /** Processes an end of a known job, and withholds it as long as the progress of the job is not stored. */
+    private void processKnown(WorkerNode node, WorkerReport.Ended end, long now) {
+        JobEntry job = jobTable.job(end.task().job());
+        boolean processedBefore = node.ends
+                .withheldFor(end.sequence())
+                .filter(reason -> reason == IneffectiveEnd.Reason.PARTLY_RESTORED)
+                .isPresent();
+        if (job != null && !processedBefore) {
+            processEnded(node, end, now);
+        }
+        if (job != null && job.hasUnknownRuns()) {
+            node.ends.withhold(end, IneffectiveEnd.Reason.PARTLY_RESTORED, now);
+        } else {
+            node.ends.markProcessed(end.sequence(), now);
+        }
+    }
+
+    /** Lets the ends of a worker be acknowledged that have had their effect or have been withheld for too long. */
+    private void acknowledge(WorkerNode node, boolean allEndsListed, long now) {
+        long before = node.ends.acknowledgeable();
+        node.ends
+                .giveUpWithheld(!allEndsListed, now)
+                .forEach(withheld -> ineffectiveEnds.record(node, withheld.end(), withheld.reason()));
+        node.ends.advance(now).forEach(gap -> ineffectiveEnds.record(node, gap));
+        if (node.ends.acknowledgeable() > before) {
+            jobTable.markProcessed(node);
+        }
+    }
+
     /**
      * Returns whether a run that its worker may list is over, and its end was processed if its result matters. A report
      * lists all current runs. The end of a run that it does not list may be among the ends that it leaves out; a
@@ -167,13 +220,17 @@
 
     private void processEnded(WorkerNode node, WorkerReport.Ended end, long now) {
         TaskEntry task = jobTable.task(end.task());
-        if (task != null) {
-            jobTable.markRunning(task.job);
+        if (task == null) {
+            ineffectiveEnds.record(node, end, IneffectiveEnd.Reason.UNKNOWN_TASK);
+            return;
         }
-        if (task == null || task.run != end.run() || (task.assignedNode != null && task.assignedNode != node)) {
+        jobTable.markRunning(task.job);
+        if (task.run != end.run() || (task.assignedNode != null && task.assignedNode != node)) {
             // A long-running task has no result, so the end of an earlier run says nothing about the latest one.
-            if (task != null && end.kind() == WorkerReport.EndKind.DONE && !task.done && !task.step.longRunning()) {
+            if (end.kind() == WorkerReport.EndKind.DONE && !task.done && !task.step.longRunning()) {
                 jobTable.finishTask(task);
+            } else if (end.kind() == WorkerReport.EndKind.FAILED && !task.done) {
+                ineffectiveEnds.record(node, end, IneffectiveEnd.Reason.OTHER_RUN);
             }
             return;
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -148,6 +148,8 @@
             restoreHealth(node);
             workers.put(registration.id(), node);
             if (current != null) {
+                node.ends.markStartKnown();
+                node.keepResultsAwayLike(current);
                 current.setListed(false);
                 transferRuns(current, node, now);
             }
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -52,7 +52,7 @@
 
     private volatile boolean closed;
     private final Acknowledgement acknowledgement;
-    private long lastReportedSequence;
+    private final EndLog endLog = new EndLog();
     /** Expiry time of leases in the last hold that extended them, by the clock of the worker; negative if none did. */
     private long heldUntilMs = -1;
 
@@ -112,6 +112,11 @@
         return incarnationCheck.lateCallsUntil();
     }
 
+    /** Returns until when a later incarnation may carry out a hold that acknowledges ends of this one, ns. */
+    long lateAcknowledgementsUntil() {
+        return acknowledgement.lateUntil();
+    }
+
     /** Ends all loops after the calls in flight. */
     void close() {
         closed = true;
@@ -369,14 +374,15 @@
         // A hold after an unanswered one repeats its expiry time, since the worker may not have received it.
         long leaseUntil = extendable ? heldUntilMs : -1;
         // Sequence numbers start anew in each incarnation, so a later one would discard ends that were never reported.
-        long acknowledged = incarnationCheck.isConfirmed() ? acknowledgement.upTo() : 0;
+        long acknowledged = incarnationCheck.isConfirmed() ? acknowledgement.pending() : 0;
         try {
             WorkerPort.Answer answer =
                     port.hold(worker, owner.token(), leaseUntil, acknowledged, wait, wait.plus(answerTimeout));
             recordHoldDelay(sentAt, wait);
-            return handleHoldAnswer(answer, sentAt, failedBefore);
+            return handleHoldAnswer(answer, acknowledged, sentAt, failedBefore);
         } catch (OutcomeUnknownException | NotRunException e) {
             incarnationCheck.callFailed(e);
+            acknowledgement.failed(acknowledged, e);
             recordHoldDelay(sentAt, wait);
             if (!loggedUnreachable && !isReachable()) {
                 loggedUnreachable = true;
@@ -401,7 +407,7 @@
         owner.recordHoldDelay(Duration.ofNanos(Math.max(0, time.nanos() - sentAt - wait.toNanos())));
     }
 
-    private boolean handleHoldAnswer(WorkerPort.Answer answer, long sentAt, long failedBefore) {
+    private boolean handleHoldAnswer(WorkerPort.Answer answer, long acknowledged, long sentAt, long failedBefore) {
         if (answer instanceof WorkerPort.Refused refused && refused.reason() == WorkerPort.Refusal.FENCED) {
             owner.fenced("worker " + worker.id().value());
         }
@@ -416,6 +422,8 @@
             return false;
         }
         incarnationCheck.confirm(failedBefore);
+        acknowledgement.answered(
+                acknowledged, status.report().ended().stream().mapToLong(WorkerReport.Ended::sequence));
         lastAnswerAt = time.nanos();
         // An earlier owner may have extended leases until the first answer.
         long earlierLeasesUntil = lastAnswerAt + LeaseTimes.upperBound(lease).toNanos();
@@ -430,15 +438,12 @@
         }
         scheduler.report(status.report(), sentAt);
         owner.wake();
-        for (WorkerReport.Ended ended : status.report().ended()) {
-            if (ended.sequence() > lastReportedSequence) {
-                lastReportedSequence = ended.sequence();
-                owner.runEnded(ended.kind());
-                OrderEvents.logEnd(ended, worker.id());
-            }
+        for (WorkerReport.Ended ended : endLog.takeNew(status.report().ended())) {
+            owner.runEnded(ended.kind());
+            OrderEvents.logEnd(ended, worker.id());
         }
         // An earlier hold would return immediately with the same ends.
-        acknowledgement.await(lastReportedSequence, owner.holdWait(), this::isOpen);
+        acknowledgement.await(endLog.highest(), owner.holdWait(), this::isOpen);
         return true;
     }
 
