Log why all workers refuse a best-effort task

Cause: job-waits gives the reason "interference" for two different refusals: the interference model expects a disturbance, or reserved CPU and other best-effort tasks leave a worker less than 0.8 of the demand. Neither the state of the model nor the spare CPU is logged, so a play does not show which of them keeps a job waiting. Change: the exclusion NO_SPARE_CPU is split from INTERFERENCE, and the event best-effort-refused follows each such job-waits line: workers without a latency-critical task, free share, best spare CPU and best allowed share of all workers, typical headroom, strongest weight, and the number of reports that the model has learnt from. At most once a second, as job-waits. Result: tellsBestEffortTasksThatWouldBeSlow expected INTERFERENCE on a worker whose CPU is all reserved; it now expects NO_SPARE_CPU and the figures. tellsStateOfModelThatRefusesBestEffortTask covers a refusal by the model. WaitDiagnosisTest and OrderEventsTest are green.

--- a/batch/src/main/java/org/chestnutbarrow/batch/InterferenceModel.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/InterferenceModel.java
@@ -44,6 +44,31 @@
     private final Map<String, InterferenceWeights> weightsByImage = new HashMap<>();
 
     private double typicalHeadroom = INITIAL_TYPICAL_HEADROOM;
+    /** Reports of latency-critical tasks that the estimates were updated from. */
+    private long learntReports;
+    /** Those of them that were made beside best-effort tasks, which are the ones that weights are learnt from. */
+    private long learntReportsBesideBestEffort;
+
+    /** Returns the headroom that is assumed for latency-critical tasks without a report. */
+    double typicalHeadroom() {
+        return typicalHeadroom;
+    }
+
+    long learntReports() {
+        return learntReports;
+    }
+
+    long learntReportsBesideBestEffort() {
+        return learntReportsBesideBestEffort;
+    }
+
+    /** Returns the strongest weight of a best-effort image on the latency-critical images that have reported. */
+    double maxWeight(String bestEffortImage) {
+        return weightsByImage.values().stream()
+                .mapToDouble(weights -> weights.weightOf(bestEffortImage))
+                .max()
+                .orElse(InterferenceWeights.DEFAULT_WEIGHT);
+    }
 
     private double weight(String bestEffortImage, String latencyCriticalImage) {
         InterferenceWeights weights = weightsByImage.get(latencyCriticalImage);
@@ -84,6 +109,8 @@
     }
 
     private void updateEstimates(TaskEntry task, Map<String, Double> useByImage, double seconds) {
+        learntReports++;
+        learntReportsBesideBestEffort += useByImage.isEmpty() ? 0 : 1;
         BaselineHeadroom baseline = task.baseline;
         baseline.predict(seconds, typicalHeadroom);
         double headroom = Math.min(MAX_HEADROOM, task.headroom());
--- a/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Plan.java
@@ -53,8 +53,44 @@
      * @param waited how long the task has waited for a worker
      * @param jobs number of jobs with nothing running that have waited for over a second, including this one
      * @param reason why the task has not been placed
+     * @param refusal the state that refuses a best-effort task, if workers with room for its memory do
      */
-    public record WaitingJob(TaskName task, int milliCores, Duration waited, int jobs, WaitReason reason) {}
+    public record WaitingJob(
+            TaskName task,
+            int milliCores,
+            Duration waited,
+            int jobs,
+            WaitReason reason,
+            Optional<BestEffortRefusal> refusal) {
+        /** Creates a waiting job whose task is not refused for being best-effort. */
+        public WaitingJob(TaskName task, int milliCores, Duration waited, int jobs, WaitReason reason) {
+            this(task, milliCores, waited, jobs, reason, Optional.empty());
+        }
+    }
+
+    /**
+     * Why no worker of a service can take a best-effort task at nearly full speed.
+     *
+     * @param workers schedulable workers of the service
+     * @param withoutLatencyCritical those of them without a latency-critical task
+     * @param freeShare share of their CPU that is neither reserved nor kept for claimants
+     * @param bestSpare the most CPU that a worker has to spare, as a fraction of the demand of the task
+     * @param bestShare the highest share of full speed that the interference model allows on a worker
+     * @param typicalHeadroom headroom that the model assumes for latency-critical tasks without a report
+     * @param maxWeight the strongest weight of the image of the task on latency-critical images
+     * @param reports reports of latency-critical tasks that the model has learnt from under this owner
+     * @param reportsBesideBestEffort those of them made beside best-effort tasks
+     */
+    public record BestEffortRefusal(
+            int workers,
+            int withoutLatencyCritical,
+            double freeShare,
+            double bestSpare,
+            double bestShare,
+            double typicalHeadroom,
+            double maxWeight,
+            long reports,
+            long reportsBesideBestEffort) {}
 
     public Plan {
         changes = List.copyOf(changes);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
@@ -66,14 +66,25 @@
         }
         try {
             WaitReason reason = reason(longest, startsAllowed, startsLeft, now);
-            return Optional.of(
-                    new Plan.WaitingJob(longest.name, longest.step.demand().milliCores(), longestWait, jobs, reason));
+            return Optional.of(new Plan.WaitingJob(
+                    longest.name,
+                    longest.step.demand().milliCores(),
+                    longestWait,
+                    jobs,
+                    reason,
+                    isRefusedAsBestEffort(reason) ? Optional.of(workerSelector.refusal(longest)) : Optional.empty()));
         } catch (RuntimeException e) {
             jobTable.setAside(longest.job, e);
             return Optional.empty();
         }
     }
 
+    private static boolean isRefusedAsBestEffort(WaitReason reason) {
+        return reason instanceof WaitReason.Excluded excluded
+                && (excluded.workers().containsKey(Exclusion.NO_SPARE_CPU)
+                        || excluded.workers().containsKey(Exclusion.INTERFERENCE));
+    }
+
     private WaitReason reason(TaskEntry task, boolean startsAllowed, boolean startsLeft, long now) {
         if (task.job.hasUnknownRuns()) {
             return new WaitReason.UnknownRuns();
@@ -157,6 +168,9 @@
                 .spread()
                 .map(spread -> worker.countOfStep(spread.job(), spread.step()) < spread.maxPerWorker())
                 .orElse(true);
-        return Optional.of(bestEffort && spreadAllows ? Exclusion.INTERFERENCE : Exclusion.SPREAD);
+        if (!bestEffort || !spreadAllows) {
+            return Optional.of(Exclusion.SPREAD);
+        }
+        return Optional.of(workerSelector.hasSpareCpu(task, worker) ? Exclusion.INTERFERENCE : Exclusion.NO_SPARE_CPU);
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
@@ -65,7 +65,9 @@
         CLAIMED,
         /** The first run of a long-running task would use up the reserve for short tasks. */
         RESERVE,
-        /** A best-effort task would run too slowly or disturb latency-critical tasks. */
+        /** Reserved CPU and other best-effort tasks leave too little for a best-effort task to run at nearly full speed. */
+        NO_SPARE_CPU,
+        /** The interference model expects that a best-effort task at nearly full speed disturbs latency-critical tasks. */
         INTERFERENCE
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -207,6 +207,35 @@
         equivalenceClass(task).markUnclaimable(index.latestChange());
     }
 
+    /** Returns whether a worker has enough spare CPU for a best-effort task to run at {@link #MIN_SPEED}. */
+    boolean hasSpareCpu(TaskEntry task, WorkerNode worker) {
+        return spareShare(task.step.demand().milliCores(), worker) >= MIN_SPEED;
+    }
+
+    /** Returns what the workers of its service have to offer to a best-effort task. Examines all of them. */
+    Plan.BestEffortRefusal refusal(TaskEntry task) {
+        WorkerIndex.Pool pool = index.pool(task.job.policy.service());
+        int withoutLatencyCritical = 0;
+        double bestSpare = 0;
+        double bestShare = Double.NEGATIVE_INFINITY;
+        for (WorkerNode worker : pool.all()) {
+            examinedWorkers++;
+            withoutLatencyCritical += worker.latencyCriticalTasks() == 0 ? 1 : 0;
+            bestSpare = Math.max(bestSpare, spareShare(task.step.demand().milliCores(), worker));
+            bestShare = Math.max(bestShare, allowedShare(task, worker));
+        }
+        return new Plan.BestEffortRefusal(
+                pool.all().size(),
+                withoutLatencyCritical,
+                (double) pool.freeMilliCores() / Math.max(1, pool.capacityMilliCores()),
+                bestSpare,
+                bestShare,
+                interferenceModel.typicalHeadroom(),
+                interferenceModel.maxWeight(task.step.behaviour().image()),
+                interferenceModel.learntReports(),
+                interferenceModel.learntReportsBesideBestEffort());
+    }
+
     /** Returns the requirement of a task on its worker as of now. */
     Requirement requirement(TaskEntry task) {
         return equivalenceClass(task).requirement;
@@ -325,12 +354,16 @@
      * the spare CPU and by the headroom of the latency-critical tasks.
      */
     private double expectedSpeed(Requirement.BestEffort bestEffort, WorkerNode worker) {
-        double spare = (double) worker.spareMilliCores() / Math.max(1, bestEffort.milliCores());
+        double spare = spareShare(bestEffort.milliCores(), worker);
         return spare < MIN_SPEED
                 ? spare
                 : Math.min(spare, allowedShare(bestEffort.image(), bestEffort.milliCores(), worker));
     }
 
+    private static double spareShare(int milliCores, WorkerNode worker) {
+        return (double) worker.spareMilliCores() / Math.max(1, milliCores);
+    }
+
     private double allowedShare(String image, int milliCores, WorkerNode worker) {
         return interferenceModel.allowedShare(worker, image, milliCores, MIN_HEADROOM);
     }
--- a/batch/src/test/java/org/chestnutbarrow/batch/WaitDiagnosisTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/WaitDiagnosisTest.java
@@ -251,12 +251,44 @@
         assertEquals(reason(fixture, "w1"), excluded(Exclusion.RESERVE, 1));
     }
 
+    /** Guards against a full worker that looks as if the interference model refused it. */
     @Test
     public void tellsBestEffortTasksThatWouldBeSlow() {
         SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
         fixture.add(fixture.job("a", WHOLE_WORKER));
         assertEquals(fixture.starts().size(), 1);
         fixture.add(fixture.job("b", SchedulerFixture.step(1, 1000, BEST_EFFORT)));
-        assertEquals(reason(fixture, "w1"), excluded(Exclusion.INTERFERENCE, 1));
+        Plan.WaitingJob waiting = waitingAfterBound(fixture, "w1");
+        assertEquals(waiting.reason(), excluded(Exclusion.NO_SPARE_CPU, 1));
+        Plan.BestEffortRefusal refusal = waiting.refusal().orElseThrow();
+        assertEquals(refusal.workers(), 1);
+        assertEquals(refusal.withoutLatencyCritical(), 1);
+        assertEquals(refusal.freeShare(), 0.0);
+        assertEquals(refusal.bestSpare(), 0.0);
+        assertEquals(refusal.bestShare(), 1.0);
+    }
+
+    /** Guards against a refusal of the interference model that does not tell what the model has learnt. */
+    @Test
+    public void tellsStateOfModelThatRefusesBestEffortTask() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        fixture.scheduler.restore(
+                new Estimates(List.of(new Sensitivity("batch", "image", 40, 0.01)), List.of(), List.of()));
+        fixture.add(fixture.job("service", SchedulerFixture.step(1, 2000, LONG_RUNNING)));
+        Order.Start serving = fixture.starts().getFirst();
+        fixture.time.advance(Duration.ofMillis(500));
+        fixture.report("w1", List.of(SchedulerFixture.running(serving, 100, 25)), List.of());
+        fixture.add(fixture.job(
+                "a", SchedulerFixture.step(1, 1000, new Step.Behaviour("batch", false, false, true, 0, 0))));
+        Plan.WaitingJob waiting = waitingAfterBound(fixture, "w1");
+        assertEquals(waiting.reason(), excluded(Exclusion.INTERFERENCE, 1));
+        Plan.BestEffortRefusal refusal = waiting.refusal().orElseThrow();
+        assertEquals(refusal.withoutLatencyCritical(), 0);
+        assertEquals(refusal.freeShare(), 0.75);
+        assertEquals(refusal.bestSpare(), 7.0);
+        assertTrue(refusal.bestShare() < 0.5, refusal.toString());
+        assertEquals(refusal.maxWeight(), 40.0);
+        assertEquals(refusal.reports(), 2);
+        assertEquals(refusal.reportsBesideBestEffort(), 0);
     }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderEvents.java
@@ -93,6 +93,38 @@
                 name(waiting.reason()),
                 "workers",
                 workers(waiting.reason()));
+        waiting.refusal().ifPresent(refusal -> log(waiting.task(), refusal));
+    }
+
+    private static void log(TaskName task, Plan.BestEffortRefusal refusal) {
+        Events.info(
+                "best-effort-refused",
+                "job",
+                task.job(),
+                "task",
+                indexes(task),
+                "of",
+                refusal.workers(),
+                "withoutServing",
+                refusal.withoutLatencyCritical(),
+                "freeShare",
+                rounded(refusal.freeShare()),
+                "bestSpare",
+                rounded(refusal.bestSpare()),
+                "bestShare",
+                rounded(refusal.bestShare()),
+                "typicalHeadroom",
+                rounded(refusal.typicalHeadroom()),
+                "maxWeight",
+                rounded(refusal.maxWeight()),
+                "reports",
+                refusal.reports(),
+                "beside",
+                refusal.reportsBesideBestEffort());
+    }
+
+    private static String rounded(double value) {
+        return String.format(Locale.ROOT, "%.2f", value);
     }
 
     private static String name(WaitReason reason) {
@@ -110,7 +142,7 @@
     }
 
     private static String name(WaitReason.Exclusion exclusion) {
-        return exclusion.name().toLowerCase(Locale.ROOT);
+        return exclusion.name().toLowerCase(Locale.ROOT).replace('_', '-');
     }
 
     /** Returns the numbers of workers by cause, or what it is that no worker has. */
--- a/node/src/test/java/org/chestnutbarrow/node/OrderEventsTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OrderEventsTest.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.logging.Handler;
 import java.util.logging.Level;
@@ -90,6 +91,21 @@
         assertEquals(waitLine(new WaitReason.UnknownRuns()), "reason=unknown-runs workers=\"\"");
     }
 
+    /** Guards against a refused best-effort task of which the log does not tell why all workers refuse it. */
+    @Test
+    public void refusalShowsSpareCpuAndStateOfModel() {
+        Plan.BestEffortRefusal refusal = new Plan.BestEffortRefusal(123, 4, 0.623, 0.41, -1.25, 2.756, 40, 900, 80);
+        WaitReason reason = new WaitReason.Excluded(Map.of(WaitReason.Exclusion.NO_SPARE_CPU, 123));
+        List<String> lines = linesOf(() -> OrderEvents.log(new Plan.WaitingJob(
+                new TaskName(new JobId(JOB), 1, 4), 2300, Duration.ofMillis(1300), 2, reason, Optional.of(refusal))));
+        assertTrue(lines.getFirst().endsWith("reason=no-spare-cpu workers=\"123 no-spare-cpu\""), lines.getFirst());
+        assertEquals(
+                lines.subList(1, lines.size()),
+                List.of(
+                        "event=best-effort-refused job=" + JOB + " task=1/4 of=123 withoutServing=4 freeShare=0.62"
+                                + " bestSpare=0.41 bestShare=-1.25 typicalHeadroom=2.76 maxWeight=40.00 reports=900 beside=80"));
+    }
+
     private static String waitLine(WaitReason reason) {
         TaskName task = new TaskName(new JobId(JOB), 1, 4);
         String line = linesOf(
