Start waiting best-effort tasks slowly instead of refusing them

Cause: a best-effort task starts only where it can run at 0.8 of its speed. Narrower best-effort tasks take each piece of spare CPU before it is wide enough, or the interference model refuses all workers, although over half of the CPU is not reserved. StarvedJobs then starts one task of a job with nothing running, so that 35 tasks run one after the other. Change: SlowStarts takes the place of the trial runs. All best-effort tasks that have waited for 2 s on a service with over half of its CPU unreserved start at the share that the model allows, at least a tenth, after the tasks that get full speed and within the quarter of the starts that starved jobs have. One slow run on each worker; further tasks of a job only beside latency-critical tasks with headroom; tasks like one placed at full speed in the last 0.5 s wait for their turn. Searches are shared by tasks with equal requirements and bounded by 1,700 examined workers a plan. Time over target in its simulation is below the bound of 4 s. The tests of module batch are green.

--- a/batch/src/main/java/org/chestnutbarrow/batch/EquivalenceClass.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EquivalenceClass.java
@@ -1,5 +1,7 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
+
 /**
  * All tasks with the same requirement, which therefore fit on the same workers. Caches the latest index change at which
  * no worker could take them. Guarded by the lock of its {@link BatchScheduler}.
@@ -10,6 +12,8 @@
     final Requirement requirement;
     private long infeasibleAtChange = NOT_INFEASIBLE;
     private long unclaimableAtChange = NOT_INFEASIBLE;
+    private boolean placed;
+    private long placedAt;
 
     EquivalenceClass(Requirement requirement) {
         this.requirement = requirement;
@@ -30,6 +34,17 @@
         infeasibleAtChange = change;
     }
 
+    /** Records that a worker was found for one of the tasks. */
+    void markPlaced(long now) {
+        placed = true;
+        placedAt = now;
+    }
+
+    /** Returns whether a worker was found for one of the tasks within a time. */
+    boolean placedWithin(Duration duration, long now) {
+        return placed && now - placedAt < duration.toNanos();
+    }
+
     /** Returns the change as of which no worker could keep room for the tasks, or a negative number if one may. */
     long unclaimableAtChange() {
         return unclaimableAtChange;
--- a/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/JobEntry.java
@@ -145,6 +145,21 @@
         return longest;
     }
 
+    /** Returns the first waiting task of a ready step at or after an index that has waited for a time, or null. */
+    TaskEntry nextWaiting(int step, int from, Duration wait, long now) {
+        if (!isReady(step)) {
+            return null;
+        }
+        BitSet waiting = waitingByStep.get(step);
+        for (int index = waiting.nextSetBit(from); index >= 0; index = waiting.nextSetBit(index + 1)) {
+            TaskEntry task = tasksByStep.get(step).get(index);
+            if (waited(task, now).compareTo(wait) >= 0) {
+                return task;
+            }
+        }
+        return null;
+    }
+
     /** Returns the time since when a task has waited, if a later owner cannot take it from the job's specification. */
     Optional<Instant> storedWaitStart(TaskEntry task) {
         if (task.done || task.assignedNode != null) {
--- /dev/null
+++ b/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
@@ -0,0 +1,135 @@
+package org.chestnutbarrow.batch;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Finds workers for best-effort tasks that have waited long and that no worker can take at nearly full speed, because
+ * other best-effort tasks fill the spare CPU or because the interference model refuses them. Such a run starts at the
+ * CPU limit that the model allows, at least at a floor, and shares the CPU that is left with the best-effort tasks beside
+ * it; {@link InterferenceController} adjusts its limit with each report. Guarded by the lock of its
+ * {@link BatchScheduler}.
+ *
+ * <p>Invariants: a worker gets no such run while it has one or another slow best-effort task; the searches of a
+ * plan examine at most {@link #MAX_EXAMINED_WORKERS} workers and those of one service.
+ */
+final class SlowStarts {
+    /**
+     * Bound on the workers that the searches of a plan examine; that is four searches on
+     * a service of 425 workers. Tasks with equal requirements share a search.
+     */
+    private static final int MAX_EXAMINED_WORKERS = 1700;
+    /** Part of that bound that is left to tasks of which no search was without a result in the last interval. */
+    private static final int KEPT_EXAMINED_WORKERS = MAX_EXAMINED_WORKERS / 2;
+
+    private static final Duration RETRY_INTERVAL = Duration.ofMillis(300);
+    /**
+     * Least share of full speed. At this share a task takes little headroom, and its reports correct a model that is too
+     * pessimistic.
+     */
+    private static final double FLOOR_SHARE = 0.1;
+    /**
+     * Headroom in the last reports of a worker beside which a run at {@link #FLOOR_SHARE} is safe although the model
+     * expects less; it is the headroom at which {@link InterferenceController} raises CPU limits.
+     */
+    private static final double MIN_REPORTED_HEADROOM = 1.3;
+    /** Weight of spare CPU relative to the allowed share, so that runs go where they take least from others. */
+    private static final double SPARE_WEIGHT = 0.3;
+
+    private static final int FULL_SPEED_PERCENT = 100;
+
+    private final WorkerSelector workerSelector;
+    private final WorkerIndex index;
+    /** Workers of each service that had no slow best-effort task when the current plan was begun. */
+    private final Map<String, List<WorkerNode>> openWorkers = new HashMap<>();
+    /** Results of the searches of the current plan, best worker first. */
+    private final Map<Requirement, Deque<Candidate>> candidates = new HashMap<>();
+    /** When the last searches without a result were made, in ns. */
+    private final Map<Search, Long> failedAt = new HashMap<>();
+
+    private int examinationsLeft;
+
+    /** A worker with whether its latency-critical tasks have headroom to spare. */
+    private record Candidate(WorkerNode worker, boolean hasHeadroom, double score) {
+        private static final Comparator<Candidate> BEST_FIRST = Comparator.comparing(Candidate::hasHeadroom)
+                .thenComparingDouble(Candidate::score)
+                .reversed();
+    }
+
+    private record Search(Requirement requirement, boolean needsHeadroom) {}
+
+    SlowStarts(WorkerSelector workerSelector, WorkerIndex index) {
+        this.workerSelector = workerSelector;
+        this.index = index;
+    }
+
+    /** Begins a plan with new searches. */
+    void beginPlan(long now) {
+        openWorkers.clear();
+        candidates.clear();
+        failedAt.values().removeIf(at -> now - at >= RETRY_INTERVAL.toNanos());
+        examinationsLeft = MAX_EXAMINED_WORKERS;
+    }
+
+    /**
+     * Returns the worker on which a slow run of the task disturbs least, or null if there is none or the searches of the
+     * plan are used up; with {@code needsHeadroom}, only one whose latency-critical tasks have headroom to spare.
+     */
+    WorkerNode select(TaskEntry task, boolean needsHeadroom, long now) {
+        Requirement requirement = workerSelector.requirement(task);
+        Search search = new Search(requirement, needsHeadroom);
+        Deque<Candidate> found = candidates.get(requirement);
+        if (found == null) {
+            if (examinationsLeft <= (failedAt.containsKey(search) ? KEPT_EXAMINED_WORKERS : 0)) {
+                return null;
+            }
+            found = search(task, requirement, now);
+            candidates.put(requirement, found);
+        }
+        // Other starts of this plan may have taken a worker that was found before.
+        while (!found.isEmpty() && !isStillOpen(found.getFirst().worker(), requirement, now)) {
+            found.removeFirst();
+        }
+        if (found.isEmpty() || (needsHeadroom && !found.getFirst().hasHeadroom())) {
+            failedAt.put(search, now);
+            return null;
+        }
+        return found.removeFirst().worker();
+    }
+
+    private boolean isStillOpen(WorkerNode worker, Requirement requirement, long now) {
+        return !workerSelector.hasSlowTask(worker) && workerSelector.permitsSlowRun(worker, requirement, now);
+    }
+
+    private List<WorkerNode> findOpenWorkers(String service) {
+        return index.pool(service).all().stream()
+                .filter(worker -> worker.health.isSound() && !workerSelector.hasSlowTask(worker))
+                .toList();
+    }
+
+    private Deque<Candidate> search(TaskEntry task, Requirement requirement, long now) {
+        List<Candidate> found = new ArrayList<>();
+        for (WorkerNode worker : openWorkers.computeIfAbsent(requirement.service(), this::findOpenWorkers)) {
+            examinationsLeft--;
+            if (workerSelector.permitsSlowRun(worker, requirement, now)) {
+                double share = workerSelector.allowedShare(task, worker);
+                boolean hasHeadroom = share >= FLOOR_SHARE || worker.minReportedHeadroom() >= MIN_REPORTED_HEADROOM;
+                double spare = worker.fractionOfCapacity(worker.spareMilliCores());
+                found.add(new Candidate(worker, hasHeadroom, share + SPARE_WEIGHT * spare));
+            }
+        }
+        found.sort(Candidate.BEST_FIRST);
+        return new ArrayDeque<>(found);
+    }
+
+    /** Returns the initial CPU limit of a task on a worker that {@link #select} has returned. */
+    int cpuLimitPercent(TaskEntry task, WorkerNode worker) {
+        return (int) (FULL_SPEED_PERCENT * Math.clamp(workerSelector.allowedShare(task, worker), FLOOR_SHARE, 1));
+    }
+}
--- a/batch/src/main/java/org/chestnutbarrow/batch/StarvedJobs.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/StarvedJobs.java
@@ -8,10 +8,10 @@
 /**
  * Finds the jobs that come before more urgent ones because they have waited long with nothing running although their
  * service has room. Without it, jobs beyond their deadline come after all others, so that under a backlog larger than
- * the starts of a plan they would wait for as long as younger jobs arrive. Guarded by the lock of its
- * {@link BatchScheduler}.
+ * the starts of a plan they would wait for as long as younger jobs arrive. Also finds the best-effort tasks that have
+ * waited long on such a service, for {@link SlowStarts}. Guarded by the lock of its {@link BatchScheduler}.
  *
- * <p>Invariant: a plan starts at most one task of such a job, and at most a bounded share of its starts goes to them.
+ * <p>Invariant: at most a bounded share of the starts of a plan goes to one task of each such job and to slow starts.
  */
 final class StarvedJobs {
     /**
@@ -30,6 +30,33 @@
     /** A task and how long it has waited. */
     private record Wait(TaskEntry task, Duration waited) {}
 
+    /** The best-effort tasks of a ready step that have waited long, in the order of their indexes. */
+    static final class OverdueStep {
+        private final JobEntry job;
+        private final int step;
+        private TaskEntry next;
+        /** How long the first of the tasks has waited. */
+        private final Duration waited;
+
+        private OverdueStep(JobEntry job, int step, TaskEntry first, long now) {
+            this.job = job;
+            this.step = step;
+            this.next = first;
+            this.waited = job.waited(first, now);
+        }
+
+        JobEntry job() {
+            return job;
+        }
+
+        /** Returns and removes the next task, or null if there is none. */
+        TaskEntry take(long now) {
+            TaskEntry task = next;
+            next = task == null ? null : job.nextWaiting(step, task.name.index() + 1, MAX_WAIT, now);
+            return task;
+        }
+    }
+
     StarvedJobs(JobTable jobTable, WorkerIndex index) {
         this.jobTable = jobTable;
         this.index = index;
@@ -58,6 +85,24 @@
         return waits.stream().map(Wait::task).toList();
     }
 
+    /** Returns the steps with best-effort tasks that have waited long, those with the longest wait first. */
+    List<OverdueStep> overdueBestEffortSteps(long now) {
+        List<OverdueStep> steps = new ArrayList<>();
+        for (JobEntry job : jobTable.waitingJobs()) {
+            for (int step = 0; step < job.tasksByStep.size(); step++) {
+                Step.Behaviour behaviour = job.spec.steps().get(step).behaviour();
+                if (behaviour.bestEffort() && !behaviour.longRunning() && hasRoom(job.policy.service())) {
+                    TaskEntry first = job.nextWaiting(step, 0, MAX_WAIT, now);
+                    if (first != null) {
+                        steps.add(new OverdueStep(job, step, first, now));
+                    }
+                }
+            }
+        }
+        steps.sort(Comparator.comparing((OverdueStep step) -> step.waited).reversed());
+        return steps;
+    }
+
     private boolean hasRoom(String service) {
         WorkerIndex.Pool pool = index.pool(service);
         return pool.freeMilliCores() > MIN_FREE_SHARE * pool.capacityMilliCores();
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -75,6 +75,8 @@
     WaitStart waitStart;
     /** Since when the reported tail latency has exceeded its target, in ns; 0 while it does not. */
     long overTargetSince;
+    /** Whether the latest run was started although no worker could run it at nearly full speed, see {@link SlowStarts}. */
+    boolean slowStart;
     /** CPU limit of the latest run, in percent of its demand. */
     int cpuLimitPercent = FULL_SPEED_PERCENT;
 
@@ -128,6 +130,7 @@
         listed = false;
         inherited = false;
         startSettledAt = 0;
+        slowStart = false;
         cpuLimitPercent = FULL_SPEED_PERCENT;
         progressPercent = 0;
         loadMetric = 0;
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -1,9 +1,11 @@
 package org.chestnutbarrow.batch;
 
 import java.time.Duration;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collections;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -25,13 +27,18 @@
      * otherwise take starts and room from all others again and again.
      */
     private static final int MAX_FAILED_STARTS = 3;
-    /** Bound on the searches for trials in each plan; each examines all workers of a service. */
-    private static final int MAX_TRIAL_SEARCHES = 4;
+
+    /**
+     * Time after a placement at full speed within which tasks like the placed one get no slow starts. Below the run time
+     * of short tasks, so that tasks which are placed one after the other do get them.
+     */
+    private static final Duration RECENTLY = Duration.ofMillis(500);
 
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
     private final RoomClaims roomClaims;
     private final StarvedJobs starvedJobs;
+    private final SlowStarts slowStarts;
     private final WideTasks wideTasks;
     private final AccountUsage accountUsage;
     private final WorkerIndex index;
@@ -68,6 +75,7 @@
         this.roomClaims = roomClaims;
         this.index = index;
         this.starvedJobs = new StarvedJobs(jobTable, index);
+        this.slowStarts = new SlowStarts(workerSelector, index);
         this.wideTasks = new WideTasks(jobTable, index, time);
         this.accountUsage = jobTable.accountUsage();
         this.time = time;
@@ -80,14 +88,25 @@
     void place(long now, int maxStarts) {
         startsLeft = maxStarts;
         servicesWithNarrowStarts.clear();
+        slowStarts.beginPlan(now);
         jobTable.endBackOffs(now);
         placeRestarted(now);
-        placeStarved(now, StarvedJobs.startShare(maxStarts));
+        int starvedShare = placeStarved(now, StarvedJobs.startShare(maxStarts));
+        List<StarvedJobs.OverdueStep> overdueSteps = starvedJobs.overdueBestEffortSteps(now);
+        // Slow starts come after the other tasks, which take the room at full speed first, but keep their starts.
+        int slowShare = overdueSteps.isEmpty() ? 0 : Math.min(startsLeft, starvedShare);
+        startsLeft -= slowShare;
         List<Candidate> candidates = candidates(now);
         if (accountUsage.hasAccounts()) {
             placeWithinShares(candidates, now);
         }
         place(candidates, accountUsage::permitsStart, now);
+        boolean startsUsedUp = startsLeft == 0;
+        startsLeft += slowShare;
+        placeSlowly(overdueSteps, slowShare, now);
+        if (startsUsedUp && startsLeft > 0) {
+            place(candidates, accountUsage::permitsStart, now);
+        }
         claimForWideTasks(now);
     }
 
@@ -178,13 +197,15 @@
         }
     }
 
-    /** Places one task of each starved job, at most {@code maxStarts}, before the tasks of more urgent jobs. */
-    private void placeStarved(long now, int maxStarts) {
+    /**
+     * Places one task of each starved job, at most {@code maxStarts}, before the tasks of more urgent jobs. Returns how
+     * many of these starts are left.
+     */
+    private int placeStarved(long now, int maxStarts) {
         int startsOfOthers = startsLeft - Math.min(startsLeft, maxStarts);
-        int trialsLeft = MAX_TRIAL_SEARCHES;
         for (TaskEntry task : starvedJobs.tasks(now)) {
             if (startsLeft <= startsOfOthers) {
-                return;
+                return 0;
             }
             if (!accountUsage.permitsStart(task)) {
                 continue;
@@ -193,14 +214,47 @@
                 WorkerNode node = workerSelector.select(task, now);
                 if (node != null) {
                     startTask(task.job, task, node, now);
-                } else if (task.step.behaviour().bestEffort() && trialsLeft > 0) {
-                    trialsLeft--;
-                    startTrial(task, now);
+                } else if (task.step.behaviour().bestEffort()) {
+                    startSlowly(task, false, now);
                 }
             } catch (RuntimeException e) {
                 jobTable.setAside(task.job, e);
             }
         }
+        return startsLeft - startsOfOthers;
+    }
+
+    /**
+     * Starts at most {@code maxStarts} of the tasks that no worker can take at nearly full speed, one of each step in
+     * turn. Tasks like those that were placed at full speed lately wait for their turn in the order of the jobs.
+     */
+    private void placeSlowly(List<StarvedJobs.OverdueStep> steps, int maxStarts, long now) {
+        Deque<StarvedJobs.OverdueStep> turns = new ArrayDeque<>(steps);
+        int startsOfOthers = startsLeft - maxStarts;
+        while (!turns.isEmpty() && startsLeft > startsOfOthers) {
+            StarvedJobs.OverdueStep step = turns.removeFirst();
+            try {
+                if (placeSlowly(step.take(now), now)) {
+                    turns.addLast(step);
+                }
+            } catch (RuntimeException e) {
+                jobTable.setAside(step.job(), e);
+            }
+        }
+    }
+
+    /** Returns whether further tasks of the step may be placed. */
+    private boolean placeSlowly(TaskEntry task, long now) {
+        if (task == null) {
+            return false;
+        }
+        boolean placedMeanwhile = task.assignedNode != null;
+        return placedMeanwhile
+                || (task.job.isPlaceable()
+                        && accountUsage.permitsStart(task)
+                        && !workerSelector.mayFit(task, now)
+                        && !workerSelector.placedAlike(task, RECENTLY, now)
+                        && startSlowly(task, true, now));
     }
 
     private void place(JobEntry job, Predicate<TaskEntry> mayStart, long now) {
@@ -299,12 +353,16 @@
         return null;
     }
 
-    /** Starts a best-effort task at a low CPU limit although the model expects too much interference. */
-    private void startTrial(TaskEntry task, long now) {
-        WorkerNode node = workerSelector.selectForTrial(task, now);
-        if (node != null) {
-            startTask(task.job, task, node, workerSelector.trialCpuLimitPercent(task, node), now);
+    /** Starts a best-effort task although no worker can run it at nearly full speed; returns whether it has. */
+    private boolean startSlowly(TaskEntry task, boolean needsHeadroom, long now) {
+        WorkerNode node = slowStarts.select(task, needsHeadroom, now);
+        if (node == null) {
+            return false;
         }
+        int cpuLimitPercent = slowStarts.cpuLimitPercent(task, node);
+        startTask(task.job, task, node, cpuLimitPercent, now);
+        task.slowStart = true;
+        return true;
     }
 
     private void startTask(JobEntry job, TaskEntry task, WorkerNode node, long now) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -396,9 +396,31 @@
         return Math.max(0, (long) registration.capacity().milliCores() - reserved.milliCores() - claimed.milliCores());
     }
 
-    /** Returns whether a best-effort task on this worker has a lower CPU limit than {@code percent} of its demand. */
+    /**
+     * Returns whether a best-effort task on this worker has a lower CPU limit than {@code percent} of its demand or was
+     * started by {@link SlowStarts}.
+     */
     boolean hasSlowBestEffortTask(int percent) {
-        return tasks.stream().anyMatch(task -> task.step.behaviour().bestEffort() && task.cpuLimitPercent < percent);
+        for (TaskEntry task : tasks) {
+            if (task.step.behaviour().bestEffort() && (task.slowStart || task.cpuLimitPercent < percent)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /**
+     * Returns the lowest headroom in the last reports of the latency-critical tasks on this worker: infinite if there is
+     * none, 0 if one has not reported a latency.
+     */
+    double minReportedHeadroom() {
+        double minimum = Double.POSITIVE_INFINITY;
+        for (TaskEntry task : tasks) {
+            if (task.isLatencyCritical()) {
+                minimum = Math.min(minimum, task.loadMetric > 0 ? task.headroom() : 0);
+            }
+        }
+        return minimum;
     }
 
     /** Returns the CPU that best-effort tasks may use within their limits, by image, as fractions of the capacity. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.batch;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -17,11 +18,6 @@
     private static final double MIN_SPEED = 0.8;
     /** Minimum latency headroom that a new best-effort task must leave to the latency-critical tasks on its worker. */
     private static final double MIN_HEADROOM = 1.2;
-    /**
-     * Least share of full speed of a best-effort task that starts although the model expects too much interference on
-     * all workers. At this share it takes little headroom, and its reports correct a model that is too pessimistic.
-     */
-    private static final double TRIAL_SHARE = 0.1;
     /** Weight of spare CPU relative to expected speed, so that workers with more spare CPU win ties. */
     private static final double SPARE_WEIGHT = 0.3;
     /** Weight of image affinity; the other terms of a score are at most about 1. */
@@ -65,10 +61,17 @@
         }
         if (best == null) {
             equivalenceClass.markInfeasible(index.latestChange());
+        } else {
+            equivalenceClass.markPlaced(now);
         }
         return best;
     }
 
+    /** Returns whether a worker was found within a time for a task that fits on the same workers. */
+    boolean placedAlike(TaskEntry task, Duration duration, long now) {
+        return equivalenceClass(task).placedWithin(duration, now);
+    }
+
     /** Returns the best of the workers that {@code candidate} accepts, or null if none of them can take the task. */
     WorkerNode select(TaskEntry task, Predicate<WorkerNode> candidate, long now) {
         EquivalenceClass equivalenceClass = equivalenceClass(task);
@@ -101,28 +104,20 @@
     }
 
     /**
-     * Returns the worker on which a best-effort task that no worker can take at {@link #MIN_SPEED} disturbs least, or
-     * null if there is none with the memory and without another such task. Examines all workers of the service.
+     * Returns whether a worker could take a best-effort task apart from the speed of its run, is sound and has no other
+     * slow best-effort task.
      */
-    WorkerNode selectForTrial(TaskEntry task, long now) {
-        Requirement requirement = equivalenceClass(task).requirement;
-        WorkerNode best = null;
-        double bestShare = Double.NEGATIVE_INFINITY;
-        for (WorkerNode worker : index.pool(requirement.service()).all()) {
-            examinedWorkers++;
-            if (!worker.health.isSound()
-                    || !worker.fits(requirement.freeResources())
-                    || !isEligible(worker, requirement, 0, now)
-                    || worker.hasSlowBestEffortTask((int) (FULL_SPEED_PERCENT * MIN_SPEED))) {
-                continue;
-            }
-            double share = allowedShare(task, worker);
-            if (share > bestShare) {
-                bestShare = share;
-                best = worker;
-            }
-        }
-        return best;
+    boolean permitsSlowRun(WorkerNode worker, Requirement requirement, long now) {
+        examinedWorkers++;
+        return !hasSlowTask(worker)
+                && worker.health.isSound()
+                && worker.fits(requirement.freeResources())
+                && isEligible(worker, requirement, 0, now);
+    }
+
+    /** Returns whether a best-effort task on the worker is limited to below {@link #MIN_SPEED} or was started slowly. */
+    boolean hasSlowTask(WorkerNode worker) {
+        return worker.hasSlowBestEffortTask((int) (FULL_SPEED_PERCENT * MIN_SPEED));
     }
 
     private boolean mayFit(EquivalenceClass equivalenceClass, long now) {
@@ -376,12 +371,8 @@
         return (int) (FULL_SPEED_PERCENT * Math.clamp(allowedShare(task, worker), MIN_SPEED, 1));
     }
 
-    /** Returns the initial CPU limit of a task on a worker that was selected for a trial. */
-    int trialCpuLimitPercent(TaskEntry task, WorkerNode worker) {
-        return (int) (FULL_SPEED_PERCENT * Math.clamp(allowedShare(task, worker), TRIAL_SHARE, 1));
-    }
-
-    private double allowedShare(TaskEntry task, WorkerNode worker) {
+    /** Returns the share of full speed, up to 1 and possibly negative, that the model allows to a task on a worker. */
+    double allowedShare(TaskEntry task, WorkerNode worker) {
         return allowedShare(task.step.behaviour().image(), task.step.demand().milliCores(), worker);
     }
 
--- /dev/null
+++ b/batch/src/test/java/org/chestnutbarrow/batch/SlowStartsTest.java
@@ -0,0 +1,174 @@
+package org.chestnutbarrow.batch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import org.testng.annotations.Test;
+
+/**
+ * Tests that all tasks of a best-effort job run, if slowly, while most of the CPU of their service is not reserved, and
+ * that the latency-critical tasks beside them keep their target.
+ */
+public class SlowStartsTest {
+    private static final int WORKERS = 123;
+    private static final int TASKS = 35;
+    private static final int MILLI_CORES = 2300;
+    private static final int UNBOUNDED = 10_000;
+    private static final Duration RUN_TIME = Duration.ofMillis(1500);
+    /** The bound on the time without a run, which includes the next plan. */
+    private static final Duration MAX_WAIT = Duration.ofSeconds(3);
+    /** Latency-critical tasks may miss their target for less than this. */
+    private static final Duration MAX_OVER_TARGET = Duration.ofSeconds(4);
+
+    private static final Sensitivity STRONG = new Sensitivity("batch", SimulatedInterference.SERVING_IMAGE, 40, 0.01);
+    private static final Sensitivity WEAK = new Sensitivity("batch", SimulatedInterference.SERVING_IMAGE, 0.7, 0.01);
+    private static final double WEAK_STRENGTH = 0.14;
+    private static final double STRONG_STRENGTH = 1.4;
+
+    private static Step bestEffort(int tasks, int milliCores) {
+        return SchedulerFixture.step(tasks, milliCores, SimulatedInterference.bestEffort("batch"));
+    }
+
+    private static void addJob(SimulatedInterference workers, String id, int tasks, int milliCores) {
+        workers.fixture.add(workers.fixture.job(id, bestEffort(tasks, milliCores)));
+    }
+
+    /** Adds small jobs of narrow tasks, which come first in the job order. */
+    private static void runBesideNarrowJobs(SimulatedInterference workers, int jobsPerStep, Duration duration) {
+        for (long i = 0; i < duration.dividedBy(SimulatedInterference.STEP); i++) {
+            for (int job = 0; job < jobsPerStep; job++) {
+                addJob(workers, "narrow-" + workers.fixture.time.nanos() + "-" + job, 4, 1000);
+            }
+            workers.run(SimulatedInterference.STEP);
+        }
+    }
+
+    private static void assertTargetsKept(SimulatedInterference workers) {
+        assertTrue(
+                workers.longestOverTarget().compareTo(MAX_OVER_TARGET) < 0,
+                "over target for " + workers.longestOverTarget());
+    }
+
+    /** Guards against a job whose tasks run one after the other because a restored model refuses all workers. */
+    @Test
+    public void allTasksRunAlthoughModelRefusesAllWorkers() {
+        SimulatedInterference workers =
+                new SimulatedInterference(WORKERS, 0.45, WEAK_STRENGTH, RUN_TIME, UNBOUNDED, STRONG);
+        addJob(workers, "a", TASKS, MILLI_CORES);
+        workers.run(MAX_WAIT);
+        assertEquals(workers.started("a"), TASKS);
+        workers.run(Duration.ofSeconds(20));
+        assertTargetsKept(workers);
+    }
+
+    /** Guards against a job that waits for as long as narrower best-effort tasks take each piece of spare CPU. */
+    @Test
+    public void allTasksRunAlthoughNarrowerTasksTakeSpareCpu() {
+        // The workers finish about 12 narrow jobs in a step, so that few or most of those wait for long.
+        for (int jobsPerStep : List.of(13, 20)) {
+            SimulatedInterference workers =
+                    new SimulatedInterference(WORKERS, 0.45, WEAK_STRENGTH, RUN_TIME, UNBOUNDED, WEAK);
+            runBesideNarrowJobs(workers, jobsPerStep, Duration.ofSeconds(5));
+            addJob(workers, "a", TASKS, MILLI_CORES);
+            runBesideNarrowJobs(workers, jobsPerStep, MAX_WAIT);
+            assertEquals(workers.started("a"), TASKS, jobsPerStep + " narrow jobs in a step");
+            runBesideNarrowJobs(workers, jobsPerStep, Duration.ofSeconds(3));
+            assertEquals(workers.started("a"), TASKS, "no task ran twice");
+            assertTargetsKept(workers);
+        }
+    }
+
+    /** Guards against slow starts that keep latency-critical tasks over their target when the model is right. */
+    @Test
+    public void targetsAreKeptBesideTasksThatInterfereStrongly() {
+        SimulatedInterference workers =
+                new SimulatedInterference(WORKERS, 0.6, STRONG_STRENGTH, RUN_TIME, UNBOUNDED, STRONG);
+        addJob(workers, "a", TASKS, MILLI_CORES);
+        workers.run(MAX_WAIT);
+        assertEquals(workers.started("a"), TASKS);
+        workers.run(Duration.ofSeconds(60));
+        assertTargetsKept(workers);
+    }
+
+    /** Guards against slow starts beside latency-critical tasks that are close to their target. */
+    @Test
+    public void workersCloseToTargetGetNoFurtherSlowStarts() {
+        SimulatedInterference workers =
+                new SimulatedInterference(WORKERS, 0.74, STRONG_STRENGTH, RUN_TIME, UNBOUNDED, STRONG);
+        addJob(workers, "a", 3 * WORKERS, MILLI_CORES);
+        workers.run(Duration.ofSeconds(60));
+        assertTrue(workers.started("a") > 0);
+        assertTargetsKept(workers);
+    }
+
+    /** Guards against a calm service on which tasks start later or more slowly than the model allows. */
+    @Test
+    public void calmServiceStartsAllTasksAtFullSpeedAtOnce() {
+        SimulatedInterference workers = new SimulatedInterference(WORKERS, 0.45, WEAK_STRENGTH, RUN_TIME, UNBOUNDED);
+        addJob(workers, "a", TASKS, MILLI_CORES);
+        workers.run(SimulatedInterference.STEP);
+        assertEquals(workers.limits("a"), Collections.nCopies(TASKS, 1.0));
+    }
+
+    /** Guards against slow runs that add up on one worker or fill its memory, so that fast ones find no room. */
+    @Test
+    public void workerGetsOneSlowStartAtOnce() {
+        SimulatedInterference workers =
+                new SimulatedInterference(4, 0.45, WEAK_STRENGTH, Duration.ofMinutes(5), UNBOUNDED, STRONG);
+        addJob(workers, "a", TASKS, MILLI_CORES);
+        addJob(workers, "b", TASKS, 1500);
+        workers.run(Duration.ofSeconds(10));
+        assertEquals(workers.started("a") + workers.started("b"), 4);
+        assertEquals(workers.maxRunsPerWorker(List.of("a", "b")), 1);
+    }
+
+    /** Guards against one large job that takes all slow starts. */
+    @Test
+    public void jobsGetSlowStartsInTurn() {
+        SimulatedInterference workers =
+                new SimulatedInterference(8, 0.45, WEAK_STRENGTH, Duration.ofMinutes(5), UNBOUNDED, STRONG);
+        addJob(workers, "a", 10 * TASKS, MILLI_CORES);
+        addJob(workers, "b", 4, MILLI_CORES);
+        workers.run(Duration.ofSeconds(5));
+        assertEquals(workers.started("a"), 4);
+        assertEquals(workers.started("b"), 4);
+    }
+
+    /** Guards against slow starts that take the starts of a plan from tasks that can be on time. */
+    @Test
+    public void slowStartsGetBoundedShareOfStarts() {
+        int maxStarts = 8;
+        SimulatedInterference workers =
+                new SimulatedInterference(WORKERS, 0.45, WEAK_STRENGTH, Duration.ofMinutes(5), maxStarts, STRONG);
+        addJob(workers, "a", TASKS, MILLI_CORES);
+        workers.run(Duration.ofMillis(1900));
+        for (int i = 0; i < 100; i++) {
+            workers.fixture.add(workers.fixture.job("plain" + i, SchedulerFixture.step(1, 100, Step.Behaviour.PLAIN)));
+        }
+        workers.run(SimulatedInterference.STEP);
+        assertEquals(workers.started("a"), maxStarts / 4);
+        assertEquals(workers.allStarted() - workers.started("a"), maxStarts - maxStarts / 4);
+    }
+
+    /** Guards against plans that search all workers once for each of many waiting tasks or jobs. */
+    @Test
+    public void planSearchesWorkersForBoundedNumberOfSlowStarts() {
+        int workerCount = 425;
+        SimulatedInterference workers =
+                new SimulatedInterference(workerCount, 0.45, WEAK_STRENGTH, Duration.ofMinutes(5), UNBOUNDED, STRONG);
+        for (int i = 0; i < 300; i++) {
+            addJob(workers, "a" + i, 20, MILLI_CORES + i);
+        }
+        workers.run(Duration.ofSeconds(2));
+        for (int plan = 0; plan < 10; plan++) {
+            long before = workers.fixture.scheduler.examinedWorkers();
+            workers.fixture.time.advance(SimulatedInterference.STEP);
+            workers.fixture.scheduler.plan();
+            long examined = workers.fixture.scheduler.examinedWorkers() - before;
+            assertTrue(examined <= 6L * workerCount, examined + " workers examined");
+        }
+    }
+}
