Count starts and jobs that nothing acts on any more

Cause: a task whose start is never settled stays assigned to its worker, and a job that the owner's table lacks is never placed. Both look like a job that waits; no metric or event tells them apart. Change: StateAudit looks every 2 s for runs placed over 12 s ago whose start is neither confirmed nor given up while no delivery of an order for them is in progress, and for jobs that have not ended by the replica and that the scheduler has lacked for 12 s. It sets chestnutbarrow_node_orders_unheld and chestnutbarrow_node_jobs_missing and logs orders-unheld and jobs-missing. Module batch tells what is not settled and which jobs it knows; module node, which has the deliveries and the replica, compares. 12 s is more than an expected outage of the store (9 s), during which neither orders nor ends advance. The states themselves are not reproduced by a fault of the node.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -276,6 +277,24 @@
         }
     }
 
+    /** Returns whether a job has been added and has not ended, or has runs left. */
+    public synchronized boolean knows(JobId id) {
+        return jobTable.job(id) != null;
+    }
+
+    /** Returns the runs that this owner placed at least {@code age} ago and whose start is not settled, oldest first. */
+    public synchronized List<UnsettledStart> unsettledStarts(Duration age) {
+        long now = time.nanos();
+        return jobTable.jobs().stream()
+                .flatMap(job -> job.tasksByStep.stream().flatMap(List::stream))
+                .filter(task -> task.assignedNode != null && task.startSettledAt == 0 && !task.inherited)
+                .filter(task -> now - task.placedAt >= age.toNanos())
+                .map(task -> new UnsettledStart(
+                        task.name, task.run, task.assignedNode.id(), Duration.ofNanos(now - task.placedAt)))
+                .sorted(Comparator.comparing(UnsettledStart::age).reversed())
+                .toList();
+    }
+
     /** Returns a plan without a bound on its starts. */
     public Plan plan() {
         return plan(Integer.MAX_VALUE);
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -56,6 +56,9 @@
     /** When it became certain that no order to start the run is in flight, in ns; 0 while one may be. */
     long startSettledAt;
 
+    /** When this owner placed the latest run, in ns; meaningless for runs that it has not started. */
+    long placedAt;
+
     int progressPercent;
     int loadMetric;
     /** Baseline headroom of the latest run, if it is latency-critical. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -378,6 +378,7 @@
         Duration waited = job.waited(task, now);
         task.run++;
         task.progressedAt = now;
+        task.placedAt = now;
         task.cpuLimitPercent = cpuLimitPercent;
         node.add(task);
         node.taskStarted(task, now);
--- a/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
+++ b/node/src/main/java/org/chestnutbarrow/node/NodeMetrics.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
+import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -82,6 +83,15 @@
             .classicOnly()
             .register(registry);
 
+    private final Gauge unheldOrders = Gauge.builder()
+            .name("chestnutbarrow_node_orders_unheld")
+            .help("Starts whose outcome is unknown although no delivery is in progress, on the owner")
+            .register(registry);
+    private final Gauge missingJobs = Gauge.builder()
+            .name("chestnutbarrow_node_jobs_missing")
+            .help("Jobs that have not ended and are unknown to the owner's scheduler")
+            .register(registry);
+
     /** Creates the metrics of a node without client accounts. */
     NodeMetrics(BooleanSupplier isOwner, Supplier<Duration> jobsAge) {
         this(isOwner, jobsAge, Map::of);
@@ -132,6 +142,12 @@
         jobsSetAside.inc();
     }
 
+    /** Records the results of the last audit of the owner's state. */
+    void stateAudited(int ordersUnheld, int jobsMissing) {
+        unheldOrders.set(ordersUnheld);
+        missingJobs.set(jobsMissing);
+    }
+
     /** Counts a call that was refused because of its API key or the rate of its account. */
     void accessRefused(String reason) {
         accessRefusals.labelValues(reason).inc();
--- a/node/src/main/java/org/chestnutbarrow/node/OrderQueue.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OrderQueue.java
@@ -116,6 +116,16 @@
         return oldest;
     }
 
+    /** Returns whether an order of a task is queued or in flight; false once the queue is closed. */
+    boolean holds(TaskName task) {
+        lock.lock();
+        try {
+            return !closed && deliveriesByTask.containsKey(task);
+        } finally {
+            lock.unlock();
+        }
+    }
+
     /** Returns whether another order of the same task waits behind one that is in flight. */
     boolean hasSuccessor(Delivery delivery) {
         lock.lock();
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -271,6 +271,8 @@
         startThread("plans", this::planLoop);
         startThread("ended-jobs", () -> endedJobCleaner.run(active::get));
         startThread("confirmation", this::keepConfirmed);
+        StateAudit audit = new StateAudit(scheduler, replica, links::delivers, metrics, time);
+        startThread("audit", () -> audit.run(active::get));
         startThread("lateness", this::measureThreadDelay);
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.Semaphore;
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.Order;
+import org.chestnutbarrow.batch.TaskName;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.batch.WorkerRegistration;
 import org.chestnutbarrow.batch.WorkerReport;
@@ -123,6 +124,11 @@
         return orders.waitingStarts();
     }
 
+    /** Returns whether an order of a task is being delivered. */
+    boolean delivers(TaskName task) {
+        return orders.holds(task);
+    }
+
     /** Queues an order behind the other orders of its task. */
     void enqueue(Order order) {
         orders.add(order, time.nanos());
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
@@ -13,6 +13,7 @@
 import java.util.function.Predicate;
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.Order;
+import org.chestnutbarrow.batch.TaskName;
 import org.chestnutbarrow.batch.TaskRecord.WorkerIncarnation;
 import org.chestnutbarrow.batch.WorkerRegistration;
 import org.chestnutbarrow.model.TimeSource;
@@ -128,6 +129,12 @@
         return links.values().stream().mapToInt(WorkerLink::waitingStarts).sum();
     }
 
+    /** Returns whether an order of a task is being delivered to a worker. */
+    synchronized boolean delivers(TaskName task, WorkerId worker) {
+        WorkerLink link = links.get(worker);
+        return link != null && link.delivers(task);
+    }
+
     /** Acknowledges the ends up to a sequence number, which starts anew in each incarnation. */
     synchronized void acknowledge(Map<WorkerIncarnation, Long> sequences) {
         sequences.forEach((incarnation, sequence) -> {
--- a/node/src/test/java/org/chestnutbarrow/node/OrderQueueTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OrderQueueTest.java
@@ -1,6 +1,8 @@
 package org.chestnutbarrow.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.TaskName;
@@ -8,7 +10,7 @@
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
-/** Tests the number of starts that wait for their first attempt. */
+/** Tests the number of starts that wait for their first attempt, and which orders are held. */
 public class OrderQueueTest {
     private static final WorkerId WORKER = new WorkerId("w");
 
@@ -39,4 +41,19 @@
         orders.close();
         assertEquals(orders.waitingStarts(), 0, "starts that no thread will attempt");
     }
+
+    /** Guards against an order that counts as given up while it is in flight or waits for a retry. */
+    @Test
+    public void holdsOrdersUntilTheyAreComplete() throws InterruptedException {
+        TaskName task = new TaskName(new JobId("a"), 0, 0);
+        assertFalse(orders.holds(task));
+        addStart("a");
+        assertTrue(orders.holds(task));
+        Delivery delivery = orders.take(false).orElseThrow();
+        assertTrue(orders.holds(task), "in flight");
+        orders.requeue(delivery.nextAttempt());
+        assertTrue(orders.holds(task), "to be retried");
+        orders.complete(orders.take(true).orElseThrow());
+        assertFalse(orders.holds(task));
+    }
 }
