--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskEntry.java
@@ -56,6 +56,9 @@
     /** When it became certain that no order to start the run is in flight, in ns; 0 while one may be. */
     long startSettledAt;
 
+    /** When this owner placed the latest run, in ns; meaningless for runs that it has not started. */
+    long placedAt;
+
     int progressPercent;
     int loadMetric;
     /** Baseline headroom of the latest run, if it is latency-critical. */
@@ -75,6 +78,8 @@
     WaitStart waitStart;
     /** Since when the reported tail latency has exceeded its target, in ns; 0 while it does not. */
     long overTargetSince;
+    /** Whether the latest run was started although no worker could run it at nearly full speed, see {@link SlowStarts}. */
+    boolean slowStart;
     /** CPU limit of the latest run, in percent of its demand. */
     int cpuLimitPercent = FULL_SPEED_PERCENT;
 
@@ -128,6 +133,7 @@
         listed = false;
         inherited = false;
         startSettledAt = 0;
+        slowStart = false;
         cpuLimitPercent = FULL_SPEED_PERCENT;
         progressPercent = 0;
         loadMetric = 0;
