--- a/soak/src/main/java/org/chestnutbarrow/soak/JobPlan.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/JobPlan.java
@@ -43,7 +43,8 @@
         followUps = List.copyOf(followUps);
     }
 
-    static JobPlan create(RandomGenerator random, String id) {
+    /** Chooses a job; without {@code repeats} its client only asks for its state. */
+    static JobPlan create(RandomGenerator random, String id, boolean repeats) {
         List<Stage> steps = new ArrayList<>();
         int count = random.nextInt(4) == 0 ? 2 : 1;
         for (int i = 0; i < count; i++) {
@@ -51,20 +52,21 @@
             steps.add(new Stage(
                     random.nextInt(1, 4), random.nextInt(1, 5) * 250, Duration.ofMillis(random.nextInt(30, maxMs))));
         }
-        boolean cancelEarly = random.nextInt(100) < CANCEL_EARLY_PERCENT;
-        return new JobPlan(id, steps, Duration.ofMillis(cancelEarly ? random.nextInt(1500) : -1), followUps(random));
+        boolean cancelEarly = repeats && random.nextInt(100) < CANCEL_EARLY_PERCENT;
+        return new JobPlan(
+                id, steps, Duration.ofMillis(cancelEarly ? random.nextInt(1500) : -1), followUps(random, repeats));
     }
 
     /** Repeats the submission while the end is being stored, and seconds later; then asks for the state. */
-    private static List<FollowUp> followUps(RandomGenerator random) {
+    private static List<FollowUp> followUps(RandomGenerator random, boolean repeats) {
         List<FollowUp> result = new ArrayList<>();
-        if (random.nextInt(100) < RESUBMIT_AT_END_PERCENT) {
+        if (repeats && random.nextInt(100) < RESUBMIT_AT_END_PERCENT) {
             result.add(new FollowUp(Duration.ofMillis(random.nextInt(20)), Action.RESUBMIT));
             result.add(new FollowUp(Duration.ofMillis(random.nextInt(20, 400)), Action.RESUBMIT));
             result.add(new FollowUp(Duration.ofMillis(random.nextInt(400, 1500)), Action.RESUBMIT));
             result.add(new FollowUp(Duration.ofMillis(random.nextInt(1500, 8000)), Action.RESUBMIT));
         }
-        if (random.nextInt(100) < CANCEL_AT_END_PERCENT) {
+        if (repeats && random.nextInt(100) < CANCEL_AT_END_PERCENT) {
             result.add(new FollowUp(Duration.ofMillis(random.nextInt(600)), Action.CANCEL));
         }
         for (int i = 0; i < 4; i++) {
--- a/soak/src/main/java/org/chestnutbarrow/soak/Main.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Main.java
@@ -54,6 +54,9 @@
     @Option(name = "--crowds", usage = "adds misbehaving clients")
     private boolean crowds;
 
+    @Option(name = "--no-repeats", usage = "clients neither repeat submissions nor cancel jobs")
+    private boolean noRepeats;
+
     private Main() {}
 
     /** Plays the seeds; exits with 1 if there are findings. */
@@ -92,6 +95,7 @@
                     Duration.ofSeconds(calmSeconds),
                     families,
                     crowds,
+                    !noRepeats,
                     Path.of("").toAbsolutePath()));
         }
         return plays;
--- a/soak/src/main/java/org/chestnutbarrow/soak/Play.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Play.java
@@ -159,7 +159,7 @@
         SplittableRandom plans = random.split();
         long end = time.nanos() + settings.load().toNanos();
         for (int i = 0; end - time.nanos() > 0; i++) {
-            clients.start(JobPlan.create(plans, "s" + settings.seed() + "-" + i), plans.split());
+            clients.start(JobPlan.create(plans, "s" + settings.seed() + "-" + i, settings.repeats()), plans.split());
             Thread.sleep(plans.nextInt(2 * JOB_INTERVAL_MS));
         }
     }
--- a/soak/src/main/java/org/chestnutbarrow/soak/PlaySettings.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/PlaySettings.java
@@ -15,6 +15,7 @@
  * @param calm longest time without faults after the load, in which the accepted jobs have to end
  * @param families the faults to inject
  * @param crowds whether misbehaving clients take part
+ * @param repeats whether clients repeat submissions and cancel jobs around their ends
  * @param root folder of the sources, with the deployment file
  */
 record PlaySettings(
@@ -25,6 +26,7 @@
         Duration calm,
         Set<Fault.Family> families,
         boolean crowds,
+        boolean repeats,
         Path root) {
     PlaySettings {
         Checks.require(
--- a/soak/src/test/java/org/chestnutbarrow/soak/SlowProgressTest.java
+++ b/soak/src/test/java/org/chestnutbarrow/soak/SlowProgressTest.java
@@ -23,8 +23,8 @@
     @BeforeClass
     public void play() throws Exception {
         Path root = Path.of(System.getProperty("chestnutbarrow.root"));
-        PlaySettings settings =
-                new PlaySettings(SEED, 3, 8, LOAD, Duration.ofSeconds(20), Set.of(Fault.Family.STORE), false, root);
+        PlaySettings settings = new PlaySettings(
+                SEED, 3, 8, LOAD, Duration.ofSeconds(20), Set.of(Fault.Family.STORE), false, true, root);
         Fault slowProgress = new Fault.StoreCalls(
                 Fault.Side.EVERYBODY,
                 Fault.StoreScope.PROGRESS_APPENDS,
