Play calls that a later incarnation of a worker carries out

Cause: a hold that is carried out after a restart of its worker acknowledges ends by the numbers of the incarnation before; this was known from reading the code only.

--- a/soak/src/main/java/org/chestnutbarrow/soak/Fault.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Fault.java
@@ -56,6 +56,12 @@
     /** A worker goes down and starts again under its id; the store shows it {@code listedAfter} its start. */
     record WorkerRestart(int worker, Duration listedAfter) implements Fault {}
 
+    /**
+     * A worker goes down and starts again, and calls that were sent before are carried out {@code lateBy} later, by the
+     * next incarnation if that is up then.
+     */
+    record RestartWithLateCalls(int worker, Duration lateBy, Duration listedAfter) implements Fault {}
+
     /** Calls to a worker are disturbed. */
     record WorkerCalls(int worker, Disturbance disturbance) implements Fault {}
 
@@ -67,7 +73,7 @@
         return switch (this) {
             case StoreCalls _, Reassignment _, HistoryDrop _ -> Family.STORE;
             case NodeKill _, NodeStop _, NodePause _ -> Family.NODES;
-            case WorkerRestart _, WorkerCalls _ -> Family.WORKERS;
+            case WorkerRestart _, RestartWithLateCalls _, WorkerCalls _ -> Family.WORKERS;
             case EndsUnordered _ -> Family.ORDER;
         };
     }
--- a/soak/src/main/java/org/chestnutbarrow/soak/FaultInjector.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/FaultInjector.java
@@ -15,6 +15,9 @@
 /** Carries out the faults of a schedule, each on a thread of its own. Thread-safe; decides nothing. */
 final class FaultInjector implements AutoCloseable {
     private static final Logger log = System.getLogger(FaultInjector.class.getName());
+    /** Time before a restart in which calls become late; a worker gets at least one hold in this time. */
+    private static final Duration LATE_CALLS = Duration.ofMillis(600);
+
     private static final String APPEND = "/-/log-append";
 
     private final Store store;
@@ -90,13 +93,13 @@
                 Thread.sleep(length);
                 node.resume();
             }
-            case Fault.WorkerRestart restart -> {
+            case Fault.WorkerRestart restart -> restart(workers.get(restart.worker()), length, restart.listedAfter());
+            case Fault.RestartWithLateCalls restart -> {
                 WorkerStandIn worker = workers.get(restart.worker());
-                worker.goDown();
-                Thread.sleep(length);
-                worker.goUp();
-                Thread.sleep(restart.listedAfter());
-                worker.list();
+                Runnable lift = worker.handler().disturb(_ -> true, new Disturbance.Late(1, restart.lateBy()));
+                Thread.sleep(LATE_CALLS);
+                lift.run();
+                restart(worker, length, restart.listedAfter());
             }
             case Fault.WorkerCalls calls -> {
                 Runnable lift = workers.get(calls.worker()).handler().disturb(_ -> true, calls.disturbance());
@@ -111,6 +114,14 @@
         }
     }
 
+    private static void restart(WorkerStandIn worker, Duration down, Duration listedAfter) throws InterruptedException {
+        worker.goDown();
+        Thread.sleep(down);
+        worker.goUp();
+        Thread.sleep(listedAfter);
+        worker.list();
+    }
+
     private NodeProcess node(int index) {
         if (index != Fault.OWNER) {
             return nodes.get(index);
--- a/soak/src/main/java/org/chestnutbarrow/soak/FaultSchedule.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/FaultSchedule.java
@@ -71,6 +71,7 @@
             case Fault.NodeKill _, Fault.NodeStop _ -> between(random, 100, 3000);
             case Fault.NodePause _ -> between(random, 300, 8000);
             case Fault.WorkerRestart _ -> between(random, 50, 2500);
+            case Fault.RestartWithLateCalls _ -> between(random, 20, 600);
             case Fault.WorkerCalls _ -> between(random, 500, 8000);
             case Fault.EndsUnordered _ -> between(random, 3000, 8000);
         };
@@ -127,7 +128,8 @@
 
     private static Fault workerFault(RandomGenerator random, int workers) {
         int worker = random.nextInt(workers);
-        return switch (random.nextInt(8)) {
+        return switch (random.nextInt(10)) {
+            case 8, 9 -> new Fault.RestartWithLateCalls(worker, between(random, 800, 6000), between(random, 0, 600));
             case 0, 1 -> new Fault.WorkerRestart(worker, between(random, 0, 1500));
             case 2 -> new Fault.WorkerCalls(worker, new Disturbance.Silent());
             case 3, 4 -> new Fault.WorkerCalls(worker, new Disturbance.AnswersLost(random.nextDouble(0.2, 1)));
