Show a cancellation once the owner has recorded it

Cause: a stored cancellation showed as cancelled at once, although the owner may complete the job before it reads the cancellation. Change: the state of a job is the one that the owner has stored. Pending jobs are counted as before, without those that are cancelled, and a repeated cancellation stores nothing, as before. Result: JobReplicaTest#cancellationShowsOnceTheOwnerHasRecordedIt, which expects QUEUED where the code before returned CANCELLED.

--- a/node/src/main/java/org/chestnutbarrow/node/JobAnswers.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobAnswers.java
@@ -55,7 +55,7 @@
             refreshProgress(known.get().spec().queue(), remaining(start, timeout));
             refresh(remaining(start, timeout));
         } catch (NotRunException e) {
-            // Unless the job was cancelled, the state read last is one that the job has actually been in.
+            // The state read last is one that the job has been in; callers of a cancellation wait for a later one.
             if (!progress.loaded() || known.get().cancelled()) {
                 throw e;
             }
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -75,10 +75,17 @@
             return storedProgress.isPresent() && storedProgress.get().state().isFinal();
         }
 
-        /** Returns the state of the job; a stored cancellation takes effect before the owner has recorded it. */
+        /**
+         * Returns the state of the job as the owner has stored it. A stored cancellation shows once the owner has recorded
+         * it, since the job may have completed before the owner read it.
+         */
         JobState state() {
-            JobState state = storedProgress.map(StoredProgress::state).orElse(JobState.QUEUED);
-            return cancelled && !state.isFinal() ? JobState.CANCELLED : state;
+            return storedProgress.map(StoredProgress::state).orElse(JobState.QUEUED);
+        }
+
+        /** Returns whether no task is recorded as started and no cancellation is stored. */
+        boolean isPending() {
+            return !cancelled && state() == JobState.QUEUED;
         }
 
         /** Decodes the progress with its tasks. */
--- a/node/src/main/java/org/chestnutbarrow/node/JobShard.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobShard.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.batch.JobSpec;
-import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.TimeSource;
 
@@ -25,7 +24,7 @@
     final Set<JobId> cancelled = new HashSet<>();
     final Map<JobId, JobReplica.StoredProgress> progress = new HashMap<>();
     /**
-     * Number of pending jobs by queue key; a job is pending while its state is {@link JobState#QUEUED}. Queues
+     * Number of pending jobs by queue key; see {@link JobReplica.JobView#isPending}. Queues
      * without pending jobs have no entry.
      */
     final Map<String, Integer> pendingByQueue = new HashMap<>();
@@ -183,7 +182,7 @@
     }
 
     private void adjustPending(JobId id, int delta) {
-        view(id).filter(view -> view.state() == JobState.QUEUED).ifPresent(view -> {
+        view(id).filter(JobReplica.JobView::isPending).ifPresent(view -> {
             adjust(pendingByQueue, view.spec().queue().key(), delta);
             if (!view.spec().account().isEmpty()) {
                 adjust(pendingByAccount, view.spec().account(), delta);
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -404,7 +404,7 @@
         try {
             Optional<JobReplica.JobView> job = answers.find(id, timeout);
             known = job.isPresent();
-            if (known && job.get().state().isFinal()) {
+            if (known && (job.get().cancelled() || job.get().state().isFinal())) {
                 return Receipt.STORED;
             }
         } catch (NotRunException e) {
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -357,4 +357,16 @@
         replica.applyStored(List.of(JobReplica.ownerEntry(new OwnerRecord("first", 1))), 4);
         assertEquals(replica.owner(), Optional.of(second));
     }
+
+    /** Guards against a job that is shown as cancelled and then as completed, as the owner had not read the cancellation. */
+    @Test
+    public void cancellationShowsOnceTheOwnerHasRecordedIt() {
+        JobReplica replica = new JobReplica(TimeSource.SYSTEM);
+        JobId id = new JobId("a");
+        replica.applyJob(job("a", A));
+        replica.applyCancellation(id);
+        assertEquals(replica.find(id).orElseThrow().state(), JobState.QUEUED);
+        replica.applyStored(List.of(progress("a", JobState.COMPLETED)), 5);
+        assertEquals(replica.find(id).orElseThrow().state(), JobState.COMPLETED);
+    }
 }
