Keep results from a restarted worker while a late acknowledgement may discard them

Cause: a hold without an answer may be carried out seconds later, by the next incarnation of its worker as well, which then discards ends by the numbers of the earlier one. If it has not listed them yet, their results are lost, and the tasks run again. Long-running tasks, which have no result, are not affected. WaitReason names it (restarted). WorkerRestartTest has a test for long-running tasks.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -182,6 +182,17 @@
         registry.update(registrations, time.nanos());
     }
 
+    /**
+     * Keeps tasks with a result from a worker incarnation until a time, ns. Until then, acknowledgements meant for an
+     * earlier one may make it discard ends that it has not listed.
+     */
+    public synchronized void keepResultsAway(TaskRecord.WorkerIncarnation incarnation, long until) {
+        WorkerNode node = registry.find(incarnation.worker());
+        if (node != null && node.incarnation() == incarnation.incarnation()) {
+            node.keepResultsAwayUntil(until);
+        }
+    }
+
     /** Releases all runs of a worker incarnation whose leases have expired. */
     public synchronized void expireLeases(TaskRecord.WorkerIncarnation incarnation) {
         registry.expireLeases(incarnation);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
@@ -146,6 +146,9 @@
         if (!worker.acceptsTasks(now)) {
             return Optional.of(Exclusion.QUARANTINED);
         }
+        if (worker.risksResults(now) && !(requirement.mode() instanceof Requirement.LongRunning)) {
+            return Optional.of(Exclusion.RESTARTED);
+        }
         if (!worker.fits(task.step.reservation())) {
             return Optional.of(Exclusion.CLAIMED);
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitReason.java
@@ -59,6 +59,8 @@
         UNRESPONSIVE,
         /** It is quarantined, or on probation with a trial run. */
         QUARANTINED,
+        /** It has restarted, and a call meant for its earlier incarnation may make it discard results. */
+        RESTARTED,
         /** It has as many tasks of the step as it may have. */
         SPREAD,
         /** Its room is kept for tasks that must run again. */
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -46,6 +46,11 @@
     private boolean draining;
     private boolean zoneEvacuated;
     private long lastResponseAt;
+    /** Whether {@link #resultsAtRiskUntil} is in the future as far as this worker has responded. */
+    private boolean resultsAtRisk;
+    /** Until when this incarnation may discard ends that it has not listed by a call meant for an earlier one, ns. */
+    private long resultsAtRiskUntil;
+
     private Resources reserved = Resources.NONE;
     /** CPU of the tasks that last, see {@link TaskEntry#lasts}. */
     private long lastingTaskMilliCores;
@@ -138,11 +143,33 @@
     void responded(long now) {
         boolean wasUnresponsive = isUnresponsive(now);
         lastResponseAt = now;
-        if (wasUnresponsive) {
+        boolean riskOver = resultsAtRisk && !risksResults(now);
+        resultsAtRisk &= !riskOver;
+        if (wasUnresponsive || riskOver) {
             index.capacityFreed(this);
         }
     }
 
+    /** Keeps tasks with a result away until a time, ns, unless they are kept away for longer already. */
+    void keepResultsAwayUntil(long until) {
+        if (!resultsAtRisk || until - resultsAtRiskUntil > 0) {
+            resultsAtRisk = true;
+            resultsAtRiskUntil = until;
+        }
+    }
+
+    /** Keeps tasks with a result away for as long as from an earlier incarnation. */
+    void keepResultsAwayLike(WorkerNode earlier) {
+        if (earlier.resultsAtRisk) {
+            keepResultsAwayUntil(earlier.resultsAtRiskUntil);
+        }
+    }
+
+    /** Returns whether the result of a run that ends now may be discarded before it is listed. */
+    boolean risksResults(long now) {
+        return resultsAtRisk && now - resultsAtRiskUntil < 0;
+    }
+
     /** Returns whether the worker has not responded for longer than the report interval allows. */
     boolean isUnresponsive(long now) {
         return now - lastResponseAt
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -149,6 +149,7 @@
             workers.put(registration.id(), node);
             if (current != null) {
                 node.ends.markStartKnown();
+                node.keepResultsAwayLike(current);
                 current.setListed(false);
                 transferRuns(current, node, now);
             }
--- a/batch/src/test/java/org/chestnutbarrow/batch/WorkerRestartTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/WorkerRestartTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
@@ -112,4 +113,22 @@
         reportOfRestartedWorker(next);
         assertEquals(next.starts().size(), 1);
     }
+
+    /** Guards against a service that waits for seconds although its runs have no result that the worker could discard. */
+    @Test
+    public void longRunningTaskStartsOnWorkerThatMayDiscardResults() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        fixture.scheduler.keepResultsAway(
+                new TaskRecord.WorkerIncarnation(new WorkerId("w1"), SchedulerFixture.INCARNATION),
+                fixture.time.nanos() + Duration.ofSeconds(3).toNanos());
+        fixture.add(fixture.job("a", PLAIN));
+        fixture.add(
+                fixture.job("b", SchedulerFixture.step(1, 1000, new Step.Behaviour("i", false, true, false, 0, 0))));
+        List<Order.Start> starts = fixture.starts();
+        assertEquals(starts.size(), 1);
+        assertEquals(starts.getFirst().task().job(), new JobId("b"));
+        fixture.time.advance(Duration.ofSeconds(3));
+        fixture.report("w1", List.of(SchedulerFixture.running(starts.getFirst(), 100, 0)), List.of());
+        assertEquals(fixture.starts().getFirst().task().job(), new JobId("a"));
+    }
 }
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLink.java
@@ -1,11 +1,8 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.Semaphore;
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.Order;
@@ -55,9 +52,7 @@
 
     private volatile boolean closed;
     private final Acknowledgement acknowledgement;
-    private long lastReportedSequence;
-    /** Numbers of the ends that the last report listed; accessed only by the thread of the holds. */
-    private final Set<Long> loggedEnds = new HashSet<>();
+    private final EndLog endLog = new EndLog();
     /** Expiry time of leases in the last hold that extended them, by the clock of the worker; negative if none did. */
     private long heldUntilMs = -1;
 
@@ -117,6 +112,11 @@
         return incarnationCheck.lateCallsUntil();
     }
 
+    /** Returns until when a later incarnation may carry out a hold that acknowledges ends of this one, ns. */
+    long lateAcknowledgementsUntil() {
+        return acknowledgement.lateUntil();
+    }
+
     /** Ends all loops after the calls in flight. */
     void close() {
         closed = true;
@@ -382,6 +382,7 @@
             return handleHoldAnswer(answer, acknowledged, sentAt, failedBefore);
         } catch (OutcomeUnknownException | NotRunException e) {
             incarnationCheck.callFailed(e);
+            acknowledgement.failed(acknowledged, e);
             recordHoldDelay(sentAt, wait);
             if (!loggedUnreachable && !isReachable()) {
                 loggedUnreachable = true;
@@ -437,26 +438,15 @@
         }
         scheduler.report(status.report(), sentAt);
         owner.wake();
-        logEnds(status.report().ended());
+        for (WorkerReport.Ended ended : endLog.takeNew(status.report().ended())) {
+            owner.runEnded(ended.kind());
+            OrderEvents.logEnd(ended, worker.id());
+        }
         // An earlier hold would return immediately with the same ends.
-        acknowledgement.await(lastReportedSequence, owner.holdWait(), this::isOpen);
+        acknowledgement.await(endLog.highest(), owner.holdWait(), this::isOpen);
         return true;
     }
 
-    /** Logs the ends that no earlier report listed; a list need not be in the order of the numbers. */
-    private void logEnds(List<WorkerReport.Ended> ends) {
-        long lowest =
-                ends.stream().mapToLong(WorkerReport.Ended::sequence).min().orElse(Long.MAX_VALUE);
-        loggedEnds.removeIf(number -> number < lowest);
-        for (WorkerReport.Ended ended : ends) {
-            if (loggedEnds.add(ended.sequence())) {
-                lastReportedSequence = Math.max(lastReportedSequence, ended.sequence());
-                owner.runEnded(ended.kind());
-                OrderEvents.logEnd(ended, worker.id());
-            }
-        }
-    }
-
     private void reportIfUnreachable() {
         if (!reportedUnreachable && !isReachable()) {
             reportedUnreachable = true;
--- a/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerLinks.java
@@ -71,6 +71,7 @@
             if (existing != null) {
                 existing.close();
                 leases.replace(existing.incarnation(), incarnation, existing.lateCallsUntil());
+                scheduler.keepResultsAway(incarnation, existing.lateAcknowledgementsUntil());
             }
             if (unconfirmed.contains(incarnation)) {
                 leases.add(incarnation);
