--- a/node/src/test/java/org/chestnutbarrow/node/EndedJobTermTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EndedJobTermTest.java
@@ -60,7 +60,7 @@
                     replica.jobsListener()
                             .onSnapshot(new StateStore.Snapshot(
                                     Map.of(entry.key(), entry.value().orElseThrow()), 1));
-                case CANCELLATION -> replica.applyCancellation(JOB.id());
+                default -> replica.applyCancellation(JOB.id());
             }
         }
     }
