Split the risk of lost results and reported headroom from WorkerNode

Change: ResultRisk holds until when results may be discarded; SlowStarts reads the reported headroom itself. No decision changes.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -230,7 +230,7 @@
     public synchronized void keepResultsAway(TaskRecord.WorkerIncarnation incarnation, long until) {
         WorkerNode node = registry.find(incarnation.worker());
         if (node != null && node.incarnation() == incarnation.incarnation()) {
-            node.keepResultsAwayUntil(until);
+            node.resultRisk.extendUntil(until);
         }
     }
 
--- a/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
@@ -119,7 +119,7 @@
             examinationsLeft--;
             if (workerSelector.permitsSlowRun(worker, requirement, now)) {
                 double share = workerSelector.allowedShare(task, worker);
-                boolean hasHeadroom = share >= FLOOR_SHARE || worker.minReportedHeadroom() >= MIN_REPORTED_HEADROOM;
+                boolean hasHeadroom = share >= FLOOR_SHARE || minReportedHeadroom(worker) >= MIN_REPORTED_HEADROOM;
                 double spare = worker.fractionOfCapacity(worker.spareMilliCores());
                 found.add(new Candidate(worker, hasHeadroom, share + SPARE_WEIGHT * spare));
             }
@@ -132,4 +132,18 @@
     int cpuLimitPercent(TaskEntry task, WorkerNode worker) {
         return (int) (FULL_SPEED_PERCENT * Math.clamp(workerSelector.allowedShare(task, worker), FLOOR_SHARE, 1));
     }
+
+    /**
+     * Returns the lowest headroom in the last reports of the latency-critical tasks on a worker: infinite if there is
+     * none, 0 if one has not reported a latency.
+     */
+    private static double minReportedHeadroom(WorkerNode worker) {
+        double minimum = Double.POSITIVE_INFINITY;
+        for (TaskEntry task : worker.tasks) {
+            if (task.isLatencyCritical()) {
+                minimum = Math.min(minimum, task.loadMetric > 0 ? task.headroom() : 0);
+            }
+        }
+        return minimum;
+    }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WaitDiagnosis.java
@@ -157,7 +157,7 @@
         if (!worker.acceptsTasks(now)) {
             return Optional.of(Exclusion.QUARANTINED);
         }
-        if (worker.risksResults(now) && !(requirement.mode() instanceof Requirement.LongRunning)) {
+        if (worker.resultRisk.isPresent(now) && !(requirement.mode() instanceof Requirement.LongRunning)) {
             return Optional.of(Exclusion.RESTARTED);
         }
         if (!worker.fits(task.step.reservation())) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -32,6 +32,9 @@
     /** Last change of the room for best-effort tasks, as numbered by {@link WorkerIndex}. */
     long lastBestEffortChange;
 
+    /** Keeps tasks with a result away while it is present. */
+    final ResultRisk resultRisk = new ResultRisk();
+
     final WorkerHealth health = new WorkerHealth();
     /** Ends of runs on this worker while it was not suspected, see {@link FailureRates}. */
     Outcomes outcomes = Outcomes.NONE;
@@ -46,10 +49,6 @@
     private boolean draining;
     private boolean zoneEvacuated;
     private long lastResponseAt;
-    /** Whether {@link #resultsAtRiskUntil} is in the future as far as this worker has responded. */
-    private boolean resultsAtRisk;
-    /** Until when this incarnation may discard ends that it has not listed by a call meant for an earlier one, ns. */
-    private long resultsAtRiskUntil;
 
     private Resources reserved = Resources.NONE;
     /** CPU of the tasks that last, see {@link TaskEntry#lasts}. */
@@ -143,33 +142,11 @@
     void responded(long now) {
         boolean wasUnresponsive = isUnresponsive(now);
         lastResponseAt = now;
-        boolean riskOver = resultsAtRisk && !risksResults(now);
-        resultsAtRisk &= !riskOver;
-        if (wasUnresponsive || riskOver) {
+        if (resultRisk.takeEnd(now) || wasUnresponsive) {
             index.capacityFreed(this);
         }
     }
 
-    /** Keeps tasks with a result away until a time, ns, unless they are kept away for longer already. */
-    void keepResultsAwayUntil(long until) {
-        if (!resultsAtRisk || until - resultsAtRiskUntil > 0) {
-            resultsAtRisk = true;
-            resultsAtRiskUntil = until;
-        }
-    }
-
-    /** Keeps tasks with a result away for as long as from an earlier incarnation. */
-    void keepResultsAwayLike(WorkerNode earlier) {
-        if (earlier.resultsAtRisk) {
-            keepResultsAwayUntil(earlier.resultsAtRiskUntil);
-        }
-    }
-
-    /** Returns whether the result of a run that ends now may be discarded before it is listed. */
-    boolean risksResults(long now) {
-        return resultsAtRisk && now - resultsAtRiskUntil < 0;
-    }
-
     /** Returns whether the worker has not responded for longer than the report interval allows. */
     boolean isUnresponsive(long now) {
         return now - lastResponseAt
@@ -435,20 +412,6 @@
         return false;
     }
 
-    /**
-     * Returns the lowest headroom in the last reports of the latency-critical tasks on this worker: infinite if there is
-     * none, 0 if one has not reported a latency.
-     */
-    double minReportedHeadroom() {
-        double minimum = Double.POSITIVE_INFINITY;
-        for (TaskEntry task : tasks) {
-            if (task.isLatencyCritical()) {
-                minimum = Math.min(minimum, task.loadMetric > 0 ? task.headroom() : 0);
-            }
-        }
-        return minimum;
-    }
-
     /** Returns the CPU that best-effort tasks may use within their limits, by image, as fractions of the capacity. */
     Map<String, Double> bestEffortDemandByImage() {
         if (bestEffortDemandByImage == null) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -149,7 +149,7 @@
             workers.put(registration.id(), node);
             if (current != null) {
                 node.ends.markStartKnown();
-                node.keepResultsAwayLike(current);
+                node.resultRisk.extendLike(current.resultRisk);
                 current.setListed(false);
                 transferRuns(current, node, now);
             }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -251,7 +251,7 @@
      */
     private static boolean isEligible(WorkerNode worker, Requirement requirement, int ownClaims, long now) {
         return worker.acceptsTasks(now)
-                && (requirement.mode() instanceof Requirement.LongRunning || !worker.risksResults(now))
+                && (requirement.mode() instanceof Requirement.LongRunning || !worker.resultRisk.isPresent(now))
                 && worker.registration.service().equals(requirement.service())
                 && (requirement.label().isEmpty()
                         || worker.registration
