Give slow starts to tasks whose like are placed now and then

A best-effort job of 200 tasks got no slow starts while three full-speed slots took one of its tasks about every 0.4 s; it ran three at a time although over half of the CPU was free.

Cause: a task was excluded from slow starts for 0.5 s after any task with equal requirements, of whichever job, was placed at full speed, so that a steady trickle of placements excluded all of them for as long as it went on.

Change: such tasks come last among the slow starts instead, and leave a third of the workers of the service without a slow run, so that tasks for which no worker was found lately still start at once. Rename placedAlike, RECENTLY and KEPT_EXAMINED_WORKERS.

--- a/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * Finds workers for best-effort tasks that have waited long and that no worker can take at nearly full speed, because
@@ -25,8 +26,14 @@
      * service of 425 workers. Tasks with equal requirements share a search.
      */
     private static final int MAX_EXAMINED_WORKERS = 500;
-    /** Part of that bound that is left to tasks of which no search was without a result in the last interval. */
-    private static final int KEPT_EXAMINED_WORKERS = MAX_EXAMINED_WORKERS / 2;
+    /** Part of that bound that is reserved for searches that were not without a result in the last interval. */
+    private static final int EXAMINED_WORKERS_FOR_NEW_SEARCHES = MAX_EXAMINED_WORKERS / 2;
+
+    /**
+     * Share of the workers of a service that tasks with recently placed requirements leave without a slow run, so that
+     * those for which no worker was found lately get one at once.
+     */
+    private static final double OPEN_SHARE = 1.0 / 3;
 
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(300);
     /**
@@ -46,7 +53,7 @@
 
     private final WorkerSelector workerSelector;
     private final WorkerIndex index;
-    /** Workers of each service that had no slow best-effort task when the current plan was begun. */
+    /** Workers of each service without a slow best-effort task, as far as the current plan has used them. */
     private final Map<String, List<WorkerNode>> openWorkers = new HashMap<>();
     /** Results of the searches of the current plan, best worker first. */
     private final Map<Requirement, Deque<Candidate>> candidates = new HashMap<>();
@@ -64,6 +71,16 @@
 
     private record Search(Requirement requirement, boolean needsHeadroom) {}
 
+    /** What a slow start is for. */
+    enum Kind {
+        /** A task of a job with nothing running. */
+        FIRST_TASK,
+        /** Another task, which needs a worker whose latency-critical tasks have headroom to spare. */
+        FURTHER_TASK,
+        /** A further task with a requirement for which a worker was found lately; leaves some workers to the others. */
+        RECENTLY_PLACED
+    }
+
     SlowStarts(WorkerSelector workerSelector, WorkerIndex index) {
         this.workerSelector = workerSelector;
         this.index = index;
@@ -79,17 +96,22 @@
 
     /**
      * Returns the worker on which a slow run of the task disturbs least, or null if there is none or the searches of the
-     * plan are used up; with {@code needsHeadroom}, only one whose latency-critical tasks have headroom to spare.
+     * plan are used up.
      */
-    WorkerNode select(TaskEntry task, boolean needsHeadroom, long now) {
+    WorkerNode select(TaskEntry task, Kind kind, long now) {
         Requirement requirement = workerSelector.requirement(task);
-        if (openWorkers(requirement.service()).isEmpty()) {
+        List<WorkerNode> open = openWorkers(requirement.service());
+        int workersLeftOpen = kind == Kind.RECENTLY_PLACED
+                ? (int) (OPEN_SHARE * index.pool(requirement.service()).all().size())
+                : 0;
+        if (open.size() <= workersLeftOpen) {
             return null;
         }
+        boolean needsHeadroom = kind != Kind.FIRST_TASK;
         Search search = new Search(requirement, needsHeadroom);
         Deque<Candidate> found = candidates.get(requirement);
         if (found == null) {
-            if (examinationsLeft <= (failedAt.containsKey(search) ? KEPT_EXAMINED_WORKERS : 0)) {
+            if (examinationsLeft <= (failedAt.containsKey(search) ? EXAMINED_WORKERS_FOR_NEW_SEARCHES : 0)) {
                 return null;
             }
             found = search(task, requirement, now);
@@ -103,7 +125,9 @@
             failedAt.put(search, now);
             return null;
         }
-        return found.removeFirst().worker();
+        WorkerNode worker = found.removeFirst().worker();
+        open.remove(worker);
+        return worker;
     }
 
     private boolean isStillOpen(WorkerNode worker, Requirement requirement, long now) {
@@ -117,7 +141,7 @@
     private List<WorkerNode> findOpenWorkers(String service) {
         return index.pool(service).all().stream()
                 .filter(worker -> worker.health.isSound() && !worker.hasSlowTask())
-                .toList();
+                .collect(Collectors.toCollection(ArrayList::new));
     }
 
     private Deque<Candidate> search(TaskEntry task, Requirement requirement, long now) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/StarvedJobs.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/StarvedJobs.java
@@ -34,6 +34,7 @@
     static final class OverdueStep {
         private final JobEntry job;
         private final int step;
+        private final TaskEntry first;
         private TaskEntry next;
         /** How long the first of the tasks has waited. */
         private final Duration waited;
@@ -41,6 +42,7 @@
         private OverdueStep(JobEntry job, int step, TaskEntry first, long now) {
             this.job = job;
             this.step = step;
+            this.first = first;
             this.next = first;
             this.waited = job.waited(first, now);
         }
@@ -49,6 +51,11 @@
             return job;
         }
 
+        /** Returns the first of the tasks. */
+        TaskEntry first() {
+            return first;
+        }
+
         /** Returns and removes the next task, or null if there is none. */
         TaskEntry take(long now) {
             TaskEntry task = next;
--- a/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/TaskPlacer.java
@@ -29,10 +29,10 @@
     private static final int MAX_FAILED_STARTS = 3;
 
     /**
-     * Time after a placement at full speed within which tasks like the placed one get no slow starts. Below the run time
-     * of short tasks, so that tasks which are placed one after the other do get them.
+     * Time after a placement at full speed within which tasks with equal requirements come last among the slow starts,
+     * because the next of them may be placed at full speed too.
      */
-    private static final Duration RECENTLY = Duration.ofMillis(500);
+    private static final Duration RECENT_PLACEMENT = Duration.ofMillis(500);
 
     private final JobTable jobTable;
     private final WorkerSelector workerSelector;
@@ -215,7 +215,7 @@
                 if (node != null) {
                     startTask(task.job, task, node, now);
                 } else if (task.step.behaviour().bestEffort()) {
-                    startSlowly(task, false, now);
+                    startSlowly(task, SlowStarts.Kind.FIRST_TASK, now);
                 }
             } catch (RuntimeException e) {
                 jobTable.setAside(task.job, e);
@@ -226,15 +226,28 @@
 
     /**
      * Starts at most {@code maxStarts} of the tasks that no worker can take at nearly full speed, one of each step in
-     * turn. Tasks like those that were placed at full speed lately wait for their turn in the order of the jobs.
+     * turn. Tasks with requirements for which a worker was found lately come last and leave some workers to the others.
      */
     private void placeSlowly(List<StarvedJobs.OverdueStep> steps, int maxStarts, long now) {
-        Deque<StarvedJobs.OverdueStep> turns = new ArrayDeque<>(steps);
+        Deque<StarvedJobs.OverdueStep> turns = new ArrayDeque<>();
+        Deque<StarvedJobs.OverdueStep> lastTurns = new ArrayDeque<>();
+        for (StarvedJobs.OverdueStep step : steps) {
+            try {
+                (workerSelector.wasPlacedWithin(step.first(), RECENT_PLACEMENT, now) ? lastTurns : turns).add(step);
+            } catch (RuntimeException e) {
+                jobTable.setAside(step.job(), e);
+            }
+        }
         int startsOfOthers = startsLeft - maxStarts;
+        placeSlowly(turns, SlowStarts.Kind.FURTHER_TASK, startsOfOthers, now);
+        placeSlowly(lastTurns, SlowStarts.Kind.RECENTLY_PLACED, startsOfOthers, now);
+    }
+
+    private void placeSlowly(Deque<StarvedJobs.OverdueStep> turns, SlowStarts.Kind kind, int startsOfOthers, long now) {
         while (!turns.isEmpty() && startsLeft > startsOfOthers) {
             StarvedJobs.OverdueStep step = turns.removeFirst();
             try {
-                if (placeSlowly(step.take(now), now)) {
+                if (placeSlowly(step.take(now), kind, now)) {
                     turns.addLast(step);
                 }
             } catch (RuntimeException e) {
@@ -244,7 +257,7 @@
     }
 
     /** Returns whether further tasks of the step may be placed. */
-    private boolean placeSlowly(TaskEntry task, long now) {
+    private boolean placeSlowly(TaskEntry task, SlowStarts.Kind kind, long now) {
         if (task == null) {
             return false;
         }
@@ -253,8 +266,7 @@
                 || (task.job.isPlaceable()
                         && accountUsage.permitsStart(task)
                         && !workerSelector.mayFit(task, now)
-                        && !workerSelector.placedAlike(task, RECENTLY, now)
-                        && startSlowly(task, true, now));
+                        && startSlowly(task, kind, now));
     }
 
     private void place(JobEntry job, Predicate<TaskEntry> mayStart, long now) {
@@ -354,8 +366,8 @@
     }
 
     /** Starts a best-effort task although no worker can run it at nearly full speed; returns whether it has. */
-    private boolean startSlowly(TaskEntry task, boolean needsHeadroom, long now) {
-        WorkerNode node = slowStarts.select(task, needsHeadroom, now);
+    private boolean startSlowly(TaskEntry task, SlowStarts.Kind kind, long now) {
+        WorkerNode node = slowStarts.select(task, kind, now);
         if (node == null) {
             return false;
         }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerSelector.java
@@ -67,8 +67,8 @@
         return best;
     }
 
-    /** Returns whether a worker was found within a time for a task that fits on the same workers. */
-    boolean placedAlike(TaskEntry task, Duration duration, long now) {
+    /** Returns whether {@link #select} has found a worker within a time for a task with an equal requirement. */
+    boolean wasPlacedWithin(TaskEntry task, Duration duration, long now) {
         return equivalenceClass(task).placedWithin(duration, now);
     }
 
--- a/batch/src/test/java/org/chestnutbarrow/batch/SimulatedInterference.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/SimulatedInterference.java
@@ -15,7 +15,7 @@
 import org.chestnutbarrow.model.WorkerId;
 
 /**
- * Workers with one latency-critical task each, whose tail latency grows with the CPU that best-effort tasks use beside
+ * Workers with at most one latency-critical task each, whose tail latency grows with the CPU that best-effort tasks use beside
  * it. Best-effort tasks advance with the CPU that their limits and the other tasks leave them. Not thread-safe.
  */
 final class SimulatedInterference {
@@ -99,6 +99,12 @@
         return new Step.Behaviour(image, false, false, true, 0, 0);
     }
 
+    /** Adds a worker without a latency-critical task. */
+    void addWorkerWithoutServing(String id) {
+        fixture.withWorkers(id);
+        hosts.put(new WorkerId(id), new Host());
+    }
+
     /** Advances the time; workers report in turn, and a plan is made and carried out in each step. */
     void run(Duration duration) {
         for (long end = fixture.time.nanos() + duration.toNanos(); fixture.time.nanos() < end; ) {
@@ -158,7 +164,9 @@
             }
         }
         List<WorkerReport.Running> running = new ArrayList<>();
-        running.add(SchedulerFixture.running(host.serving, 100, (int) host.tailMs));
+        if (host.serving != null) {
+            running.add(SchedulerFixture.running(host.serving, 100, (int) host.tailMs));
+        }
         for (Run run : host.runs.values()) {
             running.add(SchedulerFixture.running(run.order, (int) (100 * run.work), (int) run.use));
         }
--- a/batch/src/test/java/org/chestnutbarrow/batch/SlowStartsTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/SlowStartsTest.java
@@ -27,6 +27,9 @@
     private static final Sensitivity WEAK = new Sensitivity("batch", SimulatedInterference.SERVING_IMAGE, 0.7, 0.01);
     private static final double WEAK_STRENGTH = 0.14;
     private static final double STRONG_STRENGTH = 1.4;
+    private static final Duration FULL_SPEED_RUN_TIME = Duration.ofMillis(1300);
+    /** Tasks of {@link #MILLI_CORES} that run at full speed on a worker without a latency-critical task. */
+    private static final int FULL_SPEED_SLOTS = 3;
 
     private static Step bestEffort(int tasks, int milliCores) {
         return SchedulerFixture.step(tasks, milliCores, SimulatedInterference.bestEffort("batch"));
@@ -81,6 +84,23 @@
         }
     }
 
+    /** Guards against waiting tasks that get no slow start for as long as one like them gets a full-speed slot at times. */
+    @Test
+    public void allTasksRunAlthoughSomeAreStillPlacedAtFullSpeed() {
+        int tasks = 200;
+        SimulatedInterference workers =
+                new SimulatedInterference(WORKERS, 0.45, WEAK_STRENGTH, FULL_SPEED_RUN_TIME, UNBOUNDED, STRONG);
+        workers.addWorkerWithoutServing("full-speed");
+        addJob(workers, "a", tasks, MILLI_CORES);
+        workers.run(SimulatedInterference.STEP);
+        assertEquals(workers.started("a"), FULL_SPEED_SLOTS);
+        workers.run(MAX_WAIT);
+        assertTrue(workers.started("a") >= WORKERS / 2, "started " + workers.started("a"));
+        workers.run(Duration.ofSeconds(7));
+        assertEquals(workers.started("a"), tasks);
+        assertTargetsKept(workers);
+    }
+
     /** Guards against slow starts that keep latency-critical tasks over their target when the model is right. */
     @Test
     public void targetsAreKeptBesideTasksThatInterfereStrongly() {
