Start slow runs where they get CPU, and do not blame workers for them

A slow start went to a worker whose CPU plain tasks had reserved completely, made no progress there, was stopped as stuck after 1.8 s and counted as a failure of the worker, again and again.

Cause: workers were ranked by the share that the interference model allows, which is 1 without a latency-critical task, and hardly by the CPU that is left; a run that is stopped as stuck was taken for a failure whatever CPU it could get.

Change: rank by the smaller of that share and the speed that the CPU left by other tasks gives to all best-effort tasks. Below a tenth of that speed only the first task of a job starts. The stuck timeout of a slow start is divided by that speed, at least a tenth, and its end is no failure of its worker.

Result: SlowStartsTest.slowStartsGoWhereTheyReachMostSpeed failed before (a run went to the fully reserved worker) and slowStartWithoutCpuIsNoFailureOfItsWorker failed before (stopped at the 9th report, 4.5 s after the job came); both pass.

--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -177,12 +177,19 @@
         } else if (task.stopOrdered) {
             jobTable.stop(task, "still-running");
         } else if (isStuck(task, now)) {
-            node.recordFailure(now, task.job);
-            jobTable.stop(task, "stuck");
+            stopStuck(node, task, now);
         }
         return task;
     }
 
+    private void stopStuck(WorkerNode node, TaskEntry task, long now) {
+        // A slow start may get no CPU, which is not a fault of its worker.
+        if (!task.slowStart) {
+            node.recordFailure(now, task.job);
+        }
+        jobTable.stop(task, "stuck");
+    }
+
     /** Records the progress of a run; a long-running task that gets ready under this owner counts as a success. */
     private static void recordProgress(WorkerNode node, TaskEntry task, WorkerReport.Running run, long now) {
         boolean wasAtWork = task.isAtWork();
@@ -206,7 +213,12 @@
 
     private static boolean isStuck(TaskEntry task, long now) {
         return task.progressPercent < TaskEntry.READY_PERCENT
-                && now - task.progressedAt > stuckTimeout(task.step).toNanos();
+                && now - task.progressedAt > stuckTimeout(task.step).toNanos() / expectedSpeed(task);
+    }
+
+    /** Returns the speed to which the time without progress of a run is related; other runs have the CPU they need. */
+    private static double expectedSpeed(TaskEntry task) {
+        return task.slowStart ? Math.max(SlowStarts.FLOOR_SHARE, task.assignedNode.bestEffortSpeed(0)) : 1;
     }
 
     private static Duration stuckTimeout(Step step) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
@@ -40,13 +40,13 @@
      * Least share of full speed. At this share a task takes little headroom, and its reports correct a model that is too
      * pessimistic.
      */
-    private static final double FLOOR_SHARE = 0.1;
+    static final double FLOOR_SHARE = 0.1;
     /**
      * Headroom in the last reports of a worker beside which a run at {@link #FLOOR_SHARE} is safe although the model
      * expects less; it is the headroom at which {@link InterferenceController} raises CPU limits.
      */
     private static final double MIN_REPORTED_HEADROOM = 1.3;
-    /** Weight of spare CPU relative to the allowed share, so that runs go where they take least from others. */
+    /** Weight of spare CPU relative to the speed that a run can reach, so that runs go where they take least from others. */
     private static final double SPARE_WEIGHT = 0.3;
 
     private static final int FULL_SPEED_PERCENT = 100;
@@ -62,20 +62,28 @@
 
     private int examinationsLeft;
 
-    /** A worker with whether its latency-critical tasks have headroom to spare. */
-    private record Candidate(WorkerNode worker, boolean hasHeadroom, double score) {
-        private static final Comparator<Candidate> BEST_FIRST = Comparator.comparing(Candidate::hasHeadroom)
+    /**
+     * A worker with whether it has the CPU for a run at {@link #FLOOR_SHARE} and whether its latency-critical tasks have
+     * headroom to spare.
+     */
+    private record Candidate(WorkerNode worker, boolean hasCpu, boolean hasHeadroom, double score) {
+        private static final Comparator<Candidate> BEST_FIRST = Comparator.comparing(Candidate::hasCpu)
+                .thenComparing(Candidate::hasHeadroom)
                 .thenComparingDouble(Candidate::score)
                 .reversed();
+
+        boolean permitsFurtherTask() {
+            return hasCpu && hasHeadroom;
+        }
     }
 
-    private record Search(Requirement requirement, boolean needsHeadroom) {}
+    private record Search(Requirement requirement, boolean firstTask) {}
 
     /** What a slow start is for. */
     enum Kind {
         /** A task of a job with nothing running. */
         FIRST_TASK,
-        /** Another task, which needs a worker whose latency-critical tasks have headroom to spare. */
+        /** Another task, which needs a worker with CPU and with headroom to spare for its latency-critical tasks. */
         FURTHER_TASK,
         /** A further task with a requirement for which a worker was found lately; leaves some workers to the others. */
         RECENTLY_PLACED
@@ -95,8 +103,8 @@
     }
 
     /**
-     * Returns the worker on which a slow run of the task disturbs least, or null if there is none or the searches of the
-     * plan are used up.
+     * Returns the worker on which a slow run of the task reaches most speed and disturbs least, or null if there is none
+     * or the searches of the plan are used up.
      */
     WorkerNode select(TaskEntry task, Kind kind, long now) {
         Requirement requirement = workerSelector.requirement(task);
@@ -107,8 +115,8 @@
         if (open.size() <= workersLeftOpen) {
             return null;
         }
-        boolean needsHeadroom = kind != Kind.FIRST_TASK;
-        Search search = new Search(requirement, needsHeadroom);
+        boolean firstTask = kind == Kind.FIRST_TASK;
+        Search search = new Search(requirement, firstTask);
         Deque<Candidate> found = candidates.get(requirement);
         if (found == null) {
             if (examinationsLeft <= (failedAt.containsKey(search) ? EXAMINED_WORKERS_FOR_NEW_SEARCHES : 0)) {
@@ -121,7 +129,7 @@
         while (!found.isEmpty() && !isStillOpen(found.getFirst().worker(), requirement, now)) {
             found.removeFirst();
         }
-        if (found.isEmpty() || (needsHeadroom && !found.getFirst().hasHeadroom())) {
+        if (found.isEmpty() || (!firstTask && !found.getFirst().permitsFurtherTask())) {
             failedAt.put(search, now);
             return null;
         }
@@ -151,8 +159,13 @@
             if (workerSelector.permitsSlowRun(worker, requirement, now)) {
                 double share = workerSelector.allowedShare(task, worker);
                 boolean hasHeadroom = share >= FLOOR_SHARE || minReportedHeadroom(worker) >= MIN_REPORTED_HEADROOM;
+                double cpuSpeed = worker.bestEffortSpeed(task.step.demand().milliCores());
                 double spare = worker.fractionOfCapacity(worker.spareMilliCores());
-                found.add(new Candidate(worker, hasHeadroom, share + SPARE_WEIGHT * spare));
+                found.add(new Candidate(
+                        worker,
+                        cpuSpeed >= FLOOR_SHARE,
+                        hasHeadroom,
+                        Math.min(share, cpuSpeed) + SPARE_WEIGHT * spare));
             }
         }
         found.sort(Candidate.BEST_FIRST);
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerNode.java
@@ -399,6 +399,15 @@
                 - bestEffortMilliCores;
     }
 
+    /**
+     * Returns the speed that the best-effort tasks on this worker and further ones can reach together within their
+     * limits, as a fraction: the CPU that all other tasks leave, divided by what they demand; from 0 to 1.
+     */
+    double bestEffortSpeed(long furtherMilliCores) {
+        double available = Math.max(0, spareMilliCores() + bestEffortMilliCores);
+        return Math.min(1, available / Math.max(1, bestEffortMilliCores + furtherMilliCores));
+    }
+
     /** Returns the CPU that is neither reserved nor kept for claimants. */
     long freeMilliCores() {
         return Math.max(0, (long) registration.capacity().milliCores() - reserved.milliCores() - claimed.milliCores());
--- a/batch/src/test/java/org/chestnutbarrow/batch/SlowStartsTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/SlowStartsTest.java
@@ -4,8 +4,13 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.chestnutbarrow.model.Resources;
 import org.testng.annotations.Test;
 
 /**
@@ -31,6 +36,11 @@
     /** Tasks of {@link #MILLI_CORES} that run at full speed on a worker without a latency-critical task. */
     private static final int FULL_SPEED_SLOTS = 3;
 
+    private static final Step.Behaviour SERVING =
+            new Step.Behaviour(SimulatedInterference.SERVING_IMAGE, false, true, false, 50, 0);
+    /** Far below the target. */
+    private static final int TAIL_MS = 12;
+
     private static Step bestEffort(int tasks, int milliCores) {
         return SchedulerFixture.step(tasks, milliCores, SimulatedInterference.bestEffort("batch"));
     }
@@ -101,6 +111,75 @@
         assertTargetsKept(workers);
     }
 
+    /** Guards against slow starts on workers whose CPU is fully reserved, on which they make no progress. */
+    @Test
+    public void slowStartsGoWhereTheyReachMostSpeed() {
+        SchedulerFixture fixture = new SchedulerFixture();
+        fixture.scheduler.restore(new Estimates(List.of(STRONG), List.of(), List.of()));
+        fixture.withWorkers("full", "serving-1", "serving-2");
+        fixture.add(fixture.job("full", onWorker("full", 8000, Step.Behaviour.PLAIN)));
+        fixture.add(fixture.job("serving-1", onWorker("serving-1", 1000, SERVING)));
+        fixture.add(fixture.job("serving-2", onWorker("serving-2", 1000, SERVING)));
+        List<Order.Start> runs = new ArrayList<>(fixture.starts());
+        assertEquals(runs.size(), 3);
+        fixture.add(fixture.job("a", bestEffort(3, 1000)));
+        Set<String> used = new HashSet<>();
+        for (int i = 1; i <= 10; i++) {
+            reportAll(fixture, runs, i);
+            List<Order.Start> starts = fixture.starts();
+            starts.forEach(start -> used.add(start.worker().value()));
+            runs.addAll(starts);
+        }
+        assertEquals(used, Set.of("serving-1", "serving-2"));
+    }
+
+    /** Guards against a sound worker that is quarantined because slow starts get no CPU there. */
+    @Test
+    public void slowStartWithoutCpuIsNoFailureOfItsWorker() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("full", "free-1", "free-2");
+        fixture.add(fixture.job("full", onWorker("full", 8000, Step.Behaviour.PLAIN)));
+        List<Order.Start> runs = new ArrayList<>(fixture.starts());
+        fixture.add(fixture.job("a", onWorker("full", 1000, SimulatedInterference.bestEffort("batch"))));
+        int stops = 0;
+        for (int i = 1; i <= 60; i++) {
+            reportAll(fixture, runs, i);
+            Plan plan = fixture.scheduler.plan();
+            runs.addAll(SchedulerFixture.starts(plan));
+            stops += (int)
+                    plan.orders().stream().filter(Order.Stop.class::isInstance).count();
+            assertTrue(stops == 0 || i > 20, "stopped after " + i + " reports");
+            assertEquals(fixture.scheduler.estimates().health(), List.of(), "no evidence against the worker");
+        }
+        assertEquals(runs.size(), 2);
+        assertTrue(stops > 0, "a run without progress is stopped at last");
+    }
+
+    private static Step onWorker(String worker, int milliCores, Step.Behaviour behaviour) {
+        return new Step(
+                1,
+                new Resources(0, 0, milliCores, 100, 0),
+                Duration.ofSeconds(1),
+                List.of(),
+                new Step.Constraints(Optional.of("rack-" + worker), Optional.empty(), 0),
+                behaviour);
+    }
+
+    /** Reports all runs half a second later; only the best-effort ones make no progress. */
+    private static void reportAll(SchedulerFixture fixture, List<Order.Start> runs, int percent) {
+        fixture.time.advance(Duration.ofMillis(500));
+        for (WorkerRegistration worker : fixture.workers) {
+            List<WorkerReport.Running> running = runs.stream()
+                    .filter(run -> run.worker().equals(worker.id()))
+                    .map(run -> switch (run.task().job().value()) {
+                        case "a" -> SchedulerFixture.running(run, 0, 0);
+                        case "full" -> SchedulerFixture.running(run, percent, 0);
+                        default -> SchedulerFixture.running(run, 100, TAIL_MS);
+                    })
+                    .toList();
+            fixture.report(worker.id().value(), running, List.of());
+        }
+    }
+
     /** Guards against slow starts that keep latency-critical tasks over their target when the model is right. */
     @Test
     public void targetsAreKeptBesideTasksThatInterfereStrongly() {
