--- a/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/SlowStarts.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Collectors;
 
 /**
  * Finds workers for best-effort tasks that have waited long and that no worker can take at nearly full speed, because
@@ -25,28 +26,34 @@
      * service of 425 workers. Tasks with equal requirements share a search.
      */
     private static final int MAX_EXAMINED_WORKERS = 500;
-    /** Part of that bound that is left to tasks of which no search was without a result in the last interval. */
-    private static final int KEPT_EXAMINED_WORKERS = MAX_EXAMINED_WORKERS / 2;
+    /** Part of that bound that is reserved for searches that were not without a result in the last interval. */
+    private static final int EXAMINED_WORKERS_FOR_NEW_SEARCHES = MAX_EXAMINED_WORKERS / 2;
+
+    /**
+     * Share of the workers of a service that tasks with recently placed requirements leave without a slow run, so that
+     * those for which no worker was found lately get one at once.
+     */
+    private static final double OPEN_SHARE = 1.0 / 3;
 
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(300);
     /**
      * Least share of full speed. At this share a task takes little headroom, and its reports correct a model that is too
      * pessimistic.
      */
-    private static final double FLOOR_SHARE = 0.1;
+    static final double FLOOR_SHARE = 0.1;
     /**
      * Headroom in the last reports of a worker beside which a run at {@link #FLOOR_SHARE} is safe although the model
      * expects less; it is the headroom at which {@link InterferenceController} raises CPU limits.
      */
     private static final double MIN_REPORTED_HEADROOM = 1.3;
-    /** Weight of spare CPU relative to the allowed share, so that runs go where they take least from others. */
+    /** Weight of spare CPU relative to the speed that a run can reach, so that runs go where they take least from others. */
     private static final double SPARE_WEIGHT = 0.3;
 
     private static final int FULL_SPEED_PERCENT = 100;
 
     private final WorkerSelector workerSelector;
     private final WorkerIndex index;
-    /** Workers of each service that had no slow best-effort task when the current plan was begun. */
+    /** Workers of each service without a slow best-effort task, as far as the current plan has used them. */
     private final Map<String, List<WorkerNode>> openWorkers = new HashMap<>();
     /** Results of the searches of the current plan, best worker first. */
     private final Map<Requirement, Deque<Candidate>> candidates = new HashMap<>();
@@ -55,14 +62,32 @@
 
     private int examinationsLeft;
 
-    /** A worker with whether its latency-critical tasks have headroom to spare. */
-    private record Candidate(WorkerNode worker, boolean hasHeadroom, double score) {
-        private static final Comparator<Candidate> BEST_FIRST = Comparator.comparing(Candidate::hasHeadroom)
+    /**
+     * A worker with whether it has the CPU for a run at {@link #FLOOR_SHARE} and whether its latency-critical tasks have
+     * headroom to spare.
+     */
+    private record Candidate(WorkerNode worker, boolean hasCpu, boolean hasHeadroom, double score) {
+        private static final Comparator<Candidate> BEST_FIRST = Comparator.comparing(Candidate::hasCpu)
+                .thenComparing(Candidate::hasHeadroom)
                 .thenComparingDouble(Candidate::score)
                 .reversed();
+
+        boolean permitsFurtherTask() {
+            return hasCpu && hasHeadroom;
+        }
     }
 
-    private record Search(Requirement requirement, boolean needsHeadroom) {}
+    private record Search(Requirement requirement, boolean firstTask) {}
+
+    /** What a slow start is for. */
+    enum Kind {
+        /** A task of a job with nothing running. */
+        FIRST_TASK,
+        /** Another task, which needs a worker with CPU and with headroom to spare for its latency-critical tasks. */
+        FURTHER_TASK,
+        /** A further task with a requirement for which a worker was found lately; leaves some workers to the others. */
+        RECENTLY_PLACED
+    }
 
     SlowStarts(WorkerSelector workerSelector, WorkerIndex index) {
         this.workerSelector = workerSelector;
@@ -78,18 +103,23 @@
     }
 
     /**
-     * Returns the worker on which a slow run of the task disturbs least, or null if there is none or the searches of the
-     * plan are used up; with {@code needsHeadroom}, only one whose latency-critical tasks have headroom to spare.
+     * Returns the worker on which a slow run of the task reaches most speed and disturbs least, or null if there is none
+     * or the searches of the plan are used up.
      */
-    WorkerNode select(TaskEntry task, boolean needsHeadroom, long now) {
+    WorkerNode select(TaskEntry task, Kind kind, long now) {
         Requirement requirement = workerSelector.requirement(task);
-        if (openWorkers(requirement.service()).isEmpty()) {
+        List<WorkerNode> open = openWorkers(requirement.service());
+        int workersLeftOpen = kind == Kind.RECENTLY_PLACED
+                ? (int) (OPEN_SHARE * index.pool(requirement.service()).all().size())
+                : 0;
+        if (open.size() <= workersLeftOpen) {
             return null;
         }
-        Search search = new Search(requirement, needsHeadroom);
+        boolean firstTask = kind == Kind.FIRST_TASK;
+        Search search = new Search(requirement, firstTask);
         Deque<Candidate> found = candidates.get(requirement);
         if (found == null) {
-            if (examinationsLeft <= (failedAt.containsKey(search) ? KEPT_EXAMINED_WORKERS : 0)) {
+            if (examinationsLeft <= (failedAt.containsKey(search) ? EXAMINED_WORKERS_FOR_NEW_SEARCHES : 0)) {
                 return null;
             }
             found = search(task, requirement, now);
@@ -99,11 +129,13 @@
         while (!found.isEmpty() && !isStillOpen(found.getFirst().worker(), requirement, now)) {
             found.removeFirst();
         }
-        if (found.isEmpty() || (needsHeadroom && !found.getFirst().hasHeadroom())) {
+        if (found.isEmpty() || (!firstTask && !found.getFirst().permitsFurtherTask())) {
             failedAt.put(search, now);
             return null;
         }
-        return found.removeFirst().worker();
+        WorkerNode worker = found.removeFirst().worker();
+        open.remove(worker);
+        return worker;
     }
 
     private boolean isStillOpen(WorkerNode worker, Requirement requirement, long now) {
@@ -117,7 +149,7 @@
     private List<WorkerNode> findOpenWorkers(String service) {
         return index.pool(service).all().stream()
                 .filter(worker -> worker.health.isSound() && !worker.hasSlowTask())
-                .toList();
+                .collect(Collectors.toCollection(ArrayList::new));
     }
 
     private Deque<Candidate> search(TaskEntry task, Requirement requirement, long now) {
@@ -127,8 +159,13 @@
             if (workerSelector.permitsSlowRun(worker, requirement, now)) {
                 double share = workerSelector.allowedShare(task, worker);
                 boolean hasHeadroom = share >= FLOOR_SHARE || minReportedHeadroom(worker) >= MIN_REPORTED_HEADROOM;
+                double cpuSpeed = worker.bestEffortSpeed(task.step.demand().milliCores());
                 double spare = worker.fractionOfCapacity(worker.spareMilliCores());
-                found.add(new Candidate(worker, hasHeadroom, share + SPARE_WEIGHT * spare));
+                found.add(new Candidate(
+                        worker,
+                        cpuSpeed >= FLOOR_SHARE,
+                        hasHeadroom,
+                        Math.min(share, cpuSpeed) + SPARE_WEIGHT * spare));
             }
         }
         found.sort(Candidate.BEST_FIRST);
