Do not pass numbers of ends that a full list leaves out

Cause: EndNumbers.advance passed a number that was not listed 1 s after a higher one was listed, whether or not the list was full. A worker with more than 500 ends leaves some out, and lists them only once others are discarded. Change: ListingDelay counts the 1 s from the first list that is not full. While lists are full, a number is not passed as long as the list contains ends that may be discarded. If it contains none, the numbers below the list are passed after 1 s if no end of the incarnation was acknowledged by this owner, no earlier owner is excluded, and the list is consecutive from the lowest number ever listed; otherwise one gap is passed after 15 s, because the worker never lists its further ends. The latter may lose a result and is logged as never-listed. A list in descending order with an unknown start is taken for one that starts above acknowledged numbers. EndOrderTest uses the constant under its new name. End*Test and EarlyEndTest are green.

--- a/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
@@ -13,14 +13,9 @@
  * by the lock of its {@link BatchScheduler}.
  *
  * <p>Invariants: a number is processed once; {@link #acknowledgeable} never falls, is below each withheld number, and
- * passes a number that was never listed only {@link #MAX_LISTING_DELAY} after a higher one was listed.
+ * passes a number that was never listed only after its {@link ListingDelay}.
  */
 final class EndNumbers {
-    /**
-     * Time for which a missing number may still be listed. The numbers of an incarnation are consecutive from 1 and a
-     * list holds part of them in any order, but those that an earlier owner has acknowledged are never listed again.
-     */
-    static final Duration MAX_LISTING_DELAY = Duration.ofSeconds(1);
     /** Time after which an end of an unknown job is acknowledged; longer than the expected outages of the store, 9 s. */
     static final Duration MAX_WITHHOLDING = Duration.ofSeconds(15);
 
@@ -43,12 +38,16 @@
     private final TreeMap<Long, Long> processed = new TreeMap<>();
 
     private final TreeMap<Long, Withheld> withheld = new TreeMap<>();
+    private final ListingDelay listingDelay = new ListingDelay();
     private final List<Gap> passedGaps = new ArrayList<>();
     /** Processed numbers in {@link #passedGaps}. */
     private final Set<Long> processedInGaps = new HashSet<>();
 
     private long acknowledgeable;
-    /** Whether no earlier owner can have acknowledged the numbers above {@link #acknowledgeable}. */
+    /**
+     * Whether no earlier owner can have acknowledged the numbers above {@link #acknowledgeable}, so that the worker
+     * holds those that it does not list.
+     */
     private boolean startKnown;
 
     /** Records that no earlier owner has acknowledged ends of this incarnation. */
@@ -107,14 +106,17 @@
         return overdue;
     }
 
-    /** Raises {@link #acknowledgeable} as far as possible and returns the gaps that it has passed. */
-    List<Gap> advance(long now) {
+    /** Raises {@link #acknowledgeable} as far as the latest list allows and returns the gaps that it has passed. */
+    List<Gap> advance(EndList list, long now) {
         List<Gap> passed = new ArrayList<>();
         passProcessed();
+        // Numbers below may have been acknowledged by an earlier owner.
+        Optional<Long> lowestHeld = startKnown ? Optional.empty() : Optional.of(nextListed());
+        listingDelay.update(list, acknowledgeable, lowestHeld, now);
         while (!processed.isEmpty() && !withheld.containsKey(acknowledgeable + 1)) {
             long next = nextListed();
             long listedAt = withheld.containsKey(next) ? withheld.get(next).since() : processed.get(next);
-            if (now - listedAt < MAX_LISTING_DELAY.toNanos()) {
+            if (!listingDelay.isOver(listedAt, now)) {
                 return passed;
             }
             Gap gap = new Gap(acknowledgeable + 1, next - 1);
@@ -125,18 +127,25 @@
             startKnown = true;
             acknowledgeable = gap.last();
             passProcessed();
+            if (list.full()) {
+                // The discard makes room, so that the next gap may be listed.
+                listingDelay.restart(now);
+                return passed;
+            }
         }
         return passed;
     }
 
+    /** Returns the lowest number above {@link #acknowledgeable} that was listed; {@link Long#MAX_VALUE} if none was. */
     private long nextListed() {
-        long next = processed.firstKey();
+        long next = processed.isEmpty() ? Long.MAX_VALUE : processed.firstKey();
         return withheld.isEmpty() ? next : Math.min(next, withheld.firstKey());
     }
 
     private void passProcessed() {
         while (processed.remove(acknowledgeable + 1) != null) {
             acknowledgeable++;
+            startKnown = true;
         }
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -25,8 +25,6 @@
     private static final Duration WARM_UP_TIMEOUT = Duration.ofSeconds(4);
     /** A run that is still not listed this long after its last order is over; a stop takes up to 0.9 s. */
     private static final Duration MISSING_RUN_TIMEOUT = Duration.ofMillis(1200);
-    /** Maximum number of ends in one report; later ends are listed once these have been acknowledged. */
-    private static final int MAX_LISTED_ENDS = 500;
 
     private final JobTable jobTable;
     private final WorkerIndex index;
@@ -46,12 +44,13 @@
      */
     void process(WorkerNode node, WorkerReport report, long sentAt, long now) {
         node.responded(now);
-        boolean allEndsListed = report.ended().size() < MAX_LISTED_ENDS;
+        EndList endList = EndList.of(report.ended());
+        boolean allEndsListed = !endList.full();
         // A list need not be in the order of the numbers, in which the runs of a task have ended.
         report.ended().stream()
                 .sorted(Comparator.comparingLong(WorkerReport.Ended::sequence))
                 .forEach(end -> processOnce(node, end, now));
-        acknowledge(node, allEndsListed, now);
+        acknowledge(node, endList, now);
         Set<TaskEntry> listed = new HashSet<>();
         for (WorkerReport.Running run : report.running()) {
             TaskEntry task = processRunning(node, run, now);
@@ -105,12 +104,12 @@
     }
 
     /** Lets the ends of a worker be acknowledged that have had their effect or have been withheld for too long. */
-    private void acknowledge(WorkerNode node, boolean allEndsListed, long now) {
+    private void acknowledge(WorkerNode node, EndList endList, long now) {
         long before = node.ends.acknowledgeable();
         node.ends
-                .giveUpWithheld(!allEndsListed, now)
+                .giveUpWithheld(endList.full(), now)
                 .forEach(withheld -> ineffectiveEnds.record(node, withheld.end(), withheld.reason()));
-        node.ends.advance(now).forEach(gap -> ineffectiveEnds.record(node, gap));
+        node.ends.advance(endList, now).forEach(gap -> ineffectiveEnds.record(node, gap));
         if (node.ends.acknowledgeable() > before) {
             jobTable.markProcessed(node);
         }
--- a/batch/src/test/java/org/chestnutbarrow/batch/EndOrderTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/EndOrderTest.java
@@ -101,7 +101,7 @@
         SchedulerFixture fixture = withRunningJobs(1);
         WorkerReport.Ended end = SchedulerFixture.ended(7, fixture.starts().getFirst(), EndKind.DONE);
         assertEquals(completed(reportDone(fixture, List.of(end))), 1);
-        fixture.time.advance(EndNumbers.MAX_LISTING_DELAY);
+        fixture.time.advance(ListingDelay.MAX_DELAY);
         Plan plan = reportDone(fixture, List.of(end));
         assertEquals(plan.acknowledgements(), upTo(7));
         assertEquals(plan.ineffectiveEnd(), Optional.empty());
@@ -114,7 +114,7 @@
         List<Order.Start> starts = fixture.starts();
         WorkerReport.Ended second = SchedulerFixture.ended(2, starts.get(1), EndKind.DONE);
         reportDone(fixture, List.of(second));
-        fixture.time.advance(EndNumbers.MAX_LISTING_DELAY);
+        fixture.time.advance(ListingDelay.MAX_DELAY);
         assertEquals(reportDone(fixture, List.of(second)).acknowledgements(), upTo(2));
         WorkerReport.Ended first = SchedulerFixture.ended(1, starts.get(0), EndKind.DONE);
         assertEquals(completed(reportDone(fixture, List.of(first))), 1);
