Give up withheld ends of a full list only if they block it, one at a time

Cause: EndNumbers.giveUpWithheld gave up all withheld ends of a worker as soon as its list was full, also if lower ends could be acknowledged and made room. Change: an end is given up only if the list is full, contains nothing that may be discarded, and the lowest number above that is withheld; then only this one is. The next one is given up once a list shows that the worker has discarded it.

--- a/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
@@ -94,18 +94,28 @@
                 (earlier, update) -> new Withheld(end, update.reason(), earlier.since()));
     }
 
-    /**
-     * Gives up and returns the ends that have been withheld for too long; all if the list of the worker is full, since
-     * it lists no further ends before it has discarded some.
-     */
-    List<Withheld> giveUpWithheld(boolean listFull, long now) {
-        List<Withheld> overdue = withheld.values().stream()
-                .filter(end -> listFull || end.isOverdue(now))
-                .toList();
+    /** Gives up and returns the ends that have been withheld for too long. */
+    List<Withheld> giveUpOverdue(long now) {
+        List<Withheld> overdue =
+                withheld.values().stream().filter(end -> end.isOverdue(now)).toList();
         overdue.forEach(end -> markProcessed(end.end().sequence(), now));
         return overdue;
     }
 
+    /**
+     * Gives up and returns the lowest withheld end if the list of the worker is full and nothing in it can be
+     * acknowledged otherwise, since the worker lists no further ends before it has discarded some.
+     */
+    Optional<Withheld> giveUpBlocking(EndList list, long now) {
+        Withheld lowest = withheld.get(acknowledgeable + 1);
+        if (lowest == null || !list.full() || list.lowest() <= acknowledgeable) {
+            return Optional.empty();
+        }
+        markProcessed(acknowledgeable + 1, now);
+        passProcessed();
+        return Optional.of(lowest);
+    }
+
     /** Raises {@link #acknowledgeable} as far as the latest list allows and returns the gaps that it has passed. */
     List<Gap> advance(EndList list, long now) {
         List<Gap> passed = new ArrayList<>();
@@ -113,7 +123,7 @@
         // Numbers below may have been acknowledged by an earlier owner.
         Optional<Long> lowestHeld = startKnown ? Optional.empty() : Optional.of(nextListed());
         listingDelay.update(list, acknowledgeable, lowestHeld, now);
-        while (!processed.isEmpty() && !withheld.containsKey(acknowledgeable + 1)) {
+        while (nextListed() != Long.MAX_VALUE && !withheld.containsKey(acknowledgeable + 1)) {
             long next = nextListed();
             long listedAt = withheld.containsKey(next) ? withheld.get(next).since() : processed.get(next);
             if (!listingDelay.isOver(listedAt, now)) {
--- a/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/ReportProcessor.java
@@ -106,15 +106,18 @@
     /** Lets the ends of a worker be acknowledged that have had their effect or have been withheld for too long. */
     private void acknowledge(WorkerNode node, EndList endList, long now) {
         long before = node.ends.acknowledgeable();
-        node.ends
-                .giveUpWithheld(endList.full(), now)
-                .forEach(withheld -> ineffectiveEnds.record(node, withheld.end(), withheld.reason()));
+        node.ends.giveUpOverdue(now).forEach(withheld -> recordGivenUp(node, withheld));
         node.ends.advance(endList, now).forEach(gap -> ineffectiveEnds.record(node, gap));
+        node.ends.giveUpBlocking(endList, now).ifPresent(withheld -> recordGivenUp(node, withheld));
         if (node.ends.acknowledgeable() > before) {
             jobTable.markProcessed(node);
         }
     }
 
+    private void recordGivenUp(WorkerNode node, EndNumbers.Withheld withheld) {
+        ineffectiveEnds.record(node, withheld.end(), withheld.reason());
+    }
+
     /**
      * Returns whether a run that its worker may list is over, and its end was processed if its result matters. A report
      * lists all current runs. The end of a run that it does not list may be among the ends that it leaves out; a
