Withhold an end again that was given up before its job was added

Cause: an end of an unknown job is given up after 15 s. If it was not acknowledged yet, because a lower one was withheld, and its job was then added with progress that is restored only in part, EndNumbers had its number both as processed and as withheld. It was acknowledged although withheld, and the number up to which ends are acknowledged could then fall and stop there. Change: EndNumbers.withhold removes the number from the processed ones, so that each number has one state.

--- a/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
@@ -12,7 +12,7 @@
  * Numbers of the ends that one worker incarnation has listed, and up to which of them it may discard its ends. Guarded
  * by the lock of its {@link BatchScheduler}.
  *
- * <p>Invariants: a number is processed once; {@link #acknowledgeable} never falls, is below each withheld number, and
+ * <p>Invariants: a number is processed once; it is not both processed and withheld; {@link #acknowledgeable} never falls, is below each withheld number, and
  * passes a number that was never listed only after its {@link ListingDelay}.
  */
 final class EndNumbers {
@@ -88,9 +88,11 @@
             processedInGaps.add(end.sequence());
             return;
         }
+        // An end that was given up and not yet acknowledged is withheld again if its job is added.
+        Long listedAt = processed.remove(end.sequence());
         withheld.merge(
                 end.sequence(),
-                new Withheld(end, reason, now),
+                new Withheld(end, reason, listedAt == null ? now : listedAt),
                 (earlier, update) -> new Withheld(end, update.reason(), earlier.since()));
     }
 
--- a/batch/src/test/java/org/chestnutbarrow/batch/EarlyEndTest.java
+++ b/batch/src/test/java/org/chestnutbarrow/batch/EarlyEndTest.java
@@ -202,6 +202,25 @@
         assertEquals(fixture.scheduler.plan().acknowledgements(), Map.of(W1, 7L));
     }
 
+    /** Guards against acknowledgements that stop, or include a withheld end, once a job is added after it was given up. */
+    @Test
+    public void endThatWasGivenUpIsWithheldOnceItsJobIsAddedPartlyRestored() {
+        SchedulerFixture fixture = new SchedulerFixture().withWorkers("w1");
+        JobSpec first = addPartlyRestored(fixture);
+        JobSpec late = fixture.job("b", SchedulerFixture.step(2, 1000, Step.Behaviour.PLAIN));
+        fixture.add(fixture.job("c", PLAIN));
+        WorkerReport.Ended other = SchedulerFixture.ended(3, fixture.starts().getFirst(), EndKind.DONE);
+        WorkerReport.Ended[] ends = {ended(1, first, EndKind.DONE), ended(2, late, EndKind.DONE), other};
+        assertEquals(report(fixture, ends).acknowledgements(), Map.of());
+        fixture.time.advance(EndNumbers.MAX_WITHHOLDING);
+        assertEquals(report(fixture, ends).acknowledgements(), Map.of());
+        addPartlyRestored(fixture, late);
+        fixture.scheduler.cancelJob(first.id());
+        assertEquals(report(fixture, ends).acknowledgements(), Map.of(W1, 1L));
+        fixture.scheduler.cancelJob(late.id());
+        assertEquals(report(fixture, ends).acknowledgements(), Map.of(W1, 3L));
+    }
+
     /** Guards against an end of a task that a known job does not have, which leaves no trace in the log. */
     @Test
     public void endOfUnknownTaskIsHandedOut() {
