--- a/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
@@ -12,15 +12,10 @@
  * Numbers of the ends that one worker incarnation has listed, and up to which of them it may discard its ends. Guarded
  * by the lock of its {@link BatchScheduler}.
  *
- * <p>Invariants: a number is processed once; {@link #acknowledgeable} never falls, is below each withheld number, and
- * passes a number that was never listed only {@link #MAX_LISTING_DELAY} after a higher one was listed.
+ * <p>Invariants: a number is processed once; it is not both processed and withheld; {@link #acknowledgeable} never falls, is below each withheld number, and
+ * passes a number that was never listed only after its {@link ListingDelay}.
  */
 final class EndNumbers {
-    /**
-     * Time for which a missing number may still be listed. The numbers of an incarnation are consecutive from 1 and a
-     * list holds part of them in any order, but those that an earlier owner has acknowledged are never listed again.
-     */
-    static final Duration MAX_LISTING_DELAY = Duration.ofSeconds(1);
     /** Time after which an end of an unknown job is acknowledged; longer than the expected outages of the store, 9 s. */
     static final Duration MAX_WITHHOLDING = Duration.ofSeconds(15);
 
@@ -43,12 +38,16 @@
     private final TreeMap<Long, Long> processed = new TreeMap<>();
 
     private final TreeMap<Long, Withheld> withheld = new TreeMap<>();
+    private final ListingDelay listingDelay = new ListingDelay();
     private final List<Gap> passedGaps = new ArrayList<>();
     /** Processed numbers in {@link #passedGaps}. */
     private final Set<Long> processedInGaps = new HashSet<>();
 
     private long acknowledgeable;
-    /** Whether no earlier owner can have acknowledged the numbers above {@link #acknowledgeable}. */
+    /**
+     * Whether no earlier owner can have acknowledged the numbers above {@link #acknowledgeable}, so that the worker
+     * holds those that it does not list.
+     */
     private boolean startKnown;
 
     /** Records that no earlier owner has acknowledged ends of this incarnation. */
@@ -89,32 +88,47 @@
             processedInGaps.add(end.sequence());
             return;
         }
+        // An end that was given up and not yet acknowledged is withheld again if its job is added.
+        Long listedAt = processed.remove(end.sequence());
         withheld.merge(
                 end.sequence(),
-                new Withheld(end, reason, now),
+                new Withheld(end, reason, listedAt == null ? now : listedAt),
                 (earlier, update) -> new Withheld(end, update.reason(), earlier.since()));
     }
 
-    /**
-     * Gives up and returns the ends that have been withheld for too long; all if the list of the worker is full, since
-     * it lists no further ends before it has discarded some.
-     */
-    List<Withheld> giveUpWithheld(boolean listFull, long now) {
-        List<Withheld> overdue = withheld.values().stream()
-                .filter(end -> listFull || end.isOverdue(now))
-                .toList();
+    /** Gives up and returns the ends that have been withheld for too long. */
+    List<Withheld> giveUpOverdue(long now) {
+        List<Withheld> overdue =
+                withheld.values().stream().filter(end -> end.isOverdue(now)).toList();
         overdue.forEach(end -> markProcessed(end.end().sequence(), now));
         return overdue;
     }
 
-    /** Raises {@link #acknowledgeable} as far as possible and returns the gaps that it has passed. */
-    List<Gap> advance(long now) {
+    /**
+     * Gives up and returns the lowest withheld end if the list of the worker is full and nothing in it can be
+     * acknowledged otherwise, since the worker lists no further ends before it has discarded some.
+     */
+    Optional<Withheld> giveUpBlocking(EndList list, long now) {
+        Withheld lowest = withheld.get(acknowledgeable + 1);
+        if (lowest == null || !list.full() || list.lowest() <= acknowledgeable) {
+            return Optional.empty();
+        }
+        markProcessed(acknowledgeable + 1, now);
+        passProcessed();
+        return Optional.of(lowest);
+    }
+
+    /** Raises {@link #acknowledgeable} as far as the latest list allows and returns the gaps that it has passed. */
+    List<Gap> advance(EndList list, long now) {
         List<Gap> passed = new ArrayList<>();
         passProcessed();
-        while (!processed.isEmpty() && !withheld.containsKey(acknowledgeable + 1)) {
+        // Numbers below may have been acknowledged by an earlier owner.
+        Optional<Long> lowestHeld = startKnown ? Optional.empty() : Optional.of(nextListed());
+        listingDelay.update(list, acknowledgeable, lowestHeld, now);
+        while (nextListed() != Long.MAX_VALUE && !withheld.containsKey(acknowledgeable + 1)) {
             long next = nextListed();
             long listedAt = withheld.containsKey(next) ? withheld.get(next).since() : processed.get(next);
-            if (now - listedAt < MAX_LISTING_DELAY.toNanos()) {
+            if (!listingDelay.isOver(listedAt, now)) {
                 return passed;
             }
             Gap gap = new Gap(acknowledgeable + 1, next - 1);
@@ -125,18 +139,25 @@
             startKnown = true;
             acknowledgeable = gap.last();
             passProcessed();
+            if (list.full()) {
+                // The discard makes room, so that the next gap may be listed.
+                listingDelay.restart(now);
+                return passed;
+            }
         }
         return passed;
     }
 
+    /** Returns the lowest number above {@link #acknowledgeable} that was listed; {@link Long#MAX_VALUE} if none was. */
     private long nextListed() {
-        long next = processed.firstKey();
+        long next = processed.isEmpty() ? Long.MAX_VALUE : processed.firstKey();
         return withheld.isEmpty() ? next : Math.min(next, withheld.firstKey());
     }
 
     private void passProcessed() {
         while (processed.remove(acknowledgeable + 1) != null) {
             acknowledgeable++;
+            startKnown = true;
         }
     }
 }
