Name what the start of the numbers of ends is known for

Cause: EndNumbers.startKnown said neither what is known nor what depends on it. Change: it is earlierOwnerExcluded, and its comment says what follows. It decides whether numbers below a full list may have been acknowledged before, and whether a passed gap is logged. Result: no change of behaviour; all tests of module batch and of the modules that it needs are green.

--- a/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/EndNumbers.java
@@ -48,11 +48,11 @@
      * Whether no earlier owner can have acknowledged the numbers above {@link #acknowledgeable}, so that the worker
      * holds those that it does not list.
      */
-    private boolean startKnown;
+    private boolean earlierOwnerExcluded;
 
     /** Records that no earlier owner has acknowledged ends of this incarnation. */
-    void markStartKnown() {
-        startKnown = true;
+    void excludeEarlierOwner() {
+        earlierOwnerExcluded = true;
     }
 
     /** Returns the number up to which the ends may be discarded once the current changes are stored; 0 if none. */
@@ -122,8 +122,7 @@
     List<Gap> advance(EndList list, long now) {
         List<Gap> passed = new ArrayList<>();
         passProcessed();
-        // Numbers below may have been acknowledged by an earlier owner.
-        Optional<Long> lowestHeld = startKnown ? Optional.empty() : Optional.of(nextListed());
+        Optional<Long> lowestHeld = earlierOwnerExcluded ? Optional.empty() : Optional.of(nextListed());
         listingDelay.update(list, acknowledgeable, lowestHeld, now);
         while (nextListed() != Long.MAX_VALUE && !withheld.containsKey(acknowledgeable + 1)) {
             long next = nextListed();
@@ -133,10 +132,10 @@
             }
             Gap gap = new Gap(acknowledgeable + 1, next - 1);
             passedGaps.add(gap);
-            if (startKnown) {
+            if (earlierOwnerExcluded) {
                 passed.add(gap);
             }
-            startKnown = true;
+            earlierOwnerExcluded = true;
             acknowledgeable = gap.last();
             passProcessed();
             if (list.full()) {
@@ -157,7 +156,7 @@
     private void passProcessed() {
         while (processed.remove(acknowledgeable + 1) != null) {
             acknowledgeable++;
-            startKnown = true;
+            earlierOwnerExcluded = true;
         }
     }
 }
--- a/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/WorkerRegistry.java
@@ -148,7 +148,7 @@
             restoreHealth(node);
             workers.put(registration.id(), node);
             if (current != null) {
-                node.ends.markStartKnown();
+                node.ends.excludeEarlierOwner();
                 node.resultRisk.extendLike(current.resultRisk);
                 current.setListed(false);
                 transferRuns(current, node, now);
