--- a/review/stand-2/src/Deployment.java
+++ b/review/stand-2/src/Deployment.java
@@ -12,6 +12,7 @@
 final class Deployment implements AutoCloseable {
     static final String HOST = "desk.example";
     static final String PREFIX = "/lookup/";
+    static final String OTHER_PREFIX = "/reconcile/";
     static final String SERVICE = "desk";
 
     final Record record;
@@ -43,17 +44,19 @@
     static ObjectNode config(int version) {
         ObjectNode root = Body.object().put("version", version);
         ArrayNode routes = root.putArray("routes");
-        routes.addObject()
-                .put("name", "r-1")
-                .put("host", HOST)
-                .put("path_prefix", PREFIX)
-                .put("kind", "unsafe")
-                .put("timeout_ms", 3000)
-                .put("target_latency_ms", 250)
-                .put("priority", 0)
-                .put("service", SERVICE)
-                .put("max_attempts", 3)
-                .put("stretch", 1.5);
+        for (String prefix : List.of(PREFIX, OTHER_PREFIX)) {
+            routes.addObject()
+                    .put("name", "r-" + (routes.size() + 1))
+                    .put("host", HOST)
+                    .put("path_prefix", prefix)
+                    .put("kind", "unsafe")
+                    .put("timeout_ms", 3000)
+                    .put("target_latency_ms", 250)
+                    .put("priority", 0)
+                    .put("service", SERVICE)
+                    .put("max_attempts", 3)
+                    .put("stretch", 1.5);
+        }
         root.putArray("services")
                 .addObject()
                 .put("name", SERVICE)
@@ -85,6 +88,26 @@
         record.add("all nodes are ready");
     }
 
+    /** Starts nodes again that ended by themselves, a second after their end was seen. */
+    void restartEnded() throws IOException {
+        long now = System.nanoTime();
+        for (NodeProcess node : nodes) {
+            if (node.isAlive()) {
+                continue;
+            }
+            if (!node.endSeen) {
+                node.endSeen = true;
+                node.endSeenAt = now;
+                node.ends++;
+                record.add(node.name + " ended by itself with exit code " + node.exitCode());
+            } else if (now - node.endSeenAt >= 1_000_000_000L) {
+                node.endSeen = false;
+                node.start();
+                record.add(node.name + " is started again");
+            }
+        }
+    }
+
     /** Hands in a job of steps with the same number of tasks; returns whether it was accepted. */
     boolean submit(int node, String id, String spec, int count, int cpu, int estimateMs) {
         ObjectNode job = Body.object().put("spec", spec);
@@ -104,6 +127,19 @@
         return answer.status() == 200;
     }
 
+    /** Sends a call about a job as a client of one queue. */
+    Call.Answer call(int node, String method, String prefix, String id, String body) {
+        Call.Answer answer = Call.send(nodes.get(node).ip, 8161, method, HOST, prefix + id, body, 3000);
+        record.add(method + " " + prefix + id + " at " + nodes.get(node).name + " is answered " + answer.status() + " "
+                + answer.body());
+        return answer;
+    }
+
+    /** Cancels a job; returns the status of the answer. */
+    int cancel(int node, String id) {
+        return Call.send(nodes.get(node).ip, 8161, "DELETE", HOST, PREFIX + id, "", 3000).status();
+    }
+
     Call.Answer state(int node, String id) {
         return Call.send(nodes.get(node).ip, 8161, "GET", HOST, PREFIX + id, "", 3000);
     }
--- a/review/stand-2/src/NodeProcess.java
+++ b/review/stand-2/src/NodeProcess.java
@@ -18,6 +18,11 @@
     private final Path log;
     private final List<String> command;
     private Process process;
+    /** How often the process has ended by itself, and whether an end was seen that no start has followed yet. */
+    int ends;
+
+    boolean endSeen;
+    long endSeenAt;
 
     NodeProcess(String name, String zone, Path folder, String storeAddress) throws IOException {
         this.name = name;
--- a/review/stand-2/src/OddEntry.java
+++ b/review/stand-2/src/OddEntry.java
@@ -22,6 +22,8 @@
                     .orElseThrow(() -> new IllegalStateException("no worker has work"));
             record.add(worker.id + " runs " + worker.runs());
             if (trouble) {
+                worker.awaitHeartbeat();
+                Thread.sleep(200);
                 ObjectNode entry = worker.entry();
                 entry.remove(List.of("born", "seq", "clock_ms"));
                 deployment.store.put("keyed.servers", worker.id, Body.bytes(entry));
--- a/review/stand-2/src/Play.java
+++ b/review/stand-2/src/Play.java
@@ -17,7 +17,7 @@
         try {
             Case played = (Case) Class.forName(args[0]).getDeclaredConstructor().newInstance();
             status = played.play(record, trouble) ? 1 : 0;
-        } catch (Exception e) {
+        } catch (Exception | LinkageError e) {
             record.add("the case could not run: " + e);
         }
         record.add(status == 1 ? "BROKEN" : status == 0 ? "held" : "not played");
--- a/review/stand-2/src/Worker.java
+++ b/review/stand-2/src/Worker.java
@@ -67,6 +67,7 @@
     private final HttpServer server;
     private final long startedAt = System.nanoTime();
     private final Map<String, Run> running = new LinkedHashMap<>();
+    private final List<String> startedSpecs = new ArrayList<>();
     private final Map<String, Integer> last = new HashMap<>();
     private final TreeMap<Long, End> ends = new TreeMap<>();
     private long number;
@@ -74,7 +75,7 @@
     private long deadlineMs = -1;
     private long seq;
     private String address;
-    private String written = "";
+    private volatile int heartbeats;
     private volatile boolean closed;
 
     Worker(String id, String ip, String service, String zone, Store store, Record record) throws IOException {
@@ -100,6 +101,7 @@
         Thread.ofVirtual().start(() -> {
             while (!closed) {
                 store.put("keyed.servers", id, Body.bytes(entry()));
+                heartbeats++;
                 sleep(HEARTBEAT_MS);
             }
         });
@@ -134,12 +136,25 @@
         return entry.put("born", born).put("clock_ms", clockMs()).put("seq", ++seq);
     }
 
+    /** Waits until the worker has written its entry again. */
+    void awaitHeartbeat() {
+        int before = heartbeats;
+        while (heartbeats == before) {
+            sleep(1);
+        }
+    }
+
     synchronized List<String> runs() {
         List<String> result = new ArrayList<>();
         running.values().forEach(run -> result.add(run.task + " run " + run.run));
         return result;
     }
 
+    /** Returns the spec of each start. */
+    synchronized List<String> startedSpecs() {
+        return List.copyOf(startedSpecs);
+    }
+
     private long clockMs() {
         return (System.nanoTime() - startedAt) / 1_000_000;
     }
@@ -213,8 +228,10 @@
         if (run <= last.getOrDefault(task, 0) || (present != null && present.run > run)) {
             return "old";
         }
-        String[] work = body.path("spec").asText().split(" ")[Integer.parseInt(task.split("\\.")[2])].split(":");
+        String[] words = body.path("spec").asText().split(" ");
+        String[] work = words[Math.min(words.length - 1, Integer.parseInt(task.split("\\.")[2]))].split(":");
         running.put(task, new Run(task, run, work));
+        startedSpecs.add(body.path("spec").asText());
         record.add(id + " starts " + task + " run " + run + " token " + token);
         notifyAll();
         return "";
