--- a/review/stand-2/src/Worker.java
+++ b/review/stand-2/src/Worker.java
@@ -22,6 +22,8 @@
     static final long MAX_HOLD_MS = 6000;
     static final int STOP_MS = 100;
     static final int HEARTBEAT_MS = 1100;
+    /** Time after which the connection of a lost call is closed; its sender has given up before. */
+    private static final int LOST_MS = 5000;
 
     /** A run that this worker has; {@code stopAt} is in ns, 0 without a stop. */
     private static final class Run {
@@ -59,13 +61,13 @@
     private record End(long number, String task, int run, String how) {}
 
     final String id;
-    final long born = System.currentTimeMillis();
+    private long born = System.currentTimeMillis();
     private final String service;
     private final String zone;
     private final Store store;
     private final Record record;
     private final HttpServer server;
-    private final long startedAt = System.nanoTime();
+    private long startedAt = System.nanoTime();
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final List<String> startedSpecs = new ArrayList<>();
     private final Map<String, Integer> last = new HashMap<>();
@@ -76,6 +78,14 @@
     private long seq;
     private String address;
     private volatile int heartbeats;
+    /** Whether calls are lost: none is carried out or answered. */
+    private boolean unreachable;
+    /** Whether the next hold that acknowledges ends is lost, to be carried out late. */
+    private boolean delaysHold;
+
+    private JsonNode delayedHold;
+    /** Ends `done` that were forgotten on an acknowledgement, by task and run. */
+    private final Map<String, Integer> forgotten = new LinkedHashMap<>();
     private volatile boolean closed;
 
     Worker(String id, String ip, String service, String zone, Store store, Record record) throws IOException {
@@ -167,6 +177,11 @@
                 Body.answer(exchange, 421, base());
                 return;
             }
+            if (isLost(exchange.getRequestURI().getPath(), body)) {
+                Thread.sleep(LOST_MS);
+                exchange.close();
+                return;
+            }
             switch (exchange.getRequestURI().getPath()) {
                 case "/health" -> Body.answer(exchange, 200, Body.object());
                 case "/-/run-start" -> refuseOr(exchange, start(body));
@@ -196,6 +211,77 @@
         }
     }
 
+    private synchronized boolean isLost(String path, JsonNode body) {
+        if (delaysHold && path.equals("/-/hold") && body.path("acked_up_to").asLong(0) >= 3) {
+            delaysHold = false;
+            delayedHold = body;
+            unreachable = true;
+            record.add(id + " a hold that acknowledges ends up to " + body.path("acked_up_to") + " is delayed");
+            notifyAll();
+        }
+        return unreachable;
+    }
+
+    /** Delays the next hold that acknowledges ends and loses all calls after it; waits until it has come. */
+    synchronized void delayNextHold() throws InterruptedException {
+        delaysHold = true;
+        while (delayedHold == null) {
+            wait();
+        }
+    }
+
+    /** Carries the delayed hold out, as a call without an answer may be. */
+    synchronized void carryOutDelayedHold() {
+        record.add(id + " the delayed hold is carried out; ends listed: " + ends.values());
+        if (admit(delayedHold)) {
+            long acknowledged = delayedHold.path("acked_up_to").asLong();
+            List.copyOf(ends.headMap(acknowledged, true).values()).forEach(this::forget);
+        }
+    }
+
+    private void forget(End end) {
+        record.add(id + " forgets end " + end.number() + ": " + end.task() + " run " + end.run() + " " + end.how());
+        ends.remove(end.number());
+        if (end.how().equals("done")) {
+            forgotten.put(end.task(), end.run());
+        }
+    }
+
+    /** Returns the runs that ended `done` and are forgotten, by task. */
+    synchronized Map<String, Integer> forgotten() {
+        return Map.copyOf(forgotten);
+    }
+
+    /** Crashes: nothing runs any more, and the worker knows nothing of before. Calls are lost until it starts again. */
+    synchronized void crash() {
+        record.add(id + " crashes; it runs " + runs());
+        unreachable = true;
+        running.clear();
+        last.clear();
+        ends.clear();
+        forgotten.clear();
+        number = 0;
+        token = 0;
+        seq = 0;
+        deadlineMs = -1;
+    }
+
+    /** Starts again under the same id. */
+    void startAgain() {
+        synchronized (this) {
+            born = System.currentTimeMillis();
+            startedAt = System.nanoTime();
+            unreachable = false;
+            record.add(id + " has started again, born " + born);
+        }
+        store.put("keyed.servers", id, Body.bytes(entry()));
+    }
+
+    synchronized void setUnreachable(boolean value) {
+        record.add(id + (value ? " can't be reached" : " can be reached again"));
+        unreachable = value;
+    }
+
     private synchronized boolean admit(JsonNode body) {
         advance();
         long offered = body.path("fencing_token").asLong(0);
@@ -264,8 +350,7 @@
                 }
                 long acknowledged = body.path("acked_up_to").asLong(0);
                 for (End end : List.copyOf(ends.headMap(acknowledged, true).values())) {
-                    record.add(id + " has end " + end.number() + " acknowledged: " + end.task() + " run " + end.run());
-                    ends.remove(end.number());
+                    forget(end);
                 }
                 long until = System.nanoTime() + Math.min(2000, body.path("wait_ms").asLong(0)) * 1_000_000;
                 while (ends.isEmpty() && until - System.nanoTime() > 0) {
