--- a/review/stand-2/src/LargeJobs.java
+++ b/review/stand-2/src/LargeJobs.java
@@ -6,12 +6,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A client that the operator does not control hands in jobs whose bodies have the largest legal size and are made of short
- * steps; without the trouble, as many jobs of two steps. Rule LOST.
+ * A client that the operator does not control hands in jobs whose bodies have nearly the largest legal size and are made
+ * of short steps; without the trouble, as many jobs of two steps. Rule LOST.
  */
 final class LargeJobs implements Play.Case {
     private static final int JOBS = 120;
     private static final int TRAFFIC_MS = 24_000;
+    private static final int MAX_TRAFFIC_MS = 40_000;
     private static final int STEPS = 4900;
     /** The first attempt of a client and its retries. */
     private static final int ATTEMPTS = 5;
@@ -24,7 +25,9 @@
             Thread.sleep(2000);
             List<String> accepted = new ArrayList<>();
             long startedAt = System.nanoTime();
-            for (int i = 0; i < JOBS; i++) {
+            // Calls that get no answer take longer.
+            long stopAt = startedAt + MAX_TRAFFIC_MS * 1_000_000L;
+            for (int i = 0; i < JOBS && stopAt - System.nanoTime() > 0; i++) {
                 sleepUntil(deployment, startedAt + (long) i * TRAFFIC_MS / JOBS * 1_000_000);
                 ObjectNode job = Body.object().put("spec", "2200");
                 ArrayNode steps = job.putArray("steps");
--- a/review/stand-2/src/LateHold.java
+++ b/review/stand-2/src/LateHold.java
@@ -11,6 +11,7 @@
     private static final int DOWN_MS = 300;
     private static final int SILENT_MS = 1000;
     private static final int DELAY_MS = 2000;
+    private static final int MAX_DELAY_MS = 10_000;
 
     @Override
     public boolean play(Record record, boolean trouble) throws Exception {
@@ -30,6 +31,9 @@
                 Thread.sleep(DOWN_MS);
                 worker.startAgain();
                 while (worker.runs().isEmpty()) {
+                    if (System.nanoTime() - delayedAt > MAX_DELAY_MS * 1_000_000L) {
+                        throw new IllegalStateException(worker.id + " gets no work");
+                    }
                     Thread.sleep(10);
                 }
                 Thread.sleep(100);
--- a/review/stand-2/src/NodeProcess.java
+++ b/review/stand-2/src/NodeProcess.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A node, started with the command of the deploy file on a loopback address of its own. Used by one thread. */
@@ -100,10 +99,6 @@
         return Files.readAllLines(log);
     }
 
-    void signal(String signal) throws IOException, InterruptedException {
-        new ProcessBuilder("kill", "-" + signal, String.valueOf(process.pid())).start().waitFor();
-    }
-
     void close() {
         if (process != null) {
             process.destroyForcibly();
--- a/review/stand-2/src/Worker.java
+++ b/review/stand-2/src/Worker.java
@@ -14,9 +14,10 @@
 import java.util.concurrent.Executors;
 
 /**
- * A sound worker as the users' pages describe it. The spec of a job has a word for each step,
- * {@code MS[:HOW[:FIGURE]]}: how long a task works, how it ends ({@code lasts}: it is at work after that time until it is
- * stopped), and the figure that the worker reports of it. Thread-safe; all state is guarded by the monitor of this object.
+ * A sound worker as the users' pages describe it. The spec of a job has a word for each step, the last of which holds for
+ * all steps after it, {@code MS[:HOW[:FIGURE]]}: how long a task works, how it ends ({@code lasts}: it is at work after
+ * that time until it is stopped), and the figure that the worker reports of it. Thread-safe; all state is guarded by the
+ * monitor of this object.
  */
 final class Worker {
     static final long MAX_HOLD_MS = 6000;
@@ -225,8 +226,12 @@
     /** Delays the next hold that acknowledges ends and loses all calls after it; waits until it has come. */
     synchronized void delayNextHold() throws InterruptedException {
         delaysHold = true;
+        long until = System.nanoTime() + 20_000_000_000L;
         while (delayedHold == null) {
-            wait();
+            if (until - System.nanoTime() <= 0) {
+                throw new IllegalStateException("no hold of " + id + " acknowledges ends");
+            }
+            wait(1000);
         }
     }
 
