Log the size and the reason of appends with an unknown outcome

Cause: the log shows that the store answers an append with status 400 and that the append is repeated, but neither which record is concerned nor what the store says about it.

The log shows five owners in 35 s: each takes over, logs append-unknown with status 400 about 1.9 s later, offers the ownership 5.6 s after that (WRITE_PROGRESS), and loses it to the next one.

--- a/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
@@ -2,7 +2,9 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.NotRunException;
@@ -64,9 +66,12 @@
         return entry.key().length() + entry.value().map(value -> value.length).orElse(0);
     }
 
+    private static int sizeBytes(List<StateStore.Entry> entries) {
+        return entries.stream().mapToInt(SequencedWriter::sizeBytes).sum();
+    }
+
     private static Duration timeout(List<StateStore.Entry> entries) {
-        int bytes = entries.stream().mapToInt(SequencedWriter::sizeBytes).sum();
-        return BASE_TIMEOUT.plusMillis(bytes / MIN_LINK_BYTES_PER_MS);
+        return BASE_TIMEOUT.plusMillis(sizeBytes(entries) / MIN_LINK_BYTES_PER_MS);
     }
 
     /**
@@ -88,7 +93,7 @@
                 return offset;
             } catch (OutcomeUnknownException e) {
                 if (lastUnknown == null) {
-                    Events.warn("append-unknown", "topic", topic, "sequence", sequence, "cause", e.getMessage());
+                    logUnknown(entries, e);
                 }
                 lastUnknown = e;
             } catch (NotRunException e) {
@@ -102,4 +107,24 @@
             Threads.sleep(RETRY_DELAY);
         }
     }
+
+    private void logUnknown(List<StateStore.Entry> entries, OutcomeUnknownException cause) {
+        Optional<StateStore.Entry> largest = entries.stream().max(Comparator.comparingInt(SequencedWriter::sizeBytes));
+        Events.warn(
+                "append-unknown",
+                "topic",
+                topic,
+                "sequence",
+                sequence,
+                "entries",
+                entries.size(),
+                "bytes",
+                sizeBytes(entries),
+                "largestKey",
+                largest.map(StateStore.Entry::key).orElse("none"),
+                "largestBytes",
+                largest.map(SequencedWriter::sizeBytes).orElse(0),
+                "cause",
+                cause.getMessage());
+    }
 }
