Do not repeat appends that the store refuses for good

Cause: PlatformStore took status 400, and each status that it does not name, for an unknown outcome. SequencedWriter and TermStorage repeat such an append until the term ends, so a record that the store never accepts holds back all that the owner stores and sends after it.

A refused batch is halved until the refused entry is found. An owner leaves the entry out; a job whose progress is refused ends as failed with an end that has no tasks, so that acknowledged ends of its runs stay described by what is stored and no task runs twice. Removals of jobs are split. An attempt with an unknown outcome before had the same content, so it did not store the entry either.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -212,9 +212,18 @@
 
     /** Cancels a job. Has no effect if the job is unknown or has ended. */
     public synchronized void cancelJob(JobId id) {
+        endJob(id, JobState.CANCELLED, "cancelled");
+    }
+
+    /** Ends a job as failed, for a reason that is logged with its stops. Has no effect if it is unknown or has ended. */
+    public synchronized void failJob(JobId id, String reason) {
+        endJob(id, JobState.FAILED, reason);
+    }
+
+    private void endJob(JobId id, JobState state, String reason) {
         JobEntry job = jobTable.job(id);
         if (job != null && !job.state.isFinal()) {
-            jobTable.endJob(job, JobState.CANCELLED, "cancelled");
+            jobTable.endJob(job, state, reason);
         }
     }
 
--- a/model/src/main/java/org/chestnutbarrow/model/SchedulerException.java
+++ b/model/src/main/java/org/chestnutbarrow/model/SchedulerException.java
@@ -7,7 +7,8 @@
                 OutcomeUnknownException,
                 RefusedException,
                 StaleEpochException,
-                UnavailableException {
+                UnavailableException,
+                UnstorableException {
     private static final long serialVersionUID = 1L;
 
     private final String problem;
--- a/node/src/main/java/org/chestnutbarrow/node/EndedJobCleaner.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EndedJobCleaner.java
@@ -15,6 +15,7 @@
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * Removes the records of jobs that ended long ago, so that the size of the store and the initial load of a node stay
@@ -117,12 +118,22 @@
 
     private void remove(List<JobId> jobs, BooleanSupplier active)
             throws NotRunException, OutcomeUnknownException, StaleEpochException {
-        writer.append(
-                jobs.stream()
-                        .flatMap(id -> JobReplica.removalEntries(id).stream())
-                        .toList(),
-                active);
-        Events.info("ended-jobs-dropped", "jobs", jobs.size());
+        try {
+            writer.append(
+                    jobs.stream()
+                            .flatMap(id -> JobReplica.removalEntries(id).stream())
+                            .toList(),
+                    active);
+            Events.info("ended-jobs-dropped", "jobs", jobs.size());
+        } catch (UnstorableException e) {
+            if (jobs.size() == 1) {
+                Events.warn("entry-unstorable", "key", jobs.getFirst(), "cause", e.getMessage());
+                return;
+            }
+            for (List<JobId> half : SequencedWriter.halves(jobs)) {
+                remove(half, active);
+            }
+        }
     }
 
     /** Takes the entries that remove progress; they are to be stored under the owner's epoch. */
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -31,9 +31,9 @@
     private static final String JOB_PREFIX = "j/";
     private static final String CANCEL_PREFIX = "c/";
     /** Key of the current owner of the workers; cannot be a job id. */
-    private static final String OWNER_KEY = "owner/";
+    static final String OWNER_KEY = "owner/";
     /** Key of the worker incarnations that have not answered the owner; cannot be a job id. */
-    private static final String SILENCES_KEY = "silent/";
+    static final String SILENCES_KEY = "silent/";
     /** Key of the estimates of the latest owner; cannot be a job id. */
     private static final String ESTIMATES_KEY = "learned/";
 
--- a/node/src/main/java/org/chestnutbarrow/node/JobService.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobService.java
@@ -25,6 +25,8 @@
         UNKNOWN,
         /** The job is larger than the store accepts; nothing is stored. */
         TOO_LARGE,
+        /** The store refuses the entry for good; nothing is stored. */
+        UNSTORABLE,
         /** The job does not exist; should it be stored later, it does not run. */
         NO_JOB
     }
--- a/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
@@ -14,6 +14,7 @@
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * Appends the entries of callers to the jobs topic and combines waiting entries into one append. Thread-safe; the
@@ -49,6 +50,10 @@
             this.entry = entry;
             this.since = since;
         }
+
+        int bytes() {
+            return SequencedWriter.sizeBytes(entry);
+        }
     }
 
     private final StateStore store;
@@ -109,7 +114,7 @@
             dropOldEntries();
             int bytes = 0;
             while (!queue.isEmpty() && batch.size() < MAX_BATCH_ENTRIES) {
-                bytes += SequencedWriter.sizeBytes(queue.peekFirst().entry);
+                bytes += queue.peekFirst().bytes();
                 if (!batch.isEmpty() && bytes > SequencedWriter.MAX_CHUNK_BYTES) {
                     break;
                 }
@@ -138,6 +143,21 @@
                     batch.stream().map(pending -> pending.entry).toList(),
                     () -> !Thread.currentThread().isInterrupted() && time.nanos() - repeatUntil < 0);
             receipt = JobService.Receipt.STORED;
+        } catch (UnstorableException e) {
+            if (batch.size() > 1) {
+                // The others are stored, and each caller gets the outcome of its own entry.
+                SequencedWriter.halves(batch).forEach(this::writeBatch);
+                return;
+            }
+            Events.warn(
+                    "entry-unstorable",
+                    "key",
+                    batch.getFirst().entry.key(),
+                    "bytes",
+                    batch.getFirst().bytes(),
+                    "cause",
+                    e.getMessage());
+            receipt = JobService.Receipt.UNSTORABLE;
         } catch (NotRunException e) {
             Events.warn("append-refused", "entries", batch.size(), "cause", e.getMessage());
             receipt = JobService.Receipt.NOT_STORED;
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -21,6 +21,7 @@
 import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * A scheduler node. Every node accepts jobs and reports their state; the owner, of which there is one at a time, also
@@ -352,6 +353,7 @@
         } catch (NotRunException
                 | OutcomeUnknownException
                 | StaleEpochException
+                | UnstorableException
                 | ExecutionException
                 | RuntimeException e) {
             next.end();
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipConfirmation.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipConfirmation.java
@@ -8,6 +8,7 @@
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * Tracks when the store last confirmed a term of ownership, and asks for a confirmation when the last one is too old.
@@ -66,7 +67,7 @@
             long sentAt = time.nanos();
             store.append(StateStore.Topic.PROGRESS, List.of(), writer, TIMEOUT);
             confirmed(sentAt);
-        } catch (NotRunException | OutcomeUnknownException e) {
+        } catch (NotRunException | OutcomeUnknownException | UnstorableException e) {
             Events.warn("ownership-unconfirmed", "token", writer.epoch(), "cause", e.getMessage());
         }
     }
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -6,12 +6,15 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.chestnutbarrow.batch.BatchScheduler;
+import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskRecord;
@@ -404,15 +407,49 @@
         entries.addAll(jobs.takeEndsToStore());
         Optional<OwnerRecord> ownerRecord = dueOwnerRecord();
         ownerRecord.ifPresent(record -> entries.add(JobReplica.ownerEntry(record)));
-        if (!entries.isEmpty() && !persist(entries)) {
-            return;
+        switch (persist(entries)) {
+            case TermStorage.TermEnded _ -> {}
+            case TermStorage.Stored(Set<String> unstorable) -> {
+                Map<Boolean, List<JobProgress>> changes = plan.changes().stream()
+                        .collect(Collectors.partitioningBy(
+                                change -> unstorable.contains(change.id().value())));
+                if (!endUnstorable(changes.get(true))) {
+                    return;
+                }
+                jobs.changesStored(changes.get(false));
+                jobs.progressRemoved(progressRemovals.stream()
+                        .filter(removal -> !unstorable.contains(removal.key()))
+                        .toList());
+                silenceRecord
+                        .filter(_ -> !unstorable.contains(JobReplica.SILENCES_KEY))
+                        .ifPresent(leases::recordStored);
+                ownerRecord
+                        .filter(_ -> !unstorable.contains(JobReplica.OWNER_KEY))
+                        .ifPresent(storage::recordStored);
+                links.acknowledge(plan.acknowledgements());
+                plan.orders()
+                        .forEach(order -> dispatch(
+                                order, unstorable.contains(order.task().job().value())));
+            }
         }
-        jobs.changesStored(plan.changes());
-        jobs.progressRemoved(progressRemovals);
-        silenceRecord.ifPresent(leases::recordStored);
-        ownerRecord.ifPresent(storage::recordStored);
-        links.acknowledge(plan.acknowledgements());
-        plan.orders().forEach(this::dispatch);
+    }
+
+    /**
+     * Ends the jobs whose progress the store refuses for good, so that the ends of their runs can be acknowledged; returns
+     * false if this term has ended.
+     */
+    private boolean endUnstorable(List<JobProgress> refused) {
+        List<StateStore.Entry> ends = jobs.endUnstorable(refused, time.now()).stream()
+                .map(JobReplica::progressEntry)
+                .toList();
+        while (persist(ends) instanceof TermStorage.Stored(Set<String> unstorable)) {
+            if (unstorable.isEmpty()) {
+                return true;
+            }
+            // A store that refuses even the smallest records refuses everything; nothing can be done without it.
+            Threads.sleep(PLAN_INTERVAL);
+        }
+        return false;
     }
 
     private Optional<OwnerRecord> dueOwnerRecord() {
@@ -423,8 +460,11 @@
         return inputAge.wasRecent() ? storage.dueRecord() : Optional.empty();
     }
 
-    private void dispatch(Order order) {
-        if (!links.enqueue(order, this::recordOrder)) {
+    /** Sends an order, unless it starts a task of a job whose progress is not stored. */
+    private void dispatch(Order order, boolean unstorable) {
+        if (unstorable && order instanceof Order.Start) {
+            scheduler.orderDropped(order);
+        } else if (!links.enqueue(order, this::recordOrder)) {
             scheduler.orderDropped(order);
         }
     }
@@ -436,13 +476,12 @@
         }
     }
 
-    /** Stores the entries; returns false if this term has ended. */
-    private boolean persist(List<StateStore.Entry> entries) {
+    private TermStorage.Result persist(List<StateStore.Entry> entries) {
         try {
             return storage.store(entries, active::get);
         } catch (StaleEpochException e) {
             fenced("store: " + e.getMessage());
-            return false;
+            return new TermStorage.TermEnded();
         }
     }
 
--- a/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
@@ -10,6 +10,7 @@
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * Appends batches under consecutive sequence numbers, so that a batch whose answer was lost can be repeated without
@@ -62,6 +63,12 @@
         return chunks;
     }
 
+    /** Splits a batch of several entries that the store refuses for good, to find the entry that it refuses. */
+    static <T> List<List<T>> halves(List<T> entries) {
+        int middle = entries.size() / 2;
+        return List.of(entries.subList(0, middle), entries.subList(middle, entries.size()));
+    }
+
     static int sizeBytes(StateStore.Entry entry) {
         return entry.key().length() + entry.value().map(value -> value.length).orElse(0);
     }
@@ -80,9 +87,11 @@
      * @return the offset of the first entry
      * @throws NotRunException if nothing was stored
      * @throws OutcomeUnknownException if the outcome is still unknown when {@code keepRetrying} becomes false
+     * @throws UnstorableException if the store refuses the batch for good; an attempt with an unknown outcome did not
+     *     store it either, since it had the same content
      */
     long append(List<StateStore.Entry> entries, BooleanSupplier keepRetrying)
-            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+            throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException {
         StateStore.Writer writer = new StateStore.Writer(name, epoch, sequence);
         Duration timeout = timeout(entries);
         OutcomeUnknownException lastUnknown = null;
--- a/node/src/main/java/org/chestnutbarrow/node/StateStore.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateStore.java
@@ -10,6 +10,7 @@
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * The durable store that all nodes share: ordered topics that retain the newest value of each key indefinitely, and a
@@ -119,9 +120,10 @@
      * @throws NotRunException if nothing was stored
      * @throws OutcomeUnknownException if the entries may be stored, now or later
      * @throws StaleEpochException if a newer epoch of the writer exists and nothing was stored
+     * @throws UnstorableException if the store refuses these entries for good, for example because one is too large
      */
     long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
-            throws NotRunException, OutcomeUnknownException, StaleEpochException;
+            throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException;
 
     /**
      * Reads entries from an offset; waits up to {@code wait} for the first entry.
--- a/node/src/main/java/org/chestnutbarrow/node/TermJobs.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TermJobs.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.node;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -8,6 +9,7 @@
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.JobAddition;
 import org.chestnutbarrow.batch.JobProgress;
+import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.JobId;
 
@@ -89,6 +91,21 @@
         Events.warn("job-set-aside", "job", job, "token", token, "cause", cause);
     }
 
+    /**
+     * Ends jobs whose progress the store refuses for good, and returns the ends to store in its place. An end without
+     * tasks is always small; a later owner neither starts the tasks of the job again nor lets its runs go on.
+     */
+    List<JobProgress> endUnstorable(List<JobProgress> refused, Instant now) {
+        List<JobProgress> ends = new ArrayList<>();
+        for (JobProgress progress : refused) {
+            Events.warn("job-unstorable", "job", progress.id(), "token", token);
+            scheduler.failJob(progress.id(), "unstorable");
+            JobState end = progress.state().isFinal() ? progress.state() : JobState.FAILED;
+            ends.add(new JobProgress(progress.id(), end, now, List.of()));
+        }
+        return ends;
+    }
+
     /** Takes the ends of jobs that have to be stored again. */
     List<StateStore.Entry> takeEndsToStore() {
         List<StateStore.Entry> entries = new ArrayList<>();
--- a/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
@@ -3,16 +3,19 @@
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.batch.TaskRecord.WorkerIncarnation;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * Stores the progress of one term of ownership under its epoch. Appends are made by one thread at a time; the other
@@ -27,6 +30,23 @@
     private static final Duration RETRY_DELAY = Duration.ofMillis(100);
     private static final int RELAY_KEY_BYTES = 32;
 
+    /** The outcome of {@link #store}. */
+    sealed interface Result {}
+
+    /**
+     * All entries are stored except those that the store refuses for good.
+     *
+     * @param unstorable keys of the entries that are not stored
+     */
+    record Stored(Set<String> unstorable) implements Result {
+        Stored {
+            unstorable = Set.copyOf(unstorable);
+        }
+    }
+
+    /** The term has ended; some entries may be stored. */
+    record TermEnded() implements Result {}
+
     private final long token;
     private final JobReplica replica;
     private final PermissionTime time;
@@ -108,7 +128,7 @@
      * @throws StaleEpochException if another owner is recorded in the store
      */
     void fenceEarlierOwners(String member, TopicFollower progress)
-            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+            throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException {
         OwnerRecord self = new OwnerRecord(member, token, newRelayKey());
         writer.append(List.of(JobReplica.ownerEntry(self)), () -> false);
         progress.catchUp();
@@ -132,20 +152,51 @@
     }
 
     /**
-     * Stores entries; retries until the store has confirmed them. Returns false if {@code active} becomes false first.
+     * Stores entries; retries until the store has confirmed them or {@code active} becomes false. An entry that the store
+     * refuses for good is left out, so that it does not hold back the others.
      *
      * @throws StaleEpochException if a newer owner exists
      */
-    boolean store(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
+    Result store(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
+        Set<String> unstorable = new HashSet<>();
         for (List<StateStore.Entry> batch : SequencedWriter.chunks(entries)) {
-            if (!storeBatch(batch, active)) {
+            if (!storeBatch(batch, active, unstorable)) {
+                return new TermEnded();
+            }
+        }
+        return new Stored(unstorable);
+    }
+
+    /** Stores a batch and adds the keys that cannot be stored; returns whether the term has not ended. */
+    private boolean storeBatch(List<StateStore.Entry> entries, BooleanSupplier active, Set<String> unstorable)
+            throws StaleEpochException {
+        try {
+            return timedBatch(entries, active);
+        } catch (UnstorableException e) {
+            if (entries.size() == 1) {
+                StateStore.Entry entry = entries.getFirst();
+                Events.warn(
+                        "entry-unstorable",
+                        "key",
+                        entry.key(),
+                        "bytes",
+                        SequencedWriter.sizeBytes(entry),
+                        "cause",
+                        e.getMessage());
+                unstorable.add(entry.key());
+                return true;
+            }
+        }
+        for (List<StateStore.Entry> half : SequencedWriter.halves(entries)) {
+            if (!storeBatch(half, active, unstorable)) {
                 return false;
             }
         }
         return true;
     }
 
-    private boolean storeBatch(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
+    private boolean timedBatch(List<StateStore.Entry> entries, BooleanSupplier active)
+            throws StaleEpochException, UnstorableException {
         writingSince = OptionalLong.of(time.nanos());
         try {
             return retryBatch(entries, active);
@@ -154,7 +205,8 @@
         }
     }
 
-    private boolean retryBatch(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
+    private boolean retryBatch(List<StateStore.Entry> entries, BooleanSupplier active)
+            throws StaleEpochException, UnstorableException {
         while (active.getAsBoolean()) {
             try {
                 long sentAt = time.nanos();
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -18,6 +18,7 @@
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
+import org.chestnutbarrow.model.UnstorableException;
 
 /** An in-memory store that can refuse calls, lose answers and drop history. Safe for use by several threads. */
 final class FakeStore implements StateStore {
@@ -48,6 +49,8 @@
     private Fault fault = Fault.NONE;
     private Duration lastTimeout = Duration.ZERO;
     private int largestAppendBytes;
+    private int maxRecordBytes = Integer.MAX_VALUE;
+    private int unstorableAppends;
     private final Set<Topic> refusedTopics = EnumSet.noneOf(Topic.class);
     private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
     private final Map<Topic, Integer> delivered = new EnumMap<>(Topic.class);
@@ -76,6 +79,16 @@
         return largestAppendBytes;
     }
 
+    /** Refuses larger records for good from now on. */
+    synchronized void maxRecordBytes(int bytes) {
+        maxRecordBytes = bytes;
+    }
+
+    /** Returns the number of appends that were refused for good. */
+    synchronized int unstorableAppends() {
+        return unstorableAppends;
+    }
+
     synchronized void fault(Fault newFault) {
         fault = newFault;
     }
@@ -155,7 +168,7 @@
 
     @Override
     public synchronized long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
-            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+            throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException {
         lastTimeout = timeout;
         largestAppendBytes = Math.max(
                 largestAppendBytes,
@@ -163,6 +176,10 @@
         if (fault == Fault.REFUSES) {
             throw new NotRunException("refused", "try again");
         }
+        if (entries.stream().anyMatch(entry -> SequencedWriter.sizeBytes(entry) > maxRecordBytes)) {
+            unstorableAppends++;
+            throw new UnstorableException("a record is too large", "shorten it");
+        }
         if (fault == Fault.DELAYS) {
             delayed.add(new DelayedAppend(topic, entries, writer));
             throw new OutcomeUnknownException("no answer", "repeat it");
@@ -193,7 +210,7 @@
         for (DelayedAppend append : pending) {
             try {
                 append(append.topic(), append.entries(), append.writer(), Duration.ZERO);
-            } catch (StaleEpochException e) {
+            } catch (StaleEpochException | UnstorableException e) {
                 // The writer no longer waits for an answer.
             }
         }
--- a/node/src/test/java/org/chestnutbarrow/node/HandoverStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/HandoverStore.java
@@ -9,6 +9,7 @@
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.UnstorableException;
 
 /**
  * An in-memory store whose group hands partitions over as {@link HandoverGroup} does, and which can lose the answers to
@@ -69,7 +70,7 @@
 
     @Override
     public long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
-            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+            throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException {
         long offset = topics.append(topic, entries, writer, timeout);
         if (topic == Topic.PROGRESS && delaysProgress) {
             delaysProgress = false;
--- a/node/src/test/java/org/chestnutbarrow/node/JobWriterTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobWriterTest.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Executors;
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.testng.annotations.AfterMethod;
@@ -125,4 +126,30 @@
         assertEquals(receipt.get(), JobService.Receipt.NOT_STORED);
         assertEquals(store.records(StateStore.Topic.JOBS), List.of());
     }
+
+    /**
+     * Guards against callers that get no answer because the store refuses the entry of another caller for good, and that
+     * entry is repeated together with theirs.
+     */
+    @Test
+    public void unstorableEntryDoesNotHoldBackOthers() throws InterruptedException, ExecutionException {
+        store.maxRecordBytes(100);
+        store.fault(FakeStore.Fault.LOSES_ANSWERS);
+        assertEquals(writer.append(ENTRY, Duration.ofMillis(200)), JobService.Receipt.UNKNOWN);
+        List<CompletableFuture<JobService.Receipt>> receipts = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            StateStore.Entry queued = new StateStore.Entry("j/" + i, Optional.of(new byte[i == 2 ? 200 : 10]));
+            receipts.add(CompletableFuture.supplyAsync(
+                    () -> writer.append(queued, Duration.ofSeconds(5)), Executors.newVirtualThreadPerTaskExecutor()));
+        }
+        Thread.sleep(200);
+        store.fault(FakeStore.Fault.NONE);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(
+                    receipts.get(i).get(),
+                    i == 2 ? JobService.Receipt.UNSTORABLE : JobService.Receipt.STORED,
+                    "entry " + i);
+        }
+        assertEquals(store.records(StateStore.Topic.JOBS).size(), 5);
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
@@ -9,6 +9,7 @@
 import org.chestnutbarrow.model.NotRunException;
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
+import org.chestnutbarrow.model.UnstorableException;
 
 /** The view that one node has of a store, which can refuse calls of this node only. Safe for use by several threads. */
 final class NodeStore implements StateStore {
@@ -75,7 +76,7 @@
 
     @Override
     public long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
-            throws NotRunException, OutcomeUnknownException, StaleEpochException {
+            throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException {
         if (refusesProgress && topic == Topic.PROGRESS && !entries.isEmpty()) {
             throw new NotRunException("refused", "try again");
         }
--- a/node/src/test/java/org/chestnutbarrow/node/SequencedWriterTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SequencedWriterTest.java
@@ -1,12 +1,14 @@
 package org.chestnutbarrow.node;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.chestnutbarrow.model.UnstorableException;
 import org.testng.annotations.Test;
 
 /** Tests appends of many entries. */
@@ -55,4 +57,16 @@
         assertEquals(joined, entries);
         assertEquals(SequencedWriter.chunks(List.of()), List.of());
     }
+
+    /** A batch that the store refuses for good must neither be repeated for ever nor use up its sequence number. */
+    @Test
+    public void unstorableBatchIsNotRepeated() throws Exception {
+        FakeStore store = new FakeStore();
+        store.maxRecordBytes(100);
+        SequencedWriter writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, "test", 1);
+        assertThrows(UnstorableException.class, () -> writer.append(entries(3, 200), () -> true));
+        assertEquals(store.unstorableAppends(), 1);
+        writer.append(entries(1, 50), () -> true);
+        assertEquals(store.records(StateStore.Topic.PROGRESS).size(), 1);
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/TakeoverPolicyTest.java
@@ -20,6 +20,7 @@
 import org.chestnutbarrow.model.OutcomeUnknownException;
 import org.chestnutbarrow.model.StaleEpochException;
 import org.chestnutbarrow.model.TimeSource;
+import org.chestnutbarrow.model.UnstorableException;
 import org.chestnutbarrow.testkit.ManualTime;
 import org.testng.annotations.Test;
 
@@ -343,7 +344,7 @@
                 newestToken = term.token();
             } catch (StaleEpochException e) {
                 assertTrue(e.epoch() >= term.token(), e.getMessage());
-            } catch (OutcomeUnknownException e) {
+            } catch (OutcomeUnknownException | UnstorableException e) {
                 unknownOutcomes++;
             } finally {
                 store.fault(FakeStore.Fault.NONE);
