Store what is learnt of images apart from orders and acknowledgements

Cause: OwnershipTerm.execute put the sensitivities, which only help the next owner, into the batch that has to be stored before the orders of a plan are sent and the ends of runs are acknowledged.

Change: a SensitivityWriter stores the sensitivities under a writer name and on a thread of its own, after the orders are sent. Nodes read health from learned/ as well, where earlier builds store it; these skip health/ as unreadable.

--- a/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/Estimates.java
@@ -19,6 +19,11 @@
         stalledRuns = List.copyOf(stalledRuns);
     }
 
+    /** Returns these estimates without those on images. */
+    public Estimates withoutSensitivities() {
+        return new Estimates(List.of(), health, stalledRuns);
+    }
+
     /** Returns these estimates without the runs, which change with each report. */
     public Estimates withoutStalledRuns() {
         return new Estimates(sensitivities, health, List.of());
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -15,6 +15,7 @@
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
+import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
@@ -34,10 +35,15 @@
     static final String OWNER_KEY = "owner/";
     /** Key of the worker incarnations that have not answered the owner; cannot be a job id. */
     static final String SILENCES_KEY = "silent/";
-    /** Key of the estimates of the latest owner; cannot be a job id. */
-    private static final String ESTIMATES_KEY = "learned/";
+    /**
+     * Key of the sensitivities that the latest owner has learnt; cannot be a job id. Earlier builds store all estimates
+     * under it.
+     */
+    private static final String SENSITIVITIES_KEY = "learned/";
+    /** Key of what the latest owner knows of faulty workers and stalled runs; cannot be a job id. */
+    private static final String HEALTH_KEY = "health/";
 
-    private static final Set<String> OWNER_RECORD_KEYS = Set.of(OWNER_KEY, SILENCES_KEY, ESTIMATES_KEY);
+    private static final Set<String> OWNER_RECORD_KEYS = Set.of(OWNER_KEY, SILENCES_KEY, SENSITIVITIES_KEY, HEALTH_KEY);
 
     /**
      * Newest progress of a job. The tasks stay encoded because only an owner needs them.
@@ -111,7 +117,8 @@
     private final Map<String, Long> ownerRecordOffsets = new HashMap<>();
 
     private final AtomicReference<OwnerChange> ownerChange = new AtomicReference<>(OwnerChange.NONE);
-    private volatile Estimates estimates = Estimates.NONE;
+    private volatile Estimates learnt = Estimates.NONE;
+    private volatile Optional<Estimates> health = Optional.empty();
     private volatile Map<TaskRecord.WorkerIncarnation, Duration> silences = Map.of();
 
     JobReplica(TimeSource time) {
@@ -140,13 +147,20 @@
         return new StateStore.Entry(progress.id().value(), Optional.of(ProgressCodec.encode(progress)));
     }
 
-    static StateStore.Entry estimatesEntry(Estimates estimates) {
-        return new StateStore.Entry(ESTIMATES_KEY, Optional.of(EstimatesCodec.encode(estimates)));
+    static StateStore.Entry sensitivitiesEntry(List<Sensitivity> sensitivities) {
+        Estimates estimates = new Estimates(sensitivities, List.of(), List.of());
+        return new StateStore.Entry(SENSITIVITIES_KEY, Optional.of(EstimatesCodec.encode(estimates)));
+    }
+
+    /** Creates the entry of the estimates on workers and runs. */
+    static StateStore.Entry healthEntry(Estimates estimates) {
+        return new StateStore.Entry(HEALTH_KEY, Optional.of(EstimatesCodec.encode(estimates.withoutSensitivities())));
     }
 
     /** Returns the estimates that the latest owner has stored. */
     Estimates estimates() {
-        return estimates;
+        Estimates workers = health.orElse(learnt);
+        return new Estimates(learnt.sensitivities(), workers.health(), workers.stalledRuns());
     }
 
     static StateStore.Entry ownerEntry(OwnerRecord owner) {
@@ -411,7 +425,9 @@
             switch (key) {
                 case OWNER_KEY -> applyOwner(value);
                 case SILENCES_KEY -> silences = value.isPresent() ? StateCodec.decodeSilences(value.get()) : Map.of();
-                default -> estimates = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
+                case HEALTH_KEY ->
+                    health = value.isPresent() ? Optional.of(EstimatesCodec.decode(value.get())) : Optional.empty();
+                default -> learnt = value.isPresent() ? EstimatesCodec.decode(value.get()) : Estimates.NONE;
             }
         }
     }
--- a/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
@@ -149,14 +149,7 @@
                 SequencedWriter.halves(batch).forEach(this::writeBatch);
                 return;
             }
-            Events.warn(
-                    "entry-unstorable",
-                    "key",
-                    batch.getFirst().entry.key(),
-                    "bytes",
-                    batch.getFirst().bytes(),
-                    "cause",
-                    e.getMessage());
+            SequencedWriter.logUnstorable(batch.getFirst().entry, e);
             receipt = JobService.Receipt.UNSTORABLE;
         } catch (NotRunException e) {
             Events.warn("append-refused", "entries", batch.size(), "cause", e.getMessage());
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -14,6 +14,7 @@
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.chestnutbarrow.batch.BatchScheduler;
+import org.chestnutbarrow.batch.Estimates;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Plan;
@@ -69,6 +70,7 @@
     private final PlanRateLimiter planRateLimiter = new PlanRateLimiter();
 
     private final EstimateSchedule estimateSchedule;
+    private final SensitivityWriter sensitivityWriter;
 
     private final StartWindow startWindow;
     /** Accessed only by the thread that renews the membership. */
@@ -117,6 +119,7 @@
         this.links = new WorkerLinks(scheduler, leases, this::openLink, time, MAX_EXTENSION_WITHOUT_STORE);
         this.jobs = new TermJobs(token, scheduler, replica, metrics);
         this.endedJobCleaner = new EndedJobCleaner(store, replica, time, token);
+        this.sensitivityWriter = new SensitivityWriter(store, replica, token);
     }
 
     @Override
@@ -262,7 +265,11 @@
     /** Connects to the workers and starts to place tasks. */
     void start(ControlState control, Collection<WorkerRegistration> workers) {
         control.applyTo(scheduler);
-        scheduler.restore(replica.estimates());
+        Estimates estimates = replica.estimates();
+        scheduler.restore(estimates);
+        if (!estimates.health().isEmpty()) {
+            estimateSchedule.healthRestored();
+        }
         // Workers are contacted only after all jobs are loaded, because runs that belong to no known job are stopped.
         scheduler.updateWorkers(workers);
         // Registered before the scan so that no job read in the meantime is missed; adding a job twice has no effect.
@@ -273,6 +280,7 @@
         startThread("plans", this::planLoop);
         startThread("ended-jobs", () -> endedJobCleaner.run(active::get));
         startThread("confirmation", this::keepConfirmed);
+        startThread("sensitivities", () -> sensitivityWriter.run(active::get));
         StateAudit audit = new StateAudit(scheduler, replica, links::delivers, metrics, time);
         startThread("audit", () -> audit.run(active::get));
         startThread("lateness", this::measureThreadDelay);
@@ -395,9 +403,7 @@
         plan.quarantined().forEach(worker -> Events.info("worker-quarantined", "worker", worker));
         List<StateStore.Entry> entries = new ArrayList<>();
         plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
-        estimateSchedule
-                .due(!entries.isEmpty(), isClosing())
-                .ifPresent(estimates -> entries.add(JobReplica.estimatesEntry(estimates)));
+        estimateSchedule.dueHealth(isClosing()).ifPresent(estimates -> entries.add(JobReplica.healthEntry(estimates)));
         // While the store does not answer, a record would only keep workers that answer again from being extended.
         Optional<Map<TaskRecord.WorkerIncarnation, Duration>> silenceRecord =
                 storage.confirmationAge().compareTo(ANSWER_WINDOW) < 0 ? leases.dueRecord() : Optional.empty();
@@ -410,13 +416,6 @@
         switch (persist(entries)) {
             case TermStorage.TermEnded _ -> {}
             case TermStorage.Stored(Set<String> unstorable) -> {
-                Map<Boolean, List<JobProgress>> changes = plan.changes().stream()
-                        .collect(Collectors.partitioningBy(
-                                change -> unstorable.contains(change.id().value())));
-                if (!endUnstorable(changes.get(true))) {
-                    return;
-                }
-                jobs.changesStored(changes.get(false));
                 jobs.progressRemoved(progressRemovals.stream()
                         .filter(removal -> !unstorable.contains(removal.key()))
                         .toList());
@@ -426,14 +425,32 @@
                 ownerRecord
                         .filter(_ -> !unstorable.contains(JobReplica.OWNER_KEY))
                         .ifPresent(storage::recordStored);
-                links.acknowledge(plan.acknowledgements());
-                plan.orders()
-                        .forEach(order -> dispatch(
-                                order, unstorable.contains(order.task().job().value())));
+                carryOut(plan, unstorable);
             }
         }
     }
 
+    /**
+     * Sends what the stored changes of a plan allow. What the owner has learnt of images comes last and is stored by another
+     * thread: it only helps the next owner, and its size must not hold back an order or an acknowledgement.
+     *
+     * @param unstorable keys of the entries that the store refuses for good
+     */
+    private void carryOut(Plan plan, Set<String> unstorable) {
+        Map<Boolean, List<JobProgress>> changes = plan.changes().stream()
+                .collect(Collectors.partitioningBy(
+                        change -> unstorable.contains(change.id().value())));
+        if (!endUnstorable(changes.get(true))) {
+            return;
+        }
+        jobs.changesStored(changes.get(false));
+        links.acknowledge(plan.acknowledgements());
+        plan.orders()
+                .forEach(order ->
+                        dispatch(order, unstorable.contains(order.task().job().value())));
+        estimateSchedule.dueSensitivities(!plan.changes().isEmpty()).ifPresent(sensitivityWriter::submit);
+    }
+
     /**
      * Ends the jobs whose progress the store refuses for good, so that the ends of their runs can be acknowledged; returns
      * false if this term has ended.
--- a/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
@@ -117,6 +117,11 @@
         }
     }
 
+    /** Logs an entry that the store refuses for good. */
+    static void logUnstorable(StateStore.Entry entry, UnstorableException cause) {
+        Events.warn("entry-unstorable", "key", entry.key(), "bytes", sizeBytes(entry), "cause", cause.getMessage());
+    }
+
     private void logUnknown(List<StateStore.Entry> entries, OutcomeUnknownException cause) {
         Optional<StateStore.Entry> largest = entries.stream().max(Comparator.comparingInt(SequencedWriter::sizeBytes));
         Events.warn(
--- a/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
@@ -174,16 +174,8 @@
             return timedBatch(entries, active);
         } catch (UnstorableException e) {
             if (entries.size() == 1) {
-                StateStore.Entry entry = entries.getFirst();
-                Events.warn(
-                        "entry-unstorable",
-                        "key",
-                        entry.key(),
-                        "bytes",
-                        SequencedWriter.sizeBytes(entry),
-                        "cause",
-                        e.getMessage());
-                unstorable.add(entry.key());
+                SequencedWriter.logUnstorable(entries.getFirst(), e);
+                unstorable.add(entries.getFirst().key());
                 return true;
             }
         }
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -15,10 +15,13 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
+import org.chestnutbarrow.batch.Estimates;
+import org.chestnutbarrow.batch.HealthRecord;
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.Queue;
+import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.batch.Step;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.JobId;
@@ -369,4 +372,22 @@
         replica.applyStored(List.of(progress("a", JobState.COMPLETED)), 5);
         assertEquals(replica.find(id).orElseThrow().state(), JobState.COMPLETED);
     }
+
+    /** Guards against evidence on workers that is lost when a node of an earlier build hands over to one of this build. */
+    @Test
+    public void healthIsReadFromTheRecordsOfEarlierBuilds() {
+        Sensitivity sensitivity = new Sensitivity("a", "b", 1, 1);
+        HealthRecord earlier = new HealthRecord(
+                new TaskRecord.WorkerIncarnation(new WorkerId("w"), 1),
+                List.of(),
+                Optional.empty(),
+                Duration.ofSeconds(8));
+        JobReplica replica = new JobReplica(new OffsetClock());
+        Estimates all = new Estimates(List.of(sensitivity), List.of(earlier), List.of());
+        replica.applyStored(List.of(new StateStore.Entry("learned/", Optional.of(EstimatesCodec.encode(all)))), 0);
+        assertEquals(replica.estimates(), all);
+        HealthRecord later = earlier.with(0, true);
+        replica.applyStored(List.of(JobReplica.healthEntry(new Estimates(List.of(), List.of(later), List.of()))), 1);
+        assertEquals(replica.estimates(), new Estimates(List.of(sensitivity), List.of(later), List.of()));
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/UnstorableProgressTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/UnstorableRecordsTest.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,20 +15,18 @@
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
-import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Queue;
 import org.chestnutbarrow.batch.Step;
 import org.chestnutbarrow.batch.TaskName;
 import org.chestnutbarrow.batch.TaskRecord;
-import org.chestnutbarrow.batch.WorkerRegistration;
-import org.chestnutbarrow.batch.WorkerReport;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.Resources;
 import org.chestnutbarrow.model.WorkerId;
 import org.testng.annotations.Test;
 
-/** Tests an owner whose store refuses the progress of a job for good. */
-public class UnstorableProgressTest {
+/** Tests what an owner does while a record cannot be stored, for good or for the moment. */
+public class UnstorableRecordsTest {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
     private static final int TASKS = 200;
     /** Less than the progress of a job with {@link #TASKS} workers takes, and more than that of one with a worker. */
     private static final int MAX_RECORD_BYTES = 1000;
@@ -54,6 +51,22 @@
         return new JobProgress(job.id(), JobState.RUNNING, Instant.EPOCH, List.of(tasks));
     }
 
+    private OwnershipTerm term(StateStore store, WorkerPort port, JobReplica replica) {
+        OwnershipTerm term = new OwnershipTerm(
+                7,
+                store,
+                port,
+                replica,
+                new PermissionTime(clock),
+                new NodeSettings(
+                        "node", new NodeCapacity(0, 0), Optional.empty(), Duration.ofSeconds(1), Duration.ofSeconds(6)),
+                RelayNetwork.NONE,
+                new NodeMetrics(() -> true, () -> Duration.ZERO),
+                () -> Duration.ZERO);
+        term.start(new ControlState(1, Map.of(), Set.of()), List.of(TestWorkers.worker("w")));
+        return term;
+    }
+
     /**
      * Guards against an owner that hangs as long as the progress of one job cannot be stored: it must go on to stop the
      * runs of other cancelled jobs, and the end of the job must be stored.
@@ -75,60 +88,38 @@
                 0);
         FakeStore store = new FakeStore();
         store.maxRecordBytes(MAX_RECORD_BYTES);
-        ListingWorker worker = new ListingWorker(new TaskName(other.id(), 0, 0));
-        OwnershipTerm term = new OwnershipTerm(
-                7,
-                store,
-                worker,
-                replica,
-                new PermissionTime(clock),
-                new NodeSettings(
-                        "node", new NodeCapacity(0, 0), Optional.empty(), Duration.ofSeconds(1), Duration.ofSeconds(6)),
-                RelayNetwork.NONE,
-                new NodeMetrics(() -> true, () -> Duration.ZERO),
-                () -> Duration.ZERO);
-        term.start(new ControlState(1, Map.of(), Set.of()), List.of(TestWorkers.worker("w")));
+        StoppableWorker worker = new StoppableWorker(new TaskName(other.id(), 0, 0));
+        OwnershipTerm term = term(store, worker, replica);
         replica.applyCancellation(wide.id());
         Thread.sleep(600);
         assertTrue(store.unstorableAppends() > 0, "the progress was not refused");
         replica.applyCancellation(other.id());
-        assertTrue(worker.stopped.await(5, TimeUnit.SECONDS), "the run of the other job is not stopped");
+        assertTrue(worker.awaitStopped(TIMEOUT), "the run of the other job is not stopped");
         assertTrue(term.active());
         assertEquals(replica.find(wide.id()).orElseThrow().state(), JobState.CANCELLED);
         term.end();
     }
 
-    /** A worker that lists one run until it is told to stop it. Thread-safe. */
-    private static final class ListingWorker implements WorkerPort {
-        final CountDownLatch stopped = new CountDownLatch(1);
-        private final TaskName task;
-
-        ListingWorker(TaskName task) {
-            this.task = task;
-        }
-
-        @Override
-        public Answer send(WorkerRegistration worker, Order order, long token, long leaseUntilMs, Duration timeout) {
-            if (order instanceof Order.Stop && order.task().equals(task)) {
-                stopped.countDown();
-            }
-            return new Done(1000);
-        }
-
-        @Override
-        public Answer hold(
-                WorkerRegistration worker,
-                long token,
-                long leaseUntilMs,
-                long acknowledged,
-                Duration wait,
-                Duration timeout) {
-            Threads.sleep(Duration.ofMillis(20));
-            List<WorkerReport.Running> runs = new ArrayList<>();
-            if (stopped.getCount() > 0) {
-                runs.add(new WorkerReport.Running(task, 1, 50, 0));
-            }
-            return new StatusReport(new WorkerReport(worker.id(), worker.incarnation(), runs, List.of()), 1000);
-        }
+    /**
+     * Guards against stops and acknowledgements that wait until estimates are stored, which only the next owner uses.
+     */
+    @Test
+    public void estimatesDoNotHoldBackStopsAndAcknowledgements() throws InterruptedException {
+        JobSpec job = job("job", 1);
+        JobReplica replica = new JobReplica(clock);
+        replica.applyJob(job);
+        replica.applyStored(List.of(JobReplica.progressEntry(running(job, List.of(runOn(INCARNATION))))), 0);
+        NodeStore store = new NodeStore(new FakeStore());
+        CountDownLatch released = new CountDownLatch(1);
+        CountDownLatch estimatesAppended = store.answerLate(entry -> entry.key().equals("learned/"), released);
+        StoppableWorker worker = new StoppableWorker(new TaskName(job.id(), 0, 0));
+        OwnershipTerm term = term(store, worker, replica);
+        replica.applyCancellation(job.id());
+        assertTrue(estimatesAppended.await(TIMEOUT.toMillis(), TimeUnit.MILLISECONDS), "no estimates are stored");
+        assertTrue(worker.awaitStopped(TIMEOUT), "the run is not stopped");
+        assertTrue(worker.awaitAcknowledged(TIMEOUT), "its end is not acknowledged");
+        assertEquals(released.getCount(), 1);
+        released.countDown();
+        term.end();
     }
 }
