Bound what is learnt of images and what is stored of it

Cause: InterferenceWeights kept each image that ever ran beside a latency-critical one, and InterferenceModel each latency-critical image. The covariances grow with the square of the images, and each report of a latency-critical task costs that square under the lock of the scheduler. learned/ was one record of all pairs.

Change: 64 latency-critical images are kept, and for each the weights of 64 best-effort images. For a new one the image observed longest ago is forgotten, if that was over 10 s ago; otherwise the new one keeps the default weight. What an owner restores stays within the same bounds, also from records of earlier builds. Pairs are stored in the order of their last observation, as far as they fit into 64 KiB.

What forgetting costs: an image that comes back starts with the default weight.

--- a/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/BatchScheduler.java
@@ -83,7 +83,7 @@
 
     /** Restores the estimates that an earlier owner stored. Called before jobs and workers are added. */
     public synchronized void restore(Estimates estimates) {
-        interferenceModel.restore(estimates.sensitivities());
+        interferenceModel.restore(estimates.sensitivities(), time.nanos());
         registry.restoreHealth(estimates.health());
         stalledRuns.restore(estimates.stalledRuns());
     }
--- a/batch/src/main/java/org/chestnutbarrow/batch/InterferenceModel.java
+++ b/batch/src/main/java/org/chestnutbarrow/batch/InterferenceModel.java
@@ -14,6 +14,9 @@
  * The tail latency of a queue is inversely proportional to the idle fraction of its server, so headroom falls linearly
  * with the load of the task and with the CPU use of each best-effort image: {@code headroom = baseline - sum(weight *
  * use)}. A Kalman filter estimates the baseline of each task and the weight of each pair of images from the reports.
+ *
+ * <p>Invariant: weights are kept for at most {@link #MAX_LATENCY_CRITICAL_IMAGES} latency-critical images, so that memory
+ * stays bounded although images change with each version of a program.
  */
 final class InterferenceModel {
     /** Variance of the headroom in one report, which is an average over 0.5 s. */
@@ -40,8 +43,14 @@
      */
     private static final double TYPICAL_HEADROOM_RATE = 0.01;
 
-    /** Weights by the image of the latency-critical tasks. */
-    private final Map<String, InterferenceWeights> weightsByImage = new HashMap<>();
+    /** The weights of this many images take 2 MB. */
+    static final int MAX_LATENCY_CRITICAL_IMAGES = 64;
+
+    /** Weights by the image of the latency-critical tasks, and when the image last reported. */
+    private record Learnt(InterferenceWeights weights, long reportedAt) {}
+
+    /** What was learnt, by the image of the latency-critical tasks. */
+    private final Map<String, Learnt> learntByImage = new HashMap<>();
 
     private double typicalHeadroom = INITIAL_TYPICAL_HEADROOM;
     /** Reports of latency-critical tasks that the estimates were updated from. */
@@ -64,31 +73,45 @@
 
     /** Returns the strongest weight of a best-effort image on the latency-critical images that have reported. */
     double maxWeight(String bestEffortImage) {
-        return weightsByImage.values().stream()
-                .mapToDouble(weights -> weights.weightOf(bestEffortImage))
+        return learntByImage.values().stream()
+                .mapToDouble(learnt -> learnt.weights().weightOf(bestEffortImage))
                 .max()
                 .orElse(InterferenceWeights.DEFAULT_WEIGHT);
     }
 
     private double weight(String bestEffortImage, String latencyCriticalImage) {
-        InterferenceWeights weights = weightsByImage.get(latencyCriticalImage);
-        return weights == null ? InterferenceWeights.DEFAULT_WEIGHT : weights.weightOf(bestEffortImage);
+        Learnt learnt = learntByImage.get(latencyCriticalImage);
+        return learnt == null
+                ? InterferenceWeights.DEFAULT_WEIGHT
+                : learnt.weights().weightOf(bestEffortImage);
     }
 
-    /** Returns the current estimates. */
+    /** Returns the current estimates, those of the pairs that were observed last first. */
     List<Sensitivity> sensitivities() {
-        List<Sensitivity> result = new ArrayList<>();
-        weightsByImage.forEach(
-                (latencyCriticalImage, weights) -> result.addAll(weights.sensitivities(latencyCriticalImage)));
-        return result;
+        List<InterferenceWeights.Observed> observed = new ArrayList<>();
+        learntByImage.forEach(
+                (image, learnt) -> observed.addAll(learnt.weights().sensitivities(image)));
+        return observed.stream()
+                .sorted((a, b) -> Long.signum(b.at() - a.at()))
+                .map(InterferenceWeights.Observed::sensitivity)
+                .toList();
     }
 
-    /** Restores the estimates that an earlier owner stored. */
-    void restore(List<Sensitivity> sensitivities) {
+    /**
+     * Restores the estimates that an earlier owner stored, as far as there is room. They may be forgotten for the first
+     * images that are observed.
+     */
+    void restore(List<Sensitivity> sensitivities, long now) {
+        long at = now - InterferenceWeights.MIN_RETENTION.toNanos();
         for (Sensitivity sensitivity : sensitivities) {
-            weightsByImage
-                    .computeIfAbsent(sensitivity.latencyCriticalImage(), _ -> new InterferenceWeights())
-                    .restore(sensitivity);
+            String image = sensitivity.latencyCriticalImage();
+            if (!learntByImage.containsKey(image)) {
+                if (learntByImage.size() >= MAX_LATENCY_CRITICAL_IMAGES || !InterferenceWeights.mayTrack(image)) {
+                    continue;
+                }
+                learntByImage.put(image, new Learnt(new InterferenceWeights(), at));
+            }
+            learntByImage.get(image).weights().restore(sensitivity, at);
         }
     }
 
@@ -102,13 +125,37 @@
         Map<String, Double> useByImage = node.bestEffortUseByImage();
         for (TaskEntry task : node.tasks) {
             if (task.confirmed && task.loadMetric > 0 && task.isLatencyCritical() && task.progressPercent >= 100) {
-                updateEstimates(task, useByImage, seconds);
+                updateEstimates(task, useByImage, seconds, now);
             }
         }
         node.baselinesChanged();
     }
 
-    private void updateEstimates(TaskEntry task, Map<String, Double> useByImage, double seconds) {
+    /**
+     * Returns the weights of a latency-critical image that reports now. If there is no room for a new one, the image that
+     * reported longest ago is forgotten; if all have reported lately, what is learnt from this report is not kept.
+     */
+    private InterferenceWeights weightsFor(String image, long now) {
+        Learnt known = learntByImage.get(image);
+        InterferenceWeights weights = known == null ? new InterferenceWeights() : known.weights();
+        if (known == null && !InterferenceWeights.mayTrack(image)) {
+            return weights;
+        }
+        if (known == null && learntByImage.size() >= MAX_LATENCY_CRITICAL_IMAGES) {
+            Map.Entry<String, Learnt> oldest = learntByImage.entrySet().stream()
+                    .min((a, b) ->
+                            Long.signum(a.getValue().reportedAt() - b.getValue().reportedAt()))
+                    .orElseThrow();
+            if (now - oldest.getValue().reportedAt() < InterferenceWeights.MIN_RETENTION.toNanos()) {
+                return weights;
+            }
+            learntByImage.remove(oldest.getKey());
+        }
+        learntByImage.put(image, new Learnt(weights, now));
+        return weights;
+    }
+
+    private void updateEstimates(TaskEntry task, Map<String, Double> useByImage, double seconds, long now) {
         learntReports++;
         learntReportsBesideBestEffort += useByImage.isEmpty() ? 0 : 1;
         BaselineHeadroom baseline = task.baseline;
@@ -117,9 +164,8 @@
         if (useByImage.isEmpty()) {
             typicalHeadroom += TYPICAL_HEADROOM_RATE * (headroom - typicalHeadroom);
         }
-        InterferenceWeights weights =
-                weightsByImage.computeIfAbsent(task.step.behaviour().image(), _ -> new InterferenceWeights());
-        double[] use = weights.useVector(useByImage);
+        InterferenceWeights weights = weightsFor(task.step.behaviour().image(), now);
+        InterferenceWeights.Use use = weights.use(useByImage, now);
         weights.addProcessNoise(use, seconds);
         // Single reports are noisy, so the error is clamped to one standard deviation.
         double variance = weights.headroomLossVariance(use) + baseline.variance() + REPORT_VARIANCE;
--- a/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -28,8 +29,44 @@
     /** Encodes that there is no quarantine. */
     private static final long NOT_QUARANTINED = 0;
 
+    /**
+     * Maximum size of encoded sensitivities, which an owner stores every 2 s and each node reads: an eighth of the
+     * slowest supported link. Some 260 pairs of images whose names have a digest fit, or 1,300 with names of ten characters.
+     */
+    static final int MAX_SENSITIVITY_BYTES = 64 * 1024;
+
+    /** Maximum size of the head of a string and of a number. */
+    private static final int MAX_STRING_HEAD_BYTES = 5;
+
+    private static final int MAX_NUMBER_BYTES = 9;
+
     private EstimatesCodec() {}
 
+    /** Encodes as many sensitivities as fit into {@link #MAX_SENSITIVITY_BYTES}; the first ones are the most useful. */
+    static byte[] encodeFirst(List<Sensitivity> sensitivities) {
+        // The format number and the number of sensitivities.
+        int bytes = 2 * MAX_STRING_HEAD_BYTES;
+        int count = 0;
+        while (count < sensitivities.size()) {
+            bytes += maxBytes(sensitivities.get(count));
+            if (bytes > MAX_SENSITIVITY_BYTES) {
+                break;
+            }
+            count++;
+        }
+        return encode(new Estimates(sensitivities.subList(0, count), List.of(), List.of()));
+    }
+
+    private static int maxBytes(Sensitivity sensitivity) {
+        return maxBytes(sensitivity.bestEffortImage())
+                + maxBytes(sensitivity.latencyCriticalImage())
+                + 2 * MAX_NUMBER_BYTES;
+    }
+
+    private static int maxBytes(String text) {
+        return MAX_STRING_HEAD_BYTES + text.getBytes(StandardCharsets.UTF_8).length;
+    }
+
     static byte[] encode(Estimates estimates) {
         return StateCodec.encodeRecord(packer -> {
             packer.packArrayHeader(estimates.sensitivities().size());
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -148,8 +148,7 @@
     }
 
     static StateStore.Entry sensitivitiesEntry(List<Sensitivity> sensitivities) {
-        Estimates estimates = new Estimates(sensitivities, List.of(), List.of());
-        return new StateStore.Entry(SENSITIVITIES_KEY, Optional.of(EstimatesCodec.encode(estimates)));
+        return new StateStore.Entry(SENSITIVITIES_KEY, Optional.of(EstimatesCodec.encodeFirst(sensitivities)));
     }
 
     /** Creates the entry of the estimates on workers and runs. */
--- a/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Random;
+import java.util.stream.IntStream;
 import org.chestnutbarrow.batch.Estimates;
 import org.chestnutbarrow.batch.HealthRecord;
 import org.chestnutbarrow.batch.Sensitivity;
@@ -98,4 +99,19 @@
             }
         }
     }
+
+    /** Guards against a record that grows with the number and the names of the images until the store refuses it. */
+    @Test
+    public void encodedSensitivitiesAreBounded() throws InvalidInputException {
+        for (int nameLength : new int[] {1, 100, 30_000, 300_000}) {
+            List<Sensitivity> sensitivities = IntStream.range(0, 5000)
+                    .mapToObj(i -> new Sensitivity("\u00e4".repeat(nameLength), "image-" + i, i, 1))
+                    .toList();
+            byte[] record = EstimatesCodec.encodeFirst(sensitivities);
+            assertTrue(record.length <= EstimatesCodec.MAX_SENSITIVITY_BYTES, record.length + " bytes");
+            List<Sensitivity> read = EstimatesCodec.decode(record).sensitivities();
+            assertEquals(read, sensitivities.subList(0, read.size()));
+            assertEquals(read.isEmpty(), nameLength > 32_000, read.size() + " of length " + nameLength);
+        }
+    }
 }
