Keep what is stored within the limits of the store

Seen by callers: at a site whose store accepts less than 262,144 bytes in a record, or with enough workers or long checkpoints, an append would be refused each time. Read, and shown by tests only: no deployment of ours has such limits or sizes.

Cause: record_bytes and request_bytes stand in the settings under platform and no code read them; JobWriter and SequencedWriter had constants that fit the usual ones. Sizes were counted in characters without the framing. Nothing bounded the progress of a job (checkpoints are strings of any length), the record of silent workers and the last record of an owner.

Sizes are those the store counts. The progress of a job is stored without times of waiting, and then without long checkpoints, if it is too large otherwise. The two records of an owner leave out those workers that it costs least to leave out: an unknown silence or lease only makes the next owner wait longer.

FakeStore now enforces the usual limits, so SequencedWriterTest#timeoutAllowsForBatchSize, which appends a record of 256 KiB, sets larger ones.

--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -144,7 +144,13 @@
     }
 
     static StateStore.Entry progressEntry(JobProgress progress) {
-        return new StateStore.Entry(progress.id().value(), Optional.of(ProgressCodec.encode(progress)));
+        return progressEntry(progress, StateStore.Limits.DEFAULT);
+    }
+
+    /** Creates the entry of the progress of a job, which is shortened if the store does not accept it in full. */
+    static StateStore.Entry progressEntry(JobProgress progress, StateStore.Limits limits) {
+        String key = progress.id().value();
+        return new StateStore.Entry(key, Optional.of(ProgressCodec.encode(progress, limits.maxValueBytes(key))));
     }
 
     static StateStore.Entry sensitivitiesEntry(List<Sensitivity> sensitivities) {
--- a/node/src/main/java/org/chestnutbarrow/node/JobService.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobService.java
@@ -12,7 +12,10 @@
  * timeout.
  */
 public interface JobService {
-    /** Size of the largest entry of a job that is stored; a larger job is refused with {@link Receipt#TOO_LARGE}. */
+    /**
+     * Size of the largest record of a job that is stored, if the store accepts as much; a larger job is refused with
+     * {@link Receipt#TOO_LARGE}.
+     */
     int MAX_JOB_BYTES = JobWriter.MAX_ENTRY_BYTES;
 
     /** Outcome of a submission or a cancellation. */
--- a/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobWriter.java
@@ -24,12 +24,9 @@
  * earlier attempt has an unknown outcome.
  */
 final class JobWriter {
-    /** Keeps one append well below the store's limit of 2 MiB. */
+    /** Bounds how long the first entries of an append wait for its answer. */
     private static final int MAX_BATCH_ENTRIES = 100;
-    /**
-     * Maximum size of an entry, below the store's limit for a record. The store refuses a larger one each time, and the
-     * writer would repeat it forever.
-     */
+    /** Maximum size of the record of an entry if the store accepts as much. */
     static final int MAX_ENTRY_BYTES = 250 * 1024;
 
     /**
@@ -72,6 +69,13 @@
         this.writer = new SequencedWriter(store, StateStore.Topic.JOBS, name, epoch);
     }
 
+    /** Returns whether an entry is small enough to be appended. */
+    boolean accepts(StateStore.Entry entry) {
+        int valueBytes = entry.value().map(value -> value.length).orElse(0);
+        return entry.recordBytes() <= MAX_ENTRY_BYTES
+                && valueBytes <= store.limits().maxValueBytes(entry.key());
+    }
+
     /** Appends an entry and waits up to {@code timeout} for the outcome. */
     JobService.Receipt append(StateStore.Entry entry, Duration timeout) {
         PendingEntry pending = new PendingEntry(entry, time.nanos());
@@ -115,7 +119,7 @@
             int bytes = 0;
             while (!queue.isEmpty() && batch.size() < MAX_BATCH_ENTRIES) {
                 bytes += queue.peekFirst().bytes();
-                if (!batch.isEmpty() && bytes > SequencedWriter.MAX_CHUNK_BYTES) {
+                if (!batch.isEmpty() && bytes > writer.maxChunkBytes()) {
                     break;
                 }
                 batch.add(queue.removeFirst());
--- a/node/src/main/java/org/chestnutbarrow/node/LeaseTracker.java
+++ b/node/src/main/java/org/chestnutbarrow/node/LeaseTracker.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -41,6 +42,7 @@
     private final TimeSource time;
     private final Duration maxSilence;
     private final Duration maxLease;
+    private final int maxRecordBytes;
     private final Map<WorkerIncarnation, State> states = new HashMap<>();
     /** Until when calls meant for earlier incarnations may have granted leases, ns; only for incarnations replaced here. */
     private final Map<WorkerIncarnation, Long> misdirectedLeasesUntil = new HashMap<>();
@@ -89,8 +91,10 @@
      *
      * @param maxSilence duration of silence after which no lease that an owner requested can still be valid
      * @param maxLease longest lease that a worker grants
+     * @param maxRecordBytes size of the largest record of silences that can be stored
      */
-    LeaseTracker(TimeSource time, Duration maxSilence, Duration maxLease) {
+    LeaseTracker(TimeSource time, Duration maxSilence, Duration maxLease, int maxRecordBytes) {
+        this.maxRecordBytes = maxRecordBytes;
         this.time = time;
         this.maxSilence = maxSilence;
         this.maxLease = maxLease;
@@ -275,22 +279,25 @@
     /**
      * Returns the record of silences to be stored now; empty if the one in the store is recent enough. From now on the
      * leases of the incarnations in it are not extended. The silence of one whose leases were extended lately may be
-     * negative.
+     * negative. If not all fit into a record, those whose leases are over first are recorded, and the others are not held
+     * back.
      */
     synchronized Optional<Map<WorkerIncarnation, Duration>> dueRecord() {
         long now = time.nanos();
-        Map<WorkerIncarnation, Duration> record = new HashMap<>();
-        boolean silentUnstored = false;
+        Map<WorkerIncarnation, Duration> silences = new HashMap<>();
         for (Map.Entry<WorkerIncarnation, State> entry : states.entrySet()) {
             if (!isToBeRecorded(entry.getKey(), entry.getValue(), now)) {
                 continue;
             }
             Optional<Duration> remaining = remaining(entry.getValue(), now);
             if (remaining.isPresent()) {
-                record.put(entry.getKey(), maxSilence.minus(remaining.get()));
-                silentUnstored |= entry.getValue() instanceof Silent && !stored.contains(entry.getKey());
+                silences.put(entry.getKey(), maxSilence.minus(remaining.get()));
             }
         }
+        Map<WorkerIncarnation, Duration> record =
+                StateCodec.fitting(silences, Comparator.reverseOrder(), 0, maxRecordBytes);
+        boolean silentUnstored = record.keySet().stream()
+                .anyMatch(incarnation -> states.get(incarnation) instanceof Silent && !stored.contains(incarnation));
         boolean withdraw = !record.keySet().containsAll(recorded);
         boolean refresh = !record.isEmpty()
                 && storedAt.map(at -> now - at > STORE_INTERVAL.toNanos()).orElse(true);
--- a/node/src/main/java/org/chestnutbarrow/node/Node.java
+++ b/node/src/main/java/org/chestnutbarrow/node/Node.java
@@ -388,9 +388,7 @@
         }
         long start = time.nanos();
         StateStore.Entry entry = JobReplica.jobEntry(job);
-        Receipt receipt = SequencedWriter.sizeBytes(entry) > JobWriter.MAX_ENTRY_BYTES
-                ? Receipt.TOO_LARGE
-                : writer.append(entry, timeout);
+        Receipt receipt = writer.accepts(entry) ? writer.append(entry, timeout) : Receipt.TOO_LARGE;
         if (receipt == Receipt.STORED) {
             replica.applyJob(job);
         }
--- a/node/src/main/java/org/chestnutbarrow/node/OwnerRecord.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnerRecord.java
@@ -1,6 +1,7 @@
 package org.chestnutbarrow.node;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.Map;
 import org.chestnutbarrow.batch.TaskRecord.WorkerIncarnation;
 
@@ -28,6 +29,19 @@
         this(member, token, "");
     }
 
+    /**
+     * Returns this record without the longest remaining leases, as far as that is needed for a size of {@code maxBytes}. The
+     * next owner assumes the longest possible lease for incarnations that it lacks.
+     */
+    OwnerRecord fitting(int maxBytes) {
+        int otherBytes = StateCodec.encode(new OwnerRecord(member, token, relayKey)).length;
+        return new OwnerRecord(
+                member,
+                token,
+                relayKey,
+                StateCodec.fitting(remainingLeases, Comparator.naturalOrder(), otherBytes, maxBytes));
+    }
+
     /** Returns the record that an owner stores last. */
     OwnerRecord closed(Map<WorkerIncarnation, Duration> remaining) {
         return new OwnerRecord(member, token, relayKey, remaining);
--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -53,6 +53,7 @@
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration maxLease;
+    private final StateStore.Limits storeLimits;
     private final HoldControl holds;
     private final NodeMetrics metrics;
     private final InputAge inputAge;
@@ -115,7 +116,8 @@
         this.startWindow = new StartWindow(time);
         Duration maxSilence =
                 ANSWER_WINDOW.plus(MAX_OWNER_PAUSE).plus(LeaseTimes.upperBound(LeaseTimes.requested(maxLease)));
-        this.leases = new LeaseTracker(time, maxSilence, maxLease);
+        this.storeLimits = store.limits();
+        this.leases = new LeaseTracker(time, maxSilence, maxLease, storeLimits.maxValueBytes(JobReplica.SILENCES_KEY));
         this.links = new WorkerLinks(scheduler, leases, this::openLink, time, MAX_EXTENSION_WITHOUT_STORE);
         this.jobs = new TermJobs(token, scheduler, replica, metrics);
         this.endedJobCleaner = new EndedJobCleaner(store, replica, time, token);
@@ -402,7 +404,7 @@
         plan.ineffectiveEnd().ifPresent(OrderEvents::log);
         plan.quarantined().forEach(worker -> Events.info("worker-quarantined", "worker", worker));
         List<StateStore.Entry> entries = new ArrayList<>();
-        plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change)));
+        plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change, storeLimits)));
         estimateSchedule.dueHealth(isClosing()).ifPresent(estimates -> entries.add(JobReplica.healthEntry(estimates)));
         // While the store does not answer, a record would only keep workers that answer again from being extended.
         Optional<Map<TaskRecord.WorkerIncarnation, Duration>> silenceRecord =
--- a/node/src/main/java/org/chestnutbarrow/node/ProgressCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/ProgressCodec.java
@@ -12,6 +12,7 @@
 import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.TaskRecord;
+import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.InvalidInputException;
 import org.chestnutbarrow.model.JobId;
 import org.chestnutbarrow.model.WorkerId;
@@ -45,9 +46,57 @@
     private static final int FLAG_HEX_CHECKPOINT = 1 << 5;
 
     private static final int HEX_DIGITS = 16;
+    /** Limits on checkpoints that are tried in turn until a record is small enough. */
+    private static final int[] MAX_CHECKPOINT_LENGTHS = {Integer.MAX_VALUE, 1024, 256, 64, HEX_DIGITS, 0};
 
     private ProgressCodec() {}
 
+    /**
+     * Encodes progress in at most {@code maxBytes} if possible: without the times of waiting, which are estimates, and then
+     * without long checkpoints, so that the next owner starts these tasks from the beginning.
+     */
+    static byte[] encode(JobProgress progress, int maxBytes) {
+        byte[] full = encode(progress);
+        if (full.length <= maxBytes) {
+            return full;
+        }
+        for (int maxCheckpointLength : MAX_CHECKPOINT_LENGTHS) {
+            byte[] shortened = encode(shortened(progress, maxCheckpointLength));
+            if (shortened.length <= maxBytes) {
+                Events.warn(
+                        "progress-shortened",
+                        "job",
+                        progress.id(),
+                        "bytes",
+                        full.length,
+                        "limit",
+                        maxBytes,
+                        "maxCheckpointLength",
+                        maxCheckpointLength);
+                return shortened;
+            }
+        }
+        return full;
+    }
+
+    /** Omits the times of waiting and the checkpoints with more characters than {@code maxCheckpointLength}. */
+    private static JobProgress shortened(JobProgress progress, int maxCheckpointLength) {
+        return new JobProgress(
+                progress.id(),
+                progress.state(),
+                progress.changedAt(),
+                progress.steps().stream()
+                        .map(tasks -> tasks.stream()
+                                .map(task -> shortened(task, maxCheckpointLength))
+                                .toList())
+                        .toList());
+    }
+
+    private static TaskRecord shortened(TaskRecord task, int maxCheckpointLength) {
+        String checkpoint = task.checkpoint().length() <= maxCheckpointLength ? task.checkpoint() : "";
+        return new TaskRecord(task.done(), task.run(), task.failures(), checkpoint, task.placedOn());
+    }
+
     static byte[] encode(JobProgress progress) {
         return StateCodec.encodeRecord(CURRENT_FORMAT, packer -> {
             packer.packInt(STATES.indexOf(progress.state()));
--- a/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/SequencedWriter.java
@@ -17,7 +17,10 @@
  * being stored twice. Not thread-safe; confined to one thread at a time.
  */
 final class SequencedWriter {
-    /** Maximum size of a chunk; one append of this size takes about 1 s on the slowest supported link. */
+    /**
+     * Maximum size of a chunk if the store accepts as much; one append of this size takes about 1 s on the slowest
+     * supported link.
+     */
     static final int MAX_CHUNK_BYTES = 256 * 1024;
 
     /** An append takes about 6 ms, and 60 times as long when the store is slow. */
@@ -41,16 +44,16 @@
     }
 
     /**
-     * Splits entries, in order, into chunks of at most {@link #MAX_CHUNK_BYTES}; a larger entry is a chunk of its
-     * own.
+     * Splits entries, in order, into chunks of at most {@link #maxChunkBytes}; a larger entry is a chunk of its own.
      */
-    static List<List<StateStore.Entry>> chunks(List<StateStore.Entry> entries) {
+    List<List<StateStore.Entry>> chunks(List<StateStore.Entry> entries) {
+        int maxBytes = maxChunkBytes();
         List<List<StateStore.Entry>> chunks = new ArrayList<>();
         int begin = 0;
         int chunkBytes = 0;
         for (int i = 0; i < entries.size(); i++) {
             int entryBytes = sizeBytes(entries.get(i));
-            if (i > begin && chunkBytes + entryBytes > MAX_CHUNK_BYTES) {
+            if (i > begin && chunkBytes + entryBytes > maxBytes) {
                 chunks.add(entries.subList(begin, i));
                 begin = i;
                 chunkBytes = 0;
@@ -63,14 +66,20 @@
         return chunks;
     }
 
+    /** Returns the largest size of entries that are appended together. */
+    int maxChunkBytes() {
+        return Math.min(MAX_CHUNK_BYTES, store.limits().requestBytes());
+    }
+
     /** Splits a batch of several entries that the store refuses for good, to find the entry that it refuses. */
     static <T> List<List<T>> halves(List<T> entries) {
         int middle = entries.size() / 2;
         return List.of(entries.subList(0, middle), entries.subList(middle, entries.size()));
     }
 
+    /** Returns the size of an entry in an append. */
     static int sizeBytes(StateStore.Entry entry) {
-        return entry.key().length() + entry.value().map(value -> value.length).orElse(0);
+        return StateStore.Limits.FRAME_BYTES + entry.recordBytes();
     }
 
     private static int sizeBytes(List<StateStore.Entry> entries) {
@@ -119,7 +128,7 @@
 
     /** Logs an entry that the store refuses for good. */
     static void logUnstorable(StateStore.Entry entry, UnstorableException cause) {
-        Events.warn("entry-unstorable", "key", entry.key(), "bytes", sizeBytes(entry), "cause", cause.getMessage());
+        Events.warn("entry-unstorable", "key", entry.key(), "bytes", entry.recordBytes(), "cause", cause.getMessage());
     }
 
     private void logUnknown(List<StateStore.Entry> entries, OutcomeUnknownException cause) {
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,6 +30,13 @@
     private static final long NANOS_PER_MS = 1_000_000;
     private static final String REMEDY = "upgrade this node: the record was written by another version of the program";
 
+    /** Largest size of the format number and the head of an array. */
+    private static final int MAX_HEAD_BYTES = 10;
+    /** Size of the head of a string of up to 255 bytes. */
+    private static final int MAX_ID_HEAD_BYTES = 2;
+
+    private static final int MAX_NUMBER_BYTES = 9;
+
     private StateCodec() {}
 
     /** Writes the fields after the format number. */
@@ -152,6 +160,41 @@
         return encodeRecord(packer -> writeDurations(packer, silences, silence -> silence));
     }
 
+    /**
+     * Returns the first of some durations, in an order, that fit into a record of {@code maxBytes} beside {@code
+     * otherBytes} of other fields.
+     */
+    static Map<TaskRecord.WorkerIncarnation, Duration> fitting(
+            Map<TaskRecord.WorkerIncarnation, Duration> durations,
+            Comparator<Duration> order,
+            int otherBytes,
+            int maxBytes) {
+        long bytes = MAX_HEAD_BYTES + otherBytes;
+        for (TaskRecord.WorkerIncarnation incarnation : durations.keySet()) {
+            bytes += maxBytes(incarnation);
+        }
+        if (bytes <= maxBytes) {
+            return durations;
+        }
+        Map<TaskRecord.WorkerIncarnation, Duration> result = new HashMap<>();
+        bytes = MAX_HEAD_BYTES + otherBytes;
+        for (Map.Entry<TaskRecord.WorkerIncarnation, Duration> entry : durations.entrySet().stream()
+                .sorted(Map.Entry.comparingByValue(order))
+                .toList()) {
+            bytes += maxBytes(entry.getKey());
+            if (bytes > maxBytes) {
+                break;
+            }
+            result.put(entry.getKey(), entry.getValue());
+        }
+        return result;
+    }
+
+    /** Returns the largest size of an incarnation, whose id is in ASCII, with its duration. */
+    private static int maxBytes(TaskRecord.WorkerIncarnation incarnation) {
+        return MAX_ID_HEAD_BYTES + incarnation.worker().value().length() + 2 * MAX_NUMBER_BYTES;
+    }
+
     /** Writes durations in whole milliseconds, rounded down after {@code rounding}. */
     private static void writeDurations(
             MessageBufferPacker packer,
--- a/node/src/main/java/org/chestnutbarrow/node/StateStore.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateStore.java
@@ -1,5 +1,6 @@
 package org.chestnutbarrow.node;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -35,7 +36,37 @@
      * @param key the key
      * @param value the value; empty if the key is removed
      */
-    record Entry(String key, Optional<byte[]> value) {}
+    record Entry(String key, Optional<byte[]> value) {
+        /** Returns the size of the record, which consists of the length of the key in one byte, the key and the value. */
+        public int recordBytes() {
+            return 1
+                    + key.getBytes(StandardCharsets.UTF_8).length
+                    + value.map(bytes -> bytes.length).orElse(0);
+        }
+    }
+
+    /**
+     * What the store accepts.
+     *
+     * @param recordBytes size of the largest record
+     * @param requestBytes largest total of the records of one append, each with {@link #FRAME_BYTES}
+     */
+    record Limits(int recordBytes, int requestBytes) {
+        /** Size of the length that precedes each record of an append. */
+        public static final int FRAME_BYTES = 4;
+        /** The limits of the platform's store unless its settings name others. */
+        public static final Limits DEFAULT = new Limits(256 * 1024, 2 * 1024 * 1024);
+
+        public Limits {
+            Checks.require(recordBytes > 0 && requestBytes > FRAME_BYTES, "the limits of the store must be positive");
+        }
+
+        /** Returns the size of the largest value that can be stored under a key; 0 if none can. */
+        public int maxValueBytes(String key) {
+            int maxRecord = Math.min(recordBytes, requestBytes - FRAME_BYTES);
+            return Math.max(0, maxRecord - new Entry(key, Optional.empty()).recordBytes());
+        }
+    }
 
     /**
      * An entry with its position in a topic.
@@ -113,6 +144,9 @@
         }
     }
 
+    /** Returns what the store accepts. */
+    Limits limits();
+
     /**
      * Appends all entries or none of them.
      *
--- a/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
+++ b/node/src/main/java/org/chestnutbarrow/node/TermStorage.java
@@ -48,6 +48,7 @@
     record TermEnded() implements Result {}
 
     private final long token;
+    private final StateStore store;
     private final JobReplica replica;
     private final PermissionTime time;
     private final SequencedWriter writer;
@@ -63,6 +64,7 @@
 
     TermStorage(long token, StateStore store, JobReplica replica, PermissionTime time) {
         this.token = token;
+        this.store = store;
         this.replica = replica;
         this.time = time;
         this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, token);
@@ -97,7 +99,8 @@
 
     /** Returns the owner's record of a term that has ended the extension of leases. */
     Optional<OwnerRecord> closingRecord(Map<WorkerIncarnation, Duration> remainingLeases) {
-        return storedRecord.map(stored -> stored.closed(remainingLeases));
+        int maxBytes = store.limits().maxValueBytes(JobReplica.OWNER_KEY);
+        return storedRecord.map(stored -> stored.closed(remainingLeases).fitting(maxBytes));
     }
 
     /** Notes that an owner's record is stored. */
@@ -159,7 +162,7 @@
      */
     Result store(List<StateStore.Entry> entries, BooleanSupplier active) throws StaleEpochException {
         Set<String> unstorable = new HashSet<>();
-        for (List<StateStore.Entry> batch : SequencedWriter.chunks(entries)) {
+        for (List<StateStore.Entry> batch : writer.chunks(entries)) {
             if (!storeBatch(batch, active, unstorable)) {
                 return new TermEnded();
             }
--- a/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
+++ b/node/src/test/java/org/chestnutbarrow/node/DisconnectedOwner.java
@@ -11,6 +11,8 @@
 
 /** An owner without a store. It does not extend leases unless a test sets {@code extending}. */
 final class DisconnectedOwner implements Owner {
+    private static final int MAX_RECORD_BYTES = StateStore.Limits.DEFAULT.recordBytes();
+
     volatile boolean active = true;
     volatile boolean extending;
     volatile boolean relayed;
@@ -28,7 +30,7 @@
     }
 
     DisconnectedOwner(TimeSource time, Duration maxLease) {
-        leases = new LeaseTracker(time, Duration.ofSeconds(7), maxLease);
+        leases = new LeaseTracker(time, Duration.ofSeconds(7), maxLease, MAX_RECORD_BYTES);
     }
 
     @Override
--- a/node/src/test/java/org/chestnutbarrow/node/EndedJobCleanerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EndedJobCleanerTest.java
@@ -250,4 +250,17 @@
         }
         assertEquals(cleaner.takeProgressRemovals(), List.of());
     }
+
+    /** Guards against ended jobs that are kept for ever because the store accepts fewer removals in one call. */
+    @Test
+    public void removalsThatAreTooLargeTogetherAreSplit() throws NotRunException {
+        for (int i = 0; i < 50; i++) {
+            putJob("job-" + i, JobState.COMPLETED, List.of());
+        }
+        sweep();
+        store.limits(new StateStore.Limits(100, 200));
+        time.advance(EndedJobCleaner.RETENTION);
+        sweep();
+        assertEquals(keys(StateStore.Topic.JOBS), Set.of());
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/FakeStore.java
@@ -51,6 +51,7 @@
     private int largestAppendBytes;
     private int maxRecordBytes = Integer.MAX_VALUE;
     private int unstorableAppends;
+    private Limits limits = Limits.DEFAULT;
     private final Set<Topic> refusedTopics = EnumSet.noneOf(Topic.class);
     private final Map<Topic, Integer> reads = new EnumMap<>(Topic.class);
     private final Map<Topic, Integer> delivered = new EnumMap<>(Topic.class);
@@ -79,7 +80,22 @@
         return largestAppendBytes;
     }
 
-    /** Refuses larger records for good from now on. */
+    @Override
+    public synchronized Limits limits() {
+        return limits;
+    }
+
+    /** Sets limits that the store names and enforces. */
+    synchronized void limits(Limits newLimits) {
+        limits = newLimits;
+    }
+
+    private synchronized boolean isStorable(List<Entry> entries) {
+        return entries.stream().allMatch(entry -> entry.recordBytes() <= Math.min(maxRecordBytes, limits.recordBytes()))
+                && entries.stream().mapToInt(SequencedWriter::sizeBytes).sum() <= limits.requestBytes();
+    }
+
+    /** Refuses larger records for good from now on, without naming this limit. */
     synchronized void maxRecordBytes(int bytes) {
         maxRecordBytes = bytes;
     }
@@ -176,7 +192,7 @@
         if (fault == Fault.REFUSES) {
             throw new NotRunException("refused", "try again");
         }
-        if (entries.stream().anyMatch(entry -> SequencedWriter.sizeBytes(entry) > maxRecordBytes)) {
+        if (!isStorable(entries)) {
             unstorableAppends++;
             throw new UnstorableException("a record is too large", "shorten it");
         }
--- a/node/src/test/java/org/chestnutbarrow/node/HandoverStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/HandoverStore.java
@@ -68,6 +68,11 @@
         group.leave(member);
     }
 
+    @Override
+    public Limits limits() {
+        return topics.limits();
+    }
+
     @Override
     public long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
             throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException {
--- a/node/src/test/java/org/chestnutbarrow/node/LeaseTrackerTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/LeaseTrackerTest.java
@@ -5,10 +5,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.chestnutbarrow.batch.TaskRecord.WorkerIncarnation;
 import org.chestnutbarrow.model.WorkerId;
 import org.chestnutbarrow.testkit.ManualTime;
@@ -16,6 +18,8 @@
 
 /** Tests the wait for leases of silent workers to expire, and the extension of leases, across changes of the owner. */
 public class LeaseTrackerTest {
+    private static final int MAX_RECORD_BYTES = StateStore.Limits.DEFAULT.recordBytes();
+
     private static final Duration MAX_SILENCE = Duration.ofSeconds(7);
     private static final Duration LEASE = Duration.ofSeconds(4);
     private static final Duration MAX_LEASE = Duration.ofSeconds(10);
@@ -34,7 +38,7 @@
 
     private LeaseTracker successor(
             Map<WorkerIncarnation, Duration> stored, Map<WorkerIncarnation, Duration> remainingLeases) {
-        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE, MAX_RECORD_BYTES);
         leases.start(stored, remainingLeases, List.of(INCARNATION));
         return leases;
     }
@@ -311,7 +315,7 @@
     @Test
     public void laterIncarnationThatNeverAnswersExpires() {
         WorkerIncarnation later = new WorkerIncarnation(new WorkerId("w"), 2);
-        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE, MAX_RECORD_BYTES);
         leases.start(Map.of(), Map.of(), List.of());
         leases.add(later);
         time.advance(Duration.ofSeconds(20));
@@ -349,7 +353,7 @@
         WorkerIncarnation answering =
                 new WorkerIncarnation(new WorkerId("v"), time.now().toEpochMilli());
         time.advance(Duration.ofSeconds(2));
-        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE, MAX_RECORD_BYTES);
         leases.start(Map.of(), Map.of(), List.of(young, answering));
         leases.startCounting();
         leases.answered(answering, in(LEASE));
@@ -368,13 +372,13 @@
     public void nextOwnerContinuesTheWaitForRestartedWorker() {
         WorkerIncarnation young =
                 new WorkerIncarnation(new WorkerId("w"), time.now().toEpochMilli());
-        LeaseTracker first = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        LeaseTracker first = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE, MAX_RECORD_BYTES);
         first.start(Map.of(), Map.of(), List.of(young));
         first.startCounting();
         Duration bound = LeaseTimes.afterRestart(MAX_LEASE);
         time.advance(bound.minusSeconds(1));
         Map<WorkerIncarnation, Duration> record = first.dueRecord().orElseThrow();
-        LeaseTracker next = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+        LeaseTracker next = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE, MAX_RECORD_BYTES);
         next.start(record, Map.of(), List.of(young));
         time.advance(Duration.ofMillis(999));
         assertEquals(next.takeExpired(), List.of());
@@ -387,11 +391,55 @@
     public void startTimesOutOfRangeAreAccepted() {
         for (long startedAt : new long[] {Long.MIN_VALUE, -1, 0, Long.MAX_VALUE}) {
             WorkerIncarnation odd = new WorkerIncarnation(new WorkerId("w"), startedAt);
-            LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE);
+            LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE, MAX_RECORD_BYTES);
             leases.start(Map.of(), Map.of(), List.of(odd));
             leases.startCounting();
             time.advance(MAX_SILENCE.plus(LeaseTimes.afterRestart(MAX_LEASE)));
             assertEquals(leases.takeExpired(), List.of(odd));
         }
     }
+
+    /**
+     * Guards against a record of silent incarnations that the store refuses because of their number: the ones that are
+     * silent for longest are recorded, and the others can be extended once they answer.
+     */
+    @Test
+    public void recordOfManySilentIncarnationsIsBounded() {
+        int maxBytes = 10_000;
+        LeaseTracker leases = new LeaseTracker(time, MAX_SILENCE, MAX_LEASE, maxBytes);
+        List<WorkerIncarnation> incarnations = IntStream.range(0, 2000)
+                .mapToObj(i -> new WorkerIncarnation(new WorkerId("worker-" + i), 1))
+                .toList();
+        leases.start(Map.of(), Map.of(), incarnations);
+        leases.startCounting();
+        time.advance(Duration.ofSeconds(2));
+        Map<WorkerIncarnation, Duration> record = leases.dueRecord().orElseThrow();
+        assertTrue(StateCodec.encode(record).length <= maxBytes, record.size() + " incarnations");
+        assertTrue(record.size() > maxBytes / 40, record.size() + " incarnations");
+        leases.recordStored(record);
+        assertTrue(leases.dueRecord().isEmpty(), "the record is stored again at once");
+        for (WorkerIncarnation incarnation : incarnations) {
+            leases.answered(incarnation, time.nanos());
+            assertEquals(leases.extend(incarnation, in(LEASE)), !record.containsKey(incarnation));
+        }
+    }
+
+    /** Guards against a last record of an owner that the store refuses because of the number of its leases. */
+    @Test
+    public void lastRecordOfManyLeasesIsBounded() {
+        Map<WorkerIncarnation, Duration> remaining = new HashMap<>();
+        for (int i = 0; i < 2000; i++) {
+            remaining.put(new WorkerIncarnation(new WorkerId("worker-" + i), 1), Duration.ofMillis(i));
+        }
+        OwnerRecord record = new OwnerRecord("member", 7, "key", remaining);
+        OwnerRecord bounded = record.fitting(10_000);
+        assertTrue(StateCodec.encode(bounded).length <= 10_000);
+        assertTrue(
+                bounded.remainingLeases().size() > 250,
+                bounded.remainingLeases().size() + " leases");
+        bounded.remainingLeases()
+                .forEach((_, lease) ->
+                        assertTrue(lease.toMillis() < bounded.remainingLeases().size(), "a lease of " + lease));
+        assertEquals(record.fitting(1_000_000), record);
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeStore.java
@@ -74,6 +74,11 @@
         }
     }
 
+    @Override
+    public Limits limits() {
+        return store.limits();
+    }
+
     @Override
     public long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout)
             throws NotRunException, OutcomeUnknownException, StaleEpochException, UnstorableException {
--- a/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/NodeTest.java
@@ -395,6 +395,20 @@
         node.close();
     }
 
+    /** Guards against jobs that the store refuses because its limit is smaller than usual. */
+    @Test
+    public void jobLargerThanTheLimitOfTheStoreIsRefused() throws InterruptedException {
+        store.limits(new StateStore.Limits(2000, 10_000));
+        Node node = start("node");
+        await("the copies are loaded", () -> node.submit(job("a"), TIMEOUT) == JobService.Receipt.STORED);
+        JobSpec small = job("b");
+        JobSpec large = new JobSpec(small.id(), QUEUE, small.submitted(), "x".repeat(2000), small.steps());
+        assertEquals(node.submit(large, TIMEOUT), JobService.Receipt.TOO_LARGE);
+        assertEquals(store.unstorableAppends(), 0);
+        assertEquals(node.submit(small, TIMEOUT), JobService.Receipt.STORED);
+        node.close();
+    }
+
     /**
      * Guards against a job that runs although its cancellation was answered: the append of the job is repeated after the
      * caller has been told that there is no such job.
--- a/node/src/test/java/org/chestnutbarrow/node/OverloadedStoreTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/OverloadedStoreTest.java
@@ -62,6 +62,11 @@
 
     /** Implements the calls that followers do not make. */
     private interface UnsupportedCalls extends StateStore {
+        @Override
+        default Limits limits() {
+            return Limits.DEFAULT;
+        }
+
         @Override
         default long append(Topic topic, List<Entry> entries, Writer writer, Duration timeout) {
             throw new UnsupportedOperationException();
--- a/node/src/test/java/org/chestnutbarrow/node/ProgressCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/ProgressCodecTest.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.Random;
 import org.chestnutbarrow.batch.JobProgress;
+import org.chestnutbarrow.batch.JobSpec;
 import org.chestnutbarrow.batch.JobState;
 import org.chestnutbarrow.batch.TaskRecord;
 import org.chestnutbarrow.model.InvalidInputException;
@@ -241,4 +242,30 @@
                 format2Bytes <= maxRatio * format1Bytes,
                 description + ": " + format2Bytes + " of " + format1Bytes + " bytes");
     }
+
+    /**
+     * Guards against progress that the store refuses because its tasks have long checkpoints, or run on many workers, which
+     * would hold back the owner: of a job with as many tasks as are accepted, all is kept that a later owner must know.
+     */
+    @Test
+    public void longCheckpointsAreOmittedFromLargeProgress() throws InvalidInputException {
+        List<TaskRecord> tasks = new ArrayList<>();
+        for (int i = 0; i < JobSpec.MAX_TASKS; i++) {
+            String checkpoint = i % 2 == 0 ? "saved/" + i + "/".repeat(200) : "%016x".formatted(i);
+            tasks.add(new TaskRecord(false, 300 + i, 1, checkpoint, incarnation(i)));
+        }
+        JobProgress large = progress(JobState.RUNNING, List.of(tasks));
+        int limit = StateStore.Limits.DEFAULT.maxValueBytes(ID.value());
+        assertTrue(ProgressCodec.encode(large).length > limit);
+        byte[] record = ProgressCodec.encode(large, limit);
+        assertTrue(record.length <= limit, record.length + " bytes");
+        List<TaskRecord> read = ProgressCodec.decode(ID, record).steps().getFirst();
+        for (int i = 0; i < tasks.size(); i++) {
+            TaskRecord task = tasks.get(i);
+            String checkpoint = i % 2 == 0 ? "" : task.checkpoint();
+            assertEquals(read.get(i), new TaskRecord(false, task.run(), 1, checkpoint, task.placedOn()));
+        }
+        JobProgress small = progress(JobState.RUNNING, List.of(tasks.subList(0, 10)));
+        assertEquals(ProgressCodec.encode(small, limit), ProgressCodec.encode(small));
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/SequencedWriterTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SequencedWriterTest.java
@@ -36,6 +36,7 @@
         FakeStore store = new FakeStore();
         SequencedWriter writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, "test", 1);
         int bytes = SequencedWriter.MAX_CHUNK_BYTES;
+        store.limits(new StateStore.Limits(2 * bytes, 2 * bytes));
         writer.append(entries(1, bytes), () -> true);
         long requiredMs = SLOW_ANSWER.toMillis() + (long) (bytes * LINK_MS_PER_BYTE);
         assertTrue(store.lastTimeout().toMillis() >= requiredMs, store.lastTimeout() + " for " + requiredMs + " ms");
@@ -47,7 +48,8 @@
         List<StateStore.Entry> entries = entries(3000, 400);
         entries.add(1000, entry(-1, 2 * SequencedWriter.MAX_CHUNK_BYTES));
         List<StateStore.Entry> joined = new ArrayList<>();
-        for (List<StateStore.Entry> chunk : SequencedWriter.chunks(entries)) {
+        SequencedWriter writer = new SequencedWriter(new FakeStore(), StateStore.Topic.PROGRESS, "test", 1);
+        for (List<StateStore.Entry> chunk : writer.chunks(entries)) {
             int bytes = chunk.stream()
                     .mapToInt(chunkEntry -> chunkEntry.value().orElseThrow().length)
                     .sum();
@@ -55,7 +57,7 @@
             joined.addAll(chunk);
         }
         assertEquals(joined, entries);
-        assertEquals(SequencedWriter.chunks(List.of()), List.of());
+        assertEquals(writer.chunks(List.of()), List.of());
     }
 
     /** A batch that the store refuses for good must neither be repeated for ever nor use up its sequence number. */
@@ -69,4 +71,17 @@
         writer.append(entries(1, 50), () -> true);
         assertEquals(store.records(StateStore.Topic.PROGRESS).size(), 1);
     }
+
+    /** Guards against appends that the store refuses because it accepts less than usual in one call. */
+    @Test
+    public void chunksObserveTheLimitOfTheStore() throws Exception {
+        FakeStore store = new FakeStore();
+        store.limits(new StateStore.Limits(1000, 2000));
+        SequencedWriter writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, "test", 1);
+        List<StateStore.Entry> entries = entries(100, 300);
+        for (List<StateStore.Entry> chunk : writer.chunks(entries)) {
+            writer.append(chunk, () -> true);
+        }
+        assertEquals(store.records(StateStore.Topic.PROGRESS), entries);
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/SimulatedOwner.java
+++ b/node/src/test/java/org/chestnutbarrow/node/SimulatedOwner.java
@@ -27,6 +27,8 @@
  * by one thread.
  */
 final class SimulatedOwner implements TimeSource {
+    private static final int MAX_RECORD_BYTES = StateStore.Limits.DEFAULT.recordBytes();
+
     private static final Duration LEASE = Duration.ofSeconds(4);
     /** A lease by a clock that is 2% slow, and 300 ms. */
     private static final Duration LEASE_BOUND = Duration.ofMillis(4380);
@@ -46,7 +48,8 @@
     private final LeaseSimulation simulation;
     final long token;
     private final long clockOrigin;
-    private final LeaseTracker tracker = new LeaseTracker(this, LeaseSimulation.MAX_SILENCE, LeaseSimulation.MAX_LEASE);
+    private final LeaseTracker tracker =
+            new LeaseTracker(this, LeaseSimulation.MAX_SILENCE, LeaseSimulation.MAX_LEASE, MAX_RECORD_BYTES);
     final Map<WorkerIncarnation, Link> links = new LinkedHashMap<>();
     final Set<Worker> placed = new HashSet<>();
     Optional<Write> pending = Optional.empty();
