Move the execution of plans out of OwnershipTerm

Change: PlanExecutor stores what a plan changes and then sends its orders and acknowledgements; SensitivityWriter waits on a semaphore. No behaviour changes.

--- a/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
+++ b/node/src/main/java/org/chestnutbarrow/node/OwnershipTerm.java
@@ -6,16 +6,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.chestnutbarrow.batch.BatchScheduler;
 import org.chestnutbarrow.batch.Estimates;
-import org.chestnutbarrow.batch.JobProgress;
 import org.chestnutbarrow.batch.Order;
 import org.chestnutbarrow.batch.Plan;
 import org.chestnutbarrow.batch.TaskRecord;
@@ -44,7 +41,7 @@
      * newer owner also needs answers from a majority, so the two majorities share a worker that reports the newer
      * token.
      */
-    private static final Duration ANSWER_WINDOW = Duration.ofMillis(1500);
+    static final Duration ANSWER_WINDOW = Duration.ofMillis(1500);
     /** Covers an earlier owner that paused for less than a lease and then extended leases once more. */
     private static final Duration MAX_OWNER_PAUSE = Duration.ofMillis(1200);
 
@@ -53,7 +50,6 @@
     private final JobReplica replica;
     private final TimeSource time;
     private final Duration maxLease;
-    private final StateStore.Limits storeLimits;
     private final HoldControl holds;
     private final NodeMetrics metrics;
     private final InputAge inputAge;
@@ -72,6 +68,7 @@
 
     private final EstimateSchedule estimateSchedule;
     private final SensitivityWriter sensitivityWriter;
+    private final PlanExecutor planExecutor;
 
     private final StartWindow startWindow;
     /** Accessed only by the thread that renews the membership. */
@@ -116,12 +113,26 @@
         this.startWindow = new StartWindow(time);
         Duration maxSilence =
                 ANSWER_WINDOW.plus(MAX_OWNER_PAUSE).plus(LeaseTimes.upperBound(LeaseTimes.requested(maxLease)));
-        this.storeLimits = store.limits();
-        this.leases = new LeaseTracker(time, maxSilence, maxLease, storeLimits.maxValueBytes(JobReplica.SILENCES_KEY));
+        this.leases =
+                new LeaseTracker(time, maxSilence, maxLease, store.limits().maxValueBytes(JobReplica.SILENCES_KEY));
         this.links = new WorkerLinks(scheduler, leases, this::openLink, time, MAX_EXTENSION_WITHOUT_STORE);
         this.jobs = new TermJobs(token, scheduler, replica, metrics);
         this.endedJobCleaner = new EndedJobCleaner(store, replica, time, token);
         this.sensitivityWriter = new SensitivityWriter(store, replica, token);
+        this.planExecutor = new PlanExecutor(
+                this,
+                new PlanExecutor.Parts(
+                        scheduler,
+                        storage,
+                        store.limits(),
+                        jobs,
+                        leases,
+                        links,
+                        endedJobCleaner,
+                        estimateSchedule,
+                        sensitivityWriter),
+                metrics,
+                time);
     }
 
     @Override
@@ -353,7 +364,7 @@
                 awaitPlan();
                 last = isClosing();
                 expireLeases();
-                execute(plan());
+                planExecutor.execute(plan(), dueOwnerRecord(), isClosing());
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
@@ -397,80 +408,6 @@
         }
     }
 
-    private void execute(Plan plan) {
-        plan.setAside().forEach(job -> jobs.setAside(job.job(), job.cause()));
-        plan.claims().forEach(OrderEvents::log);
-        plan.waiting().ifPresent(OrderEvents::log);
-        plan.ineffectiveEnd().ifPresent(OrderEvents::log);
-        plan.quarantined().forEach(worker -> Events.info("worker-quarantined", "worker", worker));
-        List<StateStore.Entry> entries = new ArrayList<>();
-        plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change, storeLimits)));
-        estimateSchedule.dueHealth(isClosing()).ifPresent(estimates -> entries.add(JobReplica.healthEntry(estimates)));
-        // While the store does not answer, a record would only keep workers that answer again from being extended.
-        Optional<Map<TaskRecord.WorkerIncarnation, Duration>> silenceRecord =
-                storage.confirmationAge().compareTo(ANSWER_WINDOW) < 0 ? leases.dueRecord() : Optional.empty();
-        silenceRecord.ifPresent(record -> entries.add(JobReplica.silencesEntry(record)));
-        List<StateStore.Entry> progressRemovals = endedJobCleaner.takeProgressRemovals();
-        entries.addAll(progressRemovals);
-        entries.addAll(jobs.takeEndsToStore());
-        Optional<OwnerRecord> ownerRecord = dueOwnerRecord();
-        ownerRecord.ifPresent(record -> entries.add(JobReplica.ownerEntry(record)));
-        switch (persist(entries)) {
-            case TermStorage.TermEnded _ -> {}
-            case TermStorage.Stored(Set<String> unstorable) -> {
-                jobs.progressRemoved(progressRemovals.stream()
-                        .filter(removal -> !unstorable.contains(removal.key()))
-                        .toList());
-                silenceRecord
-                        .filter(_ -> !unstorable.contains(JobReplica.SILENCES_KEY))
-                        .ifPresent(leases::recordStored);
-                ownerRecord
-                        .filter(_ -> !unstorable.contains(JobReplica.OWNER_KEY))
-                        .ifPresent(storage::recordStored);
-                carryOut(plan, unstorable);
-            }
-        }
-    }
-
-    /**
-     * Sends what the stored changes of a plan allow. What the owner has learnt of images comes last and is stored by another
-     * thread: it only helps the next owner, and its size must not hold back an order or an acknowledgement.
-     *
-     * @param unstorable keys of the entries that the store refuses for good
-     */
-    private void carryOut(Plan plan, Set<String> unstorable) {
-        Map<Boolean, List<JobProgress>> changes = plan.changes().stream()
-                .collect(Collectors.partitioningBy(
-                        change -> unstorable.contains(change.id().value())));
-        if (!endUnstorable(changes.get(true))) {
-            return;
-        }
-        jobs.changesStored(changes.get(false));
-        links.acknowledge(plan.acknowledgements());
-        plan.orders()
-                .forEach(order ->
-                        dispatch(order, unstorable.contains(order.task().job().value())));
-        estimateSchedule.dueSensitivities(!plan.changes().isEmpty()).ifPresent(sensitivityWriter::submit);
-    }
-
-    /**
-     * Ends the jobs whose progress the store refuses for good, so that the ends of their runs can be acknowledged; returns
-     * false if this term has ended.
-     */
-    private boolean endUnstorable(List<JobProgress> refused) {
-        List<StateStore.Entry> ends = jobs.endUnstorable(refused, time.now()).stream()
-                .map(JobReplica::progressEntry)
-                .toList();
-        while (persist(ends) instanceof TermStorage.Stored(Set<String> unstorable)) {
-            if (unstorable.isEmpty()) {
-                return true;
-            }
-            // A store that refuses even the smallest records refuses everything; nothing can be done without it.
-            Threads.sleep(PLAN_INTERVAL);
-        }
-        return false;
-    }
-
     private Optional<OwnerRecord> dueOwnerRecord() {
         if (remainingLeases.isPresent()) {
             return storage.closingRecord(remainingLeases.get());
@@ -479,31 +416,6 @@
         return inputAge.wasRecent() ? storage.dueRecord() : Optional.empty();
     }
 
-    /** Sends an order, unless it starts a task of a job whose progress is not stored. */
-    private void dispatch(Order order, boolean unstorable) {
-        if (unstorable && order instanceof Order.Start) {
-            scheduler.orderDropped(order);
-        } else if (!links.enqueue(order, this::recordOrder)) {
-            scheduler.orderDropped(order);
-        }
-    }
-
-    private void recordOrder(Order order) {
-        OrderEvents.log(order);
-        if (order instanceof Order.Start) {
-            metrics.runStarted();
-        }
-    }
-
-    private TermStorage.Result persist(List<StateStore.Entry> entries) {
-        try {
-            return storage.store(entries, active::get);
-        } catch (StaleEpochException e) {
-            fenced("store: " + e.getMessage());
-            return new TermStorage.TermEnded();
-        }
-    }
-
     private boolean isClosing() {
         return remainingLeases.isPresent();
     }
--- a/node/src/main/java/org/chestnutbarrow/node/SensitivityWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/SensitivityWriter.java
@@ -3,6 +3,9 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BooleanSupplier;
 import org.chestnutbarrow.batch.Sensitivity;
 import org.chestnutbarrow.logging.Events;
@@ -13,7 +16,7 @@
 
 /**
  * Stores the sensitivities that one term has learnt on a thread of its own, so that orders and acknowledgements never wait
- * for them. Thread-safe; what waits is guarded by the monitor of this object, which is not held during an append.
+ * for them. Safe for use by two threads: one submits, the other runs.
  *
  * <p>Invariants: only the latest sensitivities wait; none are stored once a newer owner has stored some.
  */
@@ -27,7 +30,8 @@
 
     private final JobReplica replica;
     private final SequencedWriter writer;
-    private Optional<List<Sensitivity>> waiting = Optional.empty();
+    private final AtomicReference<Optional<List<Sensitivity>>> waiting = new AtomicReference<>(Optional.empty());
+    private final Semaphore submitted = new Semaphore(0);
 
     SensitivityWriter(StateStore store, JobReplica replica, long epoch) {
         this.replica = replica;
@@ -35,18 +39,21 @@
     }
 
     /** Hands sensitivities over, in place of earlier ones that are not being stored yet. */
-    synchronized void submit(List<Sensitivity> sensitivities) {
-        waiting = Optional.of(sensitivities);
-        notifyAll();
+    void submit(List<Sensitivity> sensitivities) {
+        waiting.set(Optional.of(sensitivities));
+        submitted.release();
     }
 
     /** Stores what is submitted while {@code active} is true and no newer owner has stored sensitivities. */
     void run(BooleanSupplier active) {
         try {
             while (active.getAsBoolean()) {
-                Optional<List<Sensitivity>> next = takeNext();
-                if (next.isPresent()) {
-                    store(JobReplica.sensitivitiesEntry(next.get()), active);
+                if (submitted.tryAcquire(IDLE_WAIT.toMillis(), TimeUnit.MILLISECONDS)) {
+                    submitted.drainPermits();
+                    Optional<List<Sensitivity>> next = waiting.getAndSet(Optional.empty());
+                    if (next.isPresent()) {
+                        store(JobReplica.sensitivitiesEntry(next.get()), active);
+                    }
                 }
             }
         } catch (StaleEpochException e) {
@@ -56,16 +63,6 @@
         }
     }
 
-    /** Takes what waits; empty if nothing is submitted within {@link #IDLE_WAIT}. */
-    private synchronized Optional<List<Sensitivity>> takeNext() throws InterruptedException {
-        if (waiting.isEmpty()) {
-            wait(IDLE_WAIT.toMillis());
-        }
-        Optional<List<Sensitivity>> next = waiting;
-        waiting = Optional.empty();
-        return next;
-    }
-
     private void store(StateStore.Entry entry, BooleanSupplier active) throws StaleEpochException {
         while (active.getAsBoolean()) {
             try {
--- a/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/StateCodec.java
@@ -169,7 +169,8 @@
             Comparator<Duration> order,
             int otherBytes,
             int maxBytes) {
-        long bytes = MAX_HEAD_BYTES + otherBytes;
+        int headBytes = MAX_HEAD_BYTES + otherBytes;
+        long bytes = headBytes;
         for (TaskRecord.WorkerIncarnation incarnation : durations.keySet()) {
             bytes += maxBytes(incarnation);
         }
@@ -177,7 +178,7 @@
             return durations;
         }
         Map<TaskRecord.WorkerIncarnation, Duration> result = new HashMap<>();
-        bytes = MAX_HEAD_BYTES + otherBytes;
+        bytes = headBytes;
         for (Map.Entry<TaskRecord.WorkerIncarnation, Duration> entry : durations.entrySet().stream()
                 .sorted(Map.Entry.comparingByValue(order))
                 .toList()) {
