Keep estimates within the limits of the store

Cause: the bound of 64 KiB on what is learnt of images, and the bounds on the number of health records, do not hold at a store that accepts smaller records; there they would be refused each time.

Change: sensitivities, health and stalled runs are encoded as far as they fit into a record, the most useful first.

--- a/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
+++ b/node/src/main/java/org/chestnutbarrow/node/EstimatesCodec.java
@@ -42,14 +42,18 @@
 
     private EstimatesCodec() {}
 
-    /** Encodes as many sensitivities as fit into {@link #MAX_SENSITIVITY_BYTES}; the first ones are the most useful. */
-    static byte[] encodeFirst(List<Sensitivity> sensitivities) {
+    /**
+     * Encodes as many sensitivities as fit into {@code maxBytes} and {@link #MAX_SENSITIVITY_BYTES}; the first ones are the
+     * most useful.
+     */
+    static byte[] encodeFirst(List<Sensitivity> sensitivities, int maxBytes) {
+        int limit = Math.min(maxBytes, MAX_SENSITIVITY_BYTES);
         // The format number and the number of sensitivities.
         int bytes = 2 * MAX_STRING_HEAD_BYTES;
         int count = 0;
         while (count < sensitivities.size()) {
             bytes += maxBytes(sensitivities.get(count));
-            if (bytes > MAX_SENSITIVITY_BYTES) {
+            if (bytes > limit) {
                 break;
             }
             count++;
@@ -57,6 +61,25 @@
         return encode(new Estimates(sensitivities.subList(0, count), List.of(), List.of()));
     }
 
+    /**
+     * Encodes health and stalled runs in at most {@code maxBytes}; if there are too many, the last ones are left out, which
+     * are the least useful.
+     */
+    static byte[] encodeHealth(Estimates estimates, int maxBytes) {
+        Estimates kept = estimates.withoutSensitivities();
+        byte[] record = encode(kept);
+        while (record.length > maxBytes
+                && !(kept.health().isEmpty() && kept.stalledRuns().isEmpty())) {
+            kept = new Estimates(List.of(), firstHalf(kept.health()), firstHalf(kept.stalledRuns()));
+            record = encode(kept);
+        }
+        return record;
+    }
+
+    private static <T> List<T> firstHalf(List<T> list) {
+        return list.subList(0, list.size() / 2);
+    }
+
     private static int maxBytes(Sensitivity sensitivity) {
         return maxBytes(sensitivity.bestEffortImage())
                 + maxBytes(sensitivity.latencyCriticalImage())
--- a/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
+++ b/node/src/main/java/org/chestnutbarrow/node/JobReplica.java
@@ -153,13 +153,17 @@
         return new StateStore.Entry(key, Optional.of(ProgressCodec.encode(progress, limits.maxValueBytes(key))));
     }
 
-    static StateStore.Entry sensitivitiesEntry(List<Sensitivity> sensitivities) {
-        return new StateStore.Entry(SENSITIVITIES_KEY, Optional.of(EstimatesCodec.encodeFirst(sensitivities)));
+    /** Creates the entry of the first sensitivities, as many as the store accepts. */
+    static StateStore.Entry sensitivitiesEntry(List<Sensitivity> sensitivities, StateStore.Limits limits) {
+        return new StateStore.Entry(
+                SENSITIVITIES_KEY,
+                Optional.of(EstimatesCodec.encodeFirst(sensitivities, limits.maxValueBytes(SENSITIVITIES_KEY))));
     }
 
-    /** Creates the entry of the estimates on workers and runs. */
-    static StateStore.Entry healthEntry(Estimates estimates) {
-        return new StateStore.Entry(HEALTH_KEY, Optional.of(EstimatesCodec.encode(estimates.withoutSensitivities())));
+    /** Creates the entry of the estimates on workers and runs, of the first ones if the store does not accept all. */
+    static StateStore.Entry healthEntry(Estimates estimates, StateStore.Limits limits) {
+        return new StateStore.Entry(
+                HEALTH_KEY, Optional.of(EstimatesCodec.encodeHealth(estimates, limits.maxValueBytes(HEALTH_KEY))));
     }
 
     /** Returns the estimates that the latest owner has stored. */
--- a/node/src/main/java/org/chestnutbarrow/node/PlanExecutor.java
+++ b/node/src/main/java/org/chestnutbarrow/node/PlanExecutor.java
@@ -77,7 +77,9 @@
         plan.quarantined().forEach(worker -> Events.info("worker-quarantined", "worker", worker));
         List<StateStore.Entry> entries = new ArrayList<>();
         plan.changes().forEach(change -> entries.add(JobReplica.progressEntry(change, parts.storeLimits())));
-        parts.estimates().dueHealth(closing).ifPresent(health -> entries.add(JobReplica.healthEntry(health)));
+        parts.estimates()
+                .dueHealth(closing)
+                .ifPresent(health -> entries.add(JobReplica.healthEntry(health, parts.storeLimits())));
         // While the store does not answer, a record would only keep workers that answer again from being extended.
         Optional<Map<WorkerIncarnation, Duration>> silences =
                 parts.storage().confirmationAge().compareTo(OwnershipTerm.ANSWER_WINDOW) < 0
--- a/node/src/main/java/org/chestnutbarrow/node/SensitivityWriter.java
+++ b/node/src/main/java/org/chestnutbarrow/node/SensitivityWriter.java
@@ -28,12 +28,14 @@
     /** Time after which an idle thread checks whether the term has ended. */
     private static final Duration IDLE_WAIT = Duration.ofMillis(500);
 
+    private final StateStore.Limits limits;
     private final JobReplica replica;
     private final SequencedWriter writer;
     private final AtomicReference<Optional<List<Sensitivity>>> waiting = new AtomicReference<>(Optional.empty());
     private final Semaphore submitted = new Semaphore(0);
 
     SensitivityWriter(StateStore store, JobReplica replica, long epoch) {
+        this.limits = store.limits();
         this.replica = replica;
         this.writer = new SequencedWriter(store, StateStore.Topic.PROGRESS, WRITER, epoch);
     }
@@ -52,7 +54,7 @@
                     submitted.drainPermits();
                     Optional<List<Sensitivity>> next = waiting.getAndSet(Optional.empty());
                     if (next.isPresent()) {
-                        store(JobReplica.sensitivitiesEntry(next.get()), active);
+                        store(JobReplica.sensitivitiesEntry(next.get(), limits), active);
                     }
                 }
             }
--- a/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
@@ -107,11 +107,30 @@
             List<Sensitivity> sensitivities = IntStream.range(0, 5000)
                     .mapToObj(i -> new Sensitivity("\u00e4".repeat(nameLength), "image-" + i, i, 1))
                     .toList();
-            byte[] record = EstimatesCodec.encodeFirst(sensitivities);
+            byte[] record = EstimatesCodec.encodeFirst(sensitivities, Integer.MAX_VALUE);
             assertTrue(record.length <= EstimatesCodec.MAX_SENSITIVITY_BYTES, record.length + " bytes");
             List<Sensitivity> read = EstimatesCodec.decode(record).sensitivities();
             assertEquals(read, sensitivities.subList(0, read.size()));
             assertEquals(read.isEmpty(), nameLength > 32_000, read.size() + " of length " + nameLength);
+            assertTrue(EstimatesCodec.encodeFirst(sensitivities, 1000).length <= 1000);
         }
     }
+
+    /** Guards against evidence on workers that is not stored at all because the store does not accept all of it. */
+    @Test
+    public void encodedHealthIsBounded() throws InvalidInputException {
+        List<HealthRecord> health = IntStream.range(0, 100)
+                .mapToObj(i -> new HealthRecord(INCARNATION, List.of(), Optional.empty(), Duration.ofSeconds(4))
+                        .with(i + 1, false))
+                .toList();
+        Estimates all = new Estimates(SENSITIVITIES, health, STALLED);
+        assertEquals(
+                EstimatesCodec.decode(EstimatesCodec.encodeHealth(all, 100_000)),
+                new Estimates(List.of(), health, STALLED));
+        byte[] record = EstimatesCodec.encodeHealth(all, 1000);
+        assertTrue(record.length <= 1000, record.length + " bytes");
+        List<HealthRecord> read = EstimatesCodec.decode(record).health();
+        assertTrue(read.size() >= 20, read.size() + " records");
+        assertEquals(read, health.subList(0, read.size()));
+    }
 }
--- a/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/JobReplicaTest.java
@@ -387,7 +387,10 @@
         replica.applyStored(List.of(new StateStore.Entry("learned/", Optional.of(EstimatesCodec.encode(all)))), 0);
         assertEquals(replica.estimates(), all);
         HealthRecord later = earlier.with(0, true);
-        replica.applyStored(List.of(JobReplica.healthEntry(new Estimates(List.of(), List.of(later), List.of()))), 1);
+        replica.applyStored(
+                List.of(JobReplica.healthEntry(
+                        new Estimates(List.of(), List.of(later), List.of()), StateStore.Limits.DEFAULT)),
+                1);
         assertEquals(replica.estimates(), new Estimates(List.of(sensitivity), List.of(later), List.of()));
     }
 }
