Play images that change all the time in the soak

Cause: the soak had neither tasks that serve nor tasks that fill the rest, and its store took records of any size, so it could not show records that grow with the images.

The store refuses records over 32 KiB, names this limit in the settings of the nodes, and each refused append is a finding (TOO_LARGE).

--- a/soak/src/main/java/org/chestnutbarrow/soak/Clients.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Clients.java
@@ -68,6 +68,16 @@
         }
     }
 
+    /** Submits a job that runs until the end of the play; it does not count among the accepted jobs. */
+    void startServing(JobPlan plan, SplittableRandom random) {
+        threads.submit(() -> {
+            while (!calls.submit(anyNode(random), plan)) {
+                Thread.sleep(RETRY_DELAY);
+            }
+            return true;
+        });
+    }
+
     private int anyNode(SplittableRandom random) {
         return random.nextInt(calls.nodes());
     }
--- a/soak/src/main/java/org/chestnutbarrow/soak/Finding.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Finding.java
@@ -20,7 +20,9 @@
         /** A final state of a job that changed, or a start of a task of a completed job. */
         R3,
         /** An accepted job of which nothing ran until the end of the calm period. */
-        NOT_RUN
+        NOT_RUN,
+        /** Appends of nodes that are larger than the store accepts. */
+        TOO_LARGE
     }
 
     /** Formats a time of a play in seconds. */
--- a/soak/src/main/java/org/chestnutbarrow/soak/Main.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Main.java
@@ -57,6 +57,9 @@
     @Option(name = "--no-repeats", usage = "clients neither repeat submissions nor cancel jobs")
     private boolean noRepeats;
 
+    @Option(name = "--images", usage = "adds jobs that serve, and jobs that fill the rest, each with another image")
+    private boolean images;
+
     private Main() {}
 
     /** Plays the seeds; exits with 1 if there are findings. */
@@ -96,6 +99,7 @@
                     families,
                     crowds,
                     !noRepeats,
+                    images,
                     Path.of("").toAbsolutePath()));
         }
         return plays;
--- a/soak/src/main/java/org/chestnutbarrow/soak/NodeProcess.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/NodeProcess.java
@@ -74,7 +74,11 @@
                 .put("ready", readyAddress().toString());
         root.putArray("internal_ports").add(INTERNAL_PORT).add(INTERNAL_PORT + 1);
         root.putObject("limits").put("cpu_share", 1).put("cores", 1).put("link_mbps", 1000);
-        root.putObject("platform").put("address", store.toString()).put("min_ttl_ms", MIN_TTL_MS);
+        root.putObject("platform")
+                .put("address", store.toString())
+                .put("min_ttl_ms", MIN_TTL_MS)
+                .put("record_bytes", Store.RECORD_BYTES)
+                .put("request_bytes", Store.REQUEST_BYTES);
         root.putObject("bounds")
                 .put("max_hold_ms", WorkerLife.MAX_LEASE.toMillis())
                 .put("grace_s", GRACE_S);
--- a/soak/src/main/java/org/chestnutbarrow/soak/Play.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Play.java
@@ -30,6 +30,8 @@
     private static final Duration MIN_CALM = Duration.ofSeconds(5);
 
     private static final Duration ASK_ALL_TIMEOUT = Duration.ofSeconds(10);
+    /** Number of jobs that serve during a play with images. */
+    private static final int SERVING_JOBS = 4;
     /** Mean time between two jobs. */
     private static final int JOB_INTERVAL_MS = 90;
 
@@ -157,9 +159,16 @@
 
     private void submitJobs() throws InterruptedException {
         SplittableRandom plans = random.split();
+        if (settings.images()) {
+            for (int i = 0; i < SERVING_JOBS; i++) {
+                clients.startServing(JobPlan.serving("s" + settings.seed() + "-serving-" + i), plans.split());
+            }
+        }
         long end = time.nanos() + settings.load().toNanos();
         for (int i = 0; end - time.nanos() > 0; i++) {
-            clients.start(JobPlan.create(plans, "s" + settings.seed() + "-" + i, settings.repeats()), plans.split());
+            JobPlan plan =
+                    JobPlan.create(plans, "s" + settings.seed() + "-" + i, settings.repeats(), settings.images());
+            clients.start(plan, plans.split());
             Thread.sleep(plans.nextInt(2 * JOB_INTERVAL_MS));
         }
     }
@@ -189,6 +198,9 @@
                             "job " + job,
                             "nothing of it ran until " + Finding.seconds(history.now()))));
         }
+        if (store.refusedForSize() > 0) {
+            findings.add(new Finding(Finding.Rule.TOO_LARGE, "appends", String.valueOf(store.refusedForSize())));
+        }
         long starts =
                 seen.stream().filter(Observation.Started.class::isInstance).count();
         return new PlayResult(
--- a/soak/src/main/java/org/chestnutbarrow/soak/PlaySettings.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/PlaySettings.java
@@ -16,6 +16,7 @@
  * @param families the faults to inject
  * @param crowds whether misbehaving clients take part
  * @param repeats whether clients repeat submissions and cancel jobs around their ends
+ * @param images whether some jobs serve and others fill the rest, each of them with an image of its own
  * @param root folder of the sources, with the deployment file
  */
 record PlaySettings(
@@ -27,6 +28,7 @@
         Set<Fault.Family> families,
         boolean crowds,
         boolean repeats,
+        boolean images,
         Path root) {
     PlaySettings {
         Checks.require(
--- a/soak/src/main/java/org/chestnutbarrow/soak/Store.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/Store.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.chestnutbarrow.model.TimeSource;
 
 /** The state of the platform's store: partitions, each under its own lock, and the group. Thread-safe. */
@@ -18,6 +19,11 @@
     /** Topics that nodes may not write. */
     static final Set<String> READ_ONLY = Set.of(CONTROL, WORKERS);
 
+    /** Size of the largest record; small, so that records that grow reach it in a short play. */
+    static final int RECORD_BYTES = 32 * 1024;
+    /** Largest total of the records of one append, with their lengths. */
+    static final int REQUEST_BYTES = 8 * RECORD_BYTES;
+
     /** Topics of the group in the order in which nodes count their partitions. */
     private static final List<String> GROUP_TOPICS = List.of(PROGRESS, JOBS);
     /** Producer under which owners store progress; its epoch is their token. */
@@ -27,6 +33,7 @@
 
     private final TimeSource time;
     private final OwnerGroup group;
+    private final AtomicInteger refusedForSize = new AtomicInteger();
     private final Map<OwnerGroup.Part, LogPartition> partitions = new ConcurrentHashMap<>();
 
     Store(TimeSource time) {
@@ -51,6 +58,16 @@
         partition(topic).append(List.of(new LogPartition.Entry(key, value.getBytes(StandardCharsets.UTF_8))));
     }
 
+    /** Counts an append that was refused because of its size. */
+    void countRefusedForSize() {
+        refusedForSize.incrementAndGet();
+    }
+
+    /** Returns the number of appends that were refused because of their size. */
+    int refusedForSize() {
+        return refusedForSize.get();
+    }
+
     /** Drops the history of jobs and progress, so that nodes that lag have to load the newest values. */
     void dropHistory() {
         partition(JOBS).dropHistory();
--- a/soak/src/main/java/org/chestnutbarrow/soak/StoreApi.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/StoreApi.java
@@ -20,6 +20,7 @@
 /** The HTTP interface of the platform's store. Thread-safe; has no state of its own. */
 final class StoreApi implements HttpHandler {
     private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
     private static final int FORBIDDEN = 403;
     private static final int NOT_FOUND = 404;
     private static final int CONFLICT = 409;
@@ -62,6 +63,10 @@
         if (Store.READ_ONLY.contains(request.query("topic", ""))) {
             return HttpResponse.text(FORBIDDEN, "");
         }
+        if (!isWithinLimits(ByteBuffer.wrap(request.body()))) {
+            store.countRefusedForSize();
+            return Json.response(BAD_REQUEST, Json.object().put("reason", "size"));
+        }
         List<LogPartition.Entry> entries = entries(ByteBuffer.wrap(request.body()));
         String producer = decode(request.query("producer", ""));
         String sequence = request.query("seq", "");
@@ -86,6 +91,20 @@
         };
     }
 
+    private static boolean isWithinLimits(ByteBuffer in) {
+        if (in.remaining() > Store.REQUEST_BYTES) {
+            return false;
+        }
+        while (in.hasRemaining()) {
+            int length = in.getInt();
+            if (length > Store.RECORD_BYTES) {
+                return false;
+            }
+            in.position(in.position() + length);
+        }
+        return true;
+    }
+
     private static List<LogPartition.Entry> entries(ByteBuffer in) {
         List<LogPartition.Entry> entries = new ArrayList<>();
         while (in.hasRemaining()) {
--- a/soak/src/main/java/org/chestnutbarrow/soak/WorkerApi.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/WorkerApi.java
@@ -120,8 +120,8 @@
                     .add(run.task().toString())
                     .add(run.run())
                     .add("")
-                    .add(0)
-                    .add(0);
+                    .add(run.need().listedPercent())
+                    .add(run.need().listedLoad());
         }
         ArrayNode ended = body.putArray("ended");
         status.ended().stream()
--- a/soak/src/main/java/org/chestnutbarrow/soak/WorkerLife.java
+++ b/soak/src/main/java/org/chestnutbarrow/soak/WorkerLife.java
@@ -37,7 +37,7 @@
     }
 
     /** A running task; it ends at {@code endsAt}, ns, unless the lease runs out before. */
-    record Active(TaskKey task, int run, int cpu, long endsAt, EndKind how) {}
+    record Active(TaskKey task, int run, JobPlan.Stage need, long endsAt, EndKind how) {}
 
     /** The answer to a hold. */
     record Status(Answer answer, List<Active> running, List<Observation.Ended> ended) {
@@ -125,14 +125,17 @@
         if (run <= lastEnded.getOrDefault(task, 0)) {
             return Answer.OLD;
         }
-        if (active.values().stream().mapToInt(Active::cpu).sum() + need.cpu() > cpu) {
+        int reserved = active.values().stream()
+                .mapToInt(other -> other.need().reservedCpu())
+                .sum();
+        if (reserved + need.reservedCpu() > cpu) {
             return Answer.ROOM;
         }
         extend(leaseMs);
         long now = time.nanos();
         EndKind how = random.nextInt(100) < FAILED_PERCENT ? EndKind.FAILED : EndKind.DONE;
         long length = (long) (need.runTime().toNanos() * random.nextDouble(0.7, 1.3));
-        active.put(new RunKey(task, run), new Active(task, run, need.cpu(), now + length, how));
+        active.put(new RunKey(task, run), new Active(task, run, need, now + length, how));
         history.record(new Observation.Started(history.at(now), id, task, run));
         notifyAll();
         return Answer.OK;
@@ -152,7 +155,7 @@
         long stopAt =
                 time.nanos() + Duration.ofMillis(random.nextInt(MAX_STOP_MS)).toNanos();
         if (stopAt < stopped.endsAt()) {
-            active.put(new RunKey(task, run), new Active(task, run, stopped.cpu(), stopAt, EndKind.STOPPED));
+            active.put(new RunKey(task, run), new Active(task, run, stopped.need(), stopAt, EndKind.STOPPED));
         }
         notifyAll();
         while (active.containsKey(new RunKey(task, run)) && !down) {
--- a/soak/src/test/java/org/chestnutbarrow/soak/LateCallsTest.java
+++ b/soak/src/test/java/org/chestnutbarrow/soak/LateCallsTest.java
@@ -33,7 +33,7 @@
         }
         Path root = Path.of(System.getProperty("chestnutbarrow.root"));
         PlaySettings settings =
-                new PlaySettings(SEED, 2, WORKERS, LOAD, Duration.ofSeconds(20), Set.of(), false, false, root);
+                new PlaySettings(SEED, 2, WORKERS, LOAD, Duration.ofSeconds(20), Set.of(), false, false, false, root);
         PlayResult result = Play.run(settings, faults, TimeSource.SYSTEM);
         assertTrue(result.accepted() > 0, result.report());
         assertEquals(result.findings(), List.of(), result.report());
--- a/soak/src/test/java/org/chestnutbarrow/soak/SlowProgressTest.java
+++ b/soak/src/test/java/org/chestnutbarrow/soak/SlowProgressTest.java
@@ -24,7 +24,7 @@
     public void play() throws Exception {
         Path root = Path.of(System.getProperty("chestnutbarrow.root"));
         PlaySettings settings = new PlaySettings(
-                SEED, 3, 8, LOAD, Duration.ofSeconds(20), Set.of(Fault.Family.STORE), false, true, root);
+                SEED, 3, 8, LOAD, Duration.ofSeconds(20), Set.of(Fault.Family.STORE), false, true, false, root);
         Fault slowProgress = new Fault.StoreCalls(
                 Fault.Side.EVERYBODY,
                 Fault.StoreScope.PROGRESS_APPENDS,
--- a/soak/src/test/java/org/chestnutbarrow/soak/UnorderedEndsTest.java
+++ b/soak/src/test/java/org/chestnutbarrow/soak/UnorderedEndsTest.java
@@ -19,7 +19,7 @@
     public void doneTaskIsNotStartedAgainWhenItsEndIsListedAfterLaterOnes() throws Exception {
         Path root = Path.of(System.getProperty("chestnutbarrow.root"));
         PlaySettings settings =
-                new PlaySettings(SEED, 2, 8, LOAD, Duration.ofSeconds(15), Set.of(), false, false, root);
+                new PlaySettings(SEED, 2, 8, LOAD, Duration.ofSeconds(15), Set.of(), false, false, false, root);
         Fault.Timed unordered = new Fault.Timed(Duration.ZERO, LOAD, new Fault.EndsUnordered());
         // Several ends are listed at once while an append delays their acknowledgement.
         Fault.Timed slowProgress = new Fault.Timed(
