--- a/node/src/main/java/org/chestnutbarrow/node/WorkerTable.java
+++ b/node/src/main/java/org/chestnutbarrow/node/WorkerTable.java
@@ -9,7 +9,11 @@
 import org.chestnutbarrow.logging.Events;
 import org.chestnutbarrow.model.WorkerId;
 
-/** The current worker list. Safe for use by several threads; guarded by the monitor of this object. */
+/**
+ * The current worker list. Safe for use by several threads; guarded by the monitor of this object.
+ *
+ * <p>Invariant: an entry that cannot be read changes nothing, so that the entry of its worker before it holds.
+ */
 final class WorkerTable implements TopicFollower.Listener {
     private final RecordCodec codec;
     private final Map<WorkerId, WorkerRegistration> entries = new HashMap<>();
@@ -30,7 +34,8 @@
 
     @Override
     public synchronized void onSnapshot(StateStore.Snapshot snapshot) {
-        entries.clear();
+        // The entry before one that cannot be read holds.
+        entries.keySet().removeIf(id -> !snapshot.values().containsKey(id.value()));
         changed = true;
         snapshot.values()
                 .forEach((key, value) -> decode(key, value).ifPresent(entry -> entries.put(entry.id(), entry)));
