--- a/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
+++ b/node/src/test/java/org/chestnutbarrow/node/EstimatesCodecTest.java
@@ -104,8 +104,9 @@
     @Test
     public void encodedSensitivitiesAreBounded() throws InvalidInputException {
         for (int nameLength : new int[] {1, 100, 30_000, 300_000}) {
+            String name = "\u00e4".repeat(nameLength);
             List<Sensitivity> sensitivities = IntStream.range(0, 5000)
-                    .mapToObj(i -> new Sensitivity("\u00e4".repeat(nameLength), "image-" + i, i, 1))
+                    .mapToObj(i -> new Sensitivity(name, "image-" + i, i, 1))
                     .toList();
             byte[] record = EstimatesCodec.encodeFirst(sensitivities, Integer.MAX_VALUE);
             assertTrue(record.length <= EstimatesCodec.MAX_SENSITIVITY_BYTES, record.length + " bytes");
